Settle the build, the records and the shared headers

Cause: the packages can only grow side by side once they agree on types. Change: the build with its presets, formatter and linter; core types (verdict, clocks that can't be mixed, reasons, logs, assertions); protobuf records of the log and messages between the nodes; plain structs of configuration, cells, job state, policy, routing, platform, worker and peer with first implementations of each.

--- /dev/null
+++ b/src/laburnumledge/core/assert.cpp
@@ -0,0 +1,30 @@
+#include "laburnumledge/core/assert.hpp"
+
+#include <cstdlib>
+
+#include "laburnumledge/core/log.hpp"
+
+namespace laburnumledge::core {
+
+namespace {
+
+AssertHandler installed = nullptr;
+
+}  // namespace
+
+AssertHandler SetAssertHandler(AssertHandler handler) noexcept {
+  AssertHandler previous = installed;
+  installed = handler;
+  return previous;
+}
+
+void FailAssert(const char* condition, const char* message, const char* file, int line) {
+  if (installed != nullptr) {
+    installed(condition, message, file, line);
+    return;
+  }
+  Error(Part::kNode, "invariant does not hold: {} ({}) at {}:{}", message, condition, file, line);
+  std::abort();
+}
+
+}  // namespace laburnumledge::core
--- /dev/null
+++ b/src/laburnumledge/core/hash.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace laburnumledge::core {
+
+/** @brief Stable 64-bit hash of bytes; equal on every machine. */
+[[nodiscard]] std::uint64_t Hash(std::string_view bytes, std::uint64_t seed = 0) noexcept;
+
+/** @brief Index returned by RendezvousOwner for an empty range. */
+inline constexpr std::size_t kNoOwner = static_cast<std::size_t>(-1);
+
+/**
+ * @brief Rendezvous (highest random weight) hashing.
+ * @tparam Names Range of members convertible to std::string_view.
+ * @param key What is assigned.
+ * @param names The members. Their order does not matter.
+ * @return Position of the member that owns the key, or kNoOwner for an empty range.
+ */
+template <typename Names>
+[[nodiscard]] std::size_t RendezvousOwner(std::string_view key, const Names& names) noexcept {
+  std::size_t owner = kNoOwner;
+  std::uint64_t highest = 0;
+  std::size_t position = 0;
+  const std::uint64_t seed = Hash(key);
+  for (const auto& name : names) {
+    const std::uint64_t weight = Hash(name, seed);
+    if (owner == kNoOwner || weight > highest) {
+      owner = position;
+      highest = weight;
+    }
+    ++position;
+  }
+  return owner;
+}
+
+}  // namespace laburnumledge::core
--- /dev/null
+++ b/src/laburnumledge/http/client.cpp
@@ -0,0 +1,253 @@
+#include "laburnumledge/http/client.hpp"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "laburnumledge/core/reason.hpp"
+
+namespace laburnumledge::http {
+
+namespace {
+
+constexpr long kConnectTimeoutMs = 2000;
+constexpr long kKeepAliveIdleSeconds = 5;
+constexpr long kKeepAliveIntervalSeconds = 2;
+
+struct Transfer {
+  CallId id_{};
+  CURL* easy_{};
+  curl_slist* headers_{};
+  Call call_;
+  Response response_;
+  Received received_;
+  bool too_large_{};
+  bool sent_{};
+};
+
+size_t OnBody(char* data, size_t size, size_t count, void* context) {
+  auto* transfer = static_cast<Transfer*>(context);
+  const size_t bytes = size * count;
+  if (transfer->response_.body_.size() + bytes > transfer->call_.max_answer_bytes_) {
+    transfer->too_large_ = true;
+    return 0;
+  }
+  transfer->response_.body_.append(data, bytes);
+  return bytes;
+}
+
+std::string_view Trim(std::string_view text) noexcept {
+  const size_t first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+size_t OnHeader(char* data, size_t size, size_t count, void* context) {
+  auto* transfer = static_cast<Transfer*>(context);
+  const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
+  if (line.substr(0, 5) == "HTTP/") {
+    transfer->response_.headers_.clear();
+  } else if (colon != std::string_view::npos) {
+    transfer->response_.headers_.push_back(
+        {std::string(Trim(line.substr(0, colon))), std::string(Trim(line.substr(colon + 1)))});
+  }
+  return line.size();
+}
+
+int OnPrerequest(void* context, char* /*ip*/, char* /*local_ip*/, int /*port*/,
+                 int /*local_port*/) {
+  static_cast<Transfer*>(context)->sent_ = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+bool NeverSent(const Transfer& transfer, CURLcode code) noexcept {
+  return !transfer.sent_ || code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+}
+
+}  // namespace
+
+struct Client::Implementation {
+  loop::Loop& loop_;
+  CURLM* multi_{curl_multi_init()};
+  loop::Handle timer_{};
+  CallId next_call_{1};
+  std::unordered_map<curl_socket_t, loop::Handle> watches_;
+  std::unordered_map<CallId, std::unique_ptr<Transfer>> transfers_;
+
+  explicit Implementation(loop::Loop& loop) : loop_(loop) {}
+
+  void Prepare(Transfer& transfer) const;
+  void Act(curl_socket_t socket, int mask);
+  void CollectEnded();
+  void End(CURL* easy, CURLcode code);
+  void Discard(Transfer& transfer) const noexcept;
+  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* context);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* closure);
+};
+
+int Client::Implementation::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* closure,
+                                     void* /*context*/) {
+  auto* self = static_cast<Implementation*>(closure);
+  const auto found = self->watches_.find(socket);
+  if (found != self->watches_.end()) {
+    self->loop_.Unwatch(found->second);
+    self->watches_.erase(found);
+  }
+  if (what == CURL_POLL_REMOVE) {
+    return 0;
+  }
+  const int events = ((what & CURL_POLL_IN) != 0 ? loop::kReadable : 0) |
+                     ((what & CURL_POLL_OUT) != 0 ? loop::kWritable : 0);
+  self->watches_[socket] = self->loop_.Watch(socket, events, [self, socket](int ready) {
+    const int mask = ((ready & loop::kReadable) != 0 ? CURL_CSELECT_IN : 0) |
+                     ((ready & loop::kWritable) != 0 ? CURL_CSELECT_OUT : 0);
+    self->Act(socket, mask);
+  });
+  return 0;
+}
+
+int Client::Implementation::OnTimer(CURLM* /*multi*/, long timeout_ms, void* closure) {
+  auto* self = static_cast<Implementation*>(closure);
+  self->loop_.Cancel(self->timer_);
+  self->timer_ = 0;
+  if (timeout_ms >= 0) {
+    self->timer_ = self->loop_.At(self->loop_.Now() + core::Milliseconds(timeout_ms),
+                                  [self] { self->Act(CURL_SOCKET_TIMEOUT, 0); });
+  }
+  return 0;
+}
+
+void Client::Implementation::Act(curl_socket_t socket, int mask) {
+  int running = 0;
+  curl_multi_socket_action(multi_, socket, mask, &running);
+  CollectEnded();
+}
+
+void Client::Implementation::CollectEnded() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      End(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+void Client::Implementation::End(CURL* easy, CURLcode code) {
+  Transfer* transfer = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+  Response response = std::move(transfer->response_);
+  if (code == CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    response.status_ = static_cast<unsigned>(status);
+    response.verdict_ = core::Verdict::kRan;
+  } else {
+    response.status_ = 0;
+    response.timed_out_ = code == CURLE_OPERATION_TIMEDOUT;
+    response.reason_ = transfer->too_large_ ? "answer is too large" : curl_easy_strerror(code);
+    response.verdict_ =
+        NeverSent(*transfer, code) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
+  }
+  const Received received = std::move(transfer->received_);
+  const CallId id = transfer->id_;
+  Discard(*transfer);
+  transfers_.erase(id);
+  received(std::move(response));
+}
+
+void Client::Implementation::Discard(Transfer& transfer) const noexcept {
+  curl_multi_remove_handle(multi_, transfer.easy_);
+  curl_easy_cleanup(transfer.easy_);
+  curl_slist_free_all(transfer.headers_);
+}
+
+void Client::Implementation::Prepare(Transfer& transfer) const {
+  CURL* easy = transfer.easy_;
+  const Call& call = transfer.call_;
+  const auto left = std::chrono::duration_cast<core::Milliseconds>(call.deadline_ - loop_.Now());
+  const long timeout_ms = std::max<long>(1, left.count());
+  for (const Field& field : call.headers_) {
+    transfer.headers_ = curl_slist_append(transfer.headers_,
+                                          fmt::format("{}: {}", field.name_, field.value_).c_str());
+  }
+  transfer.headers_ = curl_slist_append(transfer.headers_, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_URL, call.url_.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::min(kConnectTimeoutMs, timeout_ms));
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.fresh_connection_ ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.close_after_ ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+  if (call.method_ != "GET") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body_.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.data());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_.c_str());
+  }
+}
+
+Client::Client(loop::Loop& loop, long connections_per_host)
+    : implementation_(std::make_unique<Implementation>(loop)) {
+  CURLM* multi = implementation_->multi_;
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Implementation::OnSocket);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, implementation_.get());
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Implementation::OnTimer);
+  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, implementation_.get());
+  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, connections_per_host);
+  curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+Client::~Client() {
+  for (auto& [id, transfer] : implementation_->transfers_) {
+    implementation_->Discard(*transfer);
+  }
+  curl_multi_cleanup(implementation_->multi_);
+  for (const auto& [socket, watch] : implementation_->watches_) {
+    implementation_->loop_.Unwatch(watch);
+  }
+  implementation_->loop_.Cancel(implementation_->timer_);
+}
+
+CallId Client::Send(Call call, Received received) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->id_ = implementation_->next_call_++;
+  transfer->easy_ = curl_easy_init();
+  transfer->call_ = std::move(call);
+  transfer->received_ = std::move(received);
+  implementation_->Prepare(*transfer);
+  const CallId id = transfer->id_;
+  CURL* easy = transfer->easy_;
+  implementation_->transfers_.emplace(id, std::move(transfer));
+  curl_multi_add_handle(implementation_->multi_, easy);
+  return id;
+}
+
+void Client::Cancel(CallId call) noexcept {
+  const auto found = implementation_->transfers_.find(call);
+  if (found == implementation_->transfers_.end()) {
+    return;
+  }
+  implementation_->Discard(*found->second);
+  implementation_->transfers_.erase(found);
+}
+
+std::size_t Client::InFlight() const noexcept { return implementation_->transfers_.size(); }
+
+}  // namespace laburnumledge::http
--- /dev/null
+++ b/src/laburnumledge/http/message.cpp
@@ -0,0 +1,42 @@
+#include "laburnumledge/http/message.hpp"
+
+#include <strings.h>
+
+#include <nlohmann/json.hpp>
+
+namespace laburnumledge::http {
+
+std::optional<std::string_view> Find(const Fields& fields, std::string_view name) noexcept {
+  for (const Field& field : fields) {
+    if (field.name_.size() == name.size() &&
+        strncasecmp(field.name_.data(), name.data(), name.size()) == 0) {
+      return field.value_;
+    }
+  }
+  return std::nullopt;
+}
+
+Reply JsonReply(unsigned status, std::string body) {
+  return Reply{.status_ = status,
+               .headers_ = {{"Content-Type", "application/json"}},
+               .body_ = std::move(body)};
+}
+
+Reply ProblemReply(unsigned status, core::Verdict verdict, std::string_view reason,
+                   core::Milliseconds retry_after) {
+  nlohmann::json body;
+  body["status"] = status;
+  body["verdict"] = core::ToString(verdict);
+  body["reason"] = reason;
+  if (retry_after.count() > 0) {
+    body["retry_after_ms"] = retry_after.count();
+  }
+  Reply reply;
+  reply.status_ = status;
+  reply.headers_ = {{"Content-Type", "application/problem+json"},
+                    {"Verdict", std::string(core::ToString(verdict))}};
+  reply.body_ = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return reply;
+}
+
+}  // namespace laburnumledge::http
--- /dev/null
+++ b/src/laburnumledge/loop/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace laburnumledge::loop {
+
+class Loop;
+
+}  // namespace laburnumledge::loop
--- /dev/null
+++ b/src/laburnumledge/peer/membership.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "laburnumledge/config/settings.hpp"
+#include "laburnumledge/core/time.hpp"
+#include "peer.pb.h"
+
+namespace laburnumledge::peer {
+
+/** @brief What a node knows of another one from its heartbeats. */
+struct Member {
+  std::string name_;
+  config::Address address_;
+  std::string region_;
+  std::string zone_;
+  std::uint64_t incarnation_{};  ///< 0 before the first heartbeat.
+  std::vector<std::uint64_t> past_incarnations_;
+  core::TimePoint alive_until_;  ///< Live until then unless it is heard again.
+  proto::Heartbeat heartbeat_;   ///< Newest.
+  core::TimePoint heard_at_;
+};
+
+/** @brief Live view of the nodes. Pure: fed by messages, with time passed in. */
+struct Membership {
+  std::string self_;
+  std::string region_;
+  std::map<std::string, Member> members_;  ///< Without this node.
+};
+
+/** @brief Adds a node or changes its address; its liveness is not changed. */
+void AddMember(Membership& membership, const std::string& name, const config::Address& address);
+
+/** @brief Removes nodes that are neither listed nor live. */
+void RetainMembers(Membership& membership, const std::vector<std::string>& listed,
+                   core::TimePoint now);
+
+/**
+ * @brief Takes over a message's sender.
+ * @return False if the message is from a process that was replaced: it must be dropped.
+ */
+[[nodiscard]] bool AcceptSender(Membership& membership, const proto::PeerMessage& message,
+                                core::TimePoint alive_until, core::TimePoint now);
+
+/** @brief Whether a node is live. This node always is. */
+[[nodiscard]] bool IsLive(const Membership& membership, const std::string& name,
+                          core::TimePoint now);
+
+/** @brief Live nodes of this node's region that are not draining, with this one, sorted. */
+[[nodiscard]] std::vector<std::string> LiveNodes(const Membership& membership, bool self_draining,
+                                                 core::TimePoint now);
+
+}  // namespace laburnumledge::peer
--- /dev/null
+++ b/src/laburnumledge/state/state.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "laburnumledge/cells/pool.hpp"
+#include "laburnumledge/config/configuration.hpp"
+#include "laburnumledge/core/time.hpp"
+#include "laburnumledge/state/job.hpp"
+
+namespace laburnumledge::state {
+
+/** @brief Newest format that this program writes and reads. */
+inline constexpr std::uint32_t kFormatMajor = 1;
+
+/** @brief Number of record identifiers remembered for finding repeats. */
+inline constexpr std::size_t kRememberedRecords = 65536;
+
+/** @brief Identifiers of the newest records, in the order of their offsets. */
+struct RecordMemory {
+  std::unordered_set<std::string> known_;
+  std::deque<std::string> order_;
+};
+
+/** @brief Result of replaying the configuration stream. The same on every node. */
+struct ConfigurationState {
+  std::uint64_t next_offset_{};
+  std::uint64_t version_{};  ///< 0 before the first publication.
+  std::string text_;
+  config::Configuration configuration_;
+  std::vector<std::string> zones_out_;  ///< Sorted.
+  RecordMemory records_;
+  RecordMemory voided_;
+};
+
+/** @brief Who decides for a region. */
+struct Term {
+  std::uint64_t number_{};
+  std::string holder_;  ///< Node's name; empty after a release.
+  std::uint64_t incarnation_{};
+};
+
+/** @brief Health of a worker that is not healthy. */
+enum class Health : unsigned char { kHealthy, kSuspected, kProbing };
+
+/** @brief Result of replaying a region's jobs stream. The same on every node. */
+struct State {
+  std::string region_;
+  std::uint64_t next_offset_{};
+  core::StateTime clock_;
+  Term term_;
+  std::uint64_t configuration_version_{};
+  std::string configuration_text_;
+  config::Configuration configuration_;
+  std::vector<std::string> zones_out_;  ///< As adopted; sorted.
+  cells::Pool pool_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Health> health_;  ///< Only workers that are not healthy.
+  RecordMemory records_;
+  RecordMemory voided_;
+};
+
+}  // namespace laburnumledge::state
--- /dev/null
+++ b/src/laburnumledge/upstream/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace laburnumledge::upstream {
+
+struct Forward;
+struct Answer;
+
+}  // namespace laburnumledge::upstream
--- /dev/null
+++ b/test/standin/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
