--- /dev/null
+++ b/src/laburnumledge/caller/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace laburnumledge::caller {
+
+struct Incoming;
+
+}  // namespace laburnumledge::caller
--- /dev/null
+++ b/src/laburnumledge/node/node.cpp
@@ -0,0 +1,103 @@
+#include "laburnumledge/node/node.hpp"
+
+#include <utility>
+
+#include "laburnumledge/core/log.hpp"
+#include "laburnumledge/core/random.hpp"
+#include "laburnumledge/core/reason.hpp"
+
+namespace laburnumledge::node {
+
+namespace {
+
+constexpr long kPlatformConnections = 4;
+constexpr long kWorkerConnections = 1;
+constexpr core::Milliseconds kStepInterval{100};
+constexpr core::Milliseconds kDrainCheckInterval{50};
+constexpr core::Milliseconds kMillisecondsPerSecond{1000};
+
+}  // namespace
+
+Node::Node(loop::Loop& loop, const config::Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(core::EntropySeed()),
+      random_(core::MakeRandom(incarnation_, settings.name_)),
+      started_(loop.Now()),
+      platform_client_(loop, kPlatformConnections),
+      worker_client_(loop, kWorkerConnections),
+      log_(platform::MakeHttpLog(platform_client_, settings.platform_)),
+      replica_(MakeReplica(settings.region_)),
+      requests_(loop, settings, metrics_) {
+  configuration_appender_.stream_ = platform::kConfigurationStream;
+  jobs_appender_.stream_ = platform::JobsStream(settings.region_);
+  const core::Milliseconds spacing = kMillisecondsPerSecond / settings.appends_per_second_;
+  configuration_appender_.spacing_ = spacing;
+  jobs_appender_.spacing_ = spacing;
+  membership_.self_ = settings.name_;
+  membership_.region_ = settings.region_;
+  for (const config::Seed& seed : settings.seeds_) {
+    peer::AddMember(membership_, seed.name_, seed.peer_);
+  }
+  decider_.self_ = settings.name_;
+  decider_.incarnation_ = incarnation_;
+  decider_.anchor_time_ = started_;
+  replica_.shard_.limits_.lease_length_ = settings.lease_length_;
+  nodes_ = {settings.name_};
+}
+
+Node::~Node() = default;
+
+bool Node::Start() {
+  peers_ = peer::Peers::Start(loop_, settings_, incarnation_, membership_,
+                              [this](const proto::PeerMessage& message) { OnMessage(message); });
+  if (peers_ == nullptr) {
+    return false;
+  }
+  const http::ServerLimits limits{.max_body_bytes_ = settings_.max_body_bytes_,
+                                  .max_header_bytes_ = settings_.max_header_bytes_,
+                                  .max_connections_ = settings_.max_connections_};
+  server_ = http::Server::Start(loop_, settings_.callers_, limits,
+                                [this](http::Request request, http::Respond respond) {
+                                  Handle(std::move(request), std::move(respond));
+                                });
+  if (server_ == nullptr) {
+    return false;
+  }
+  loop_.Every(settings_.log_poll_interval_, [this] {
+    ReadConfiguration();
+    ReadJobs();
+  });
+  loop_.Every(settings_.heartbeat_interval_, [this] { Beat(); });
+  loop_.Every(settings_.vm_list_interval_, [this] { ReadVms(); });
+  loop_.Every(kStepInterval, [this] { StepRole(); });
+  ReadVms();
+  ReadConfiguration();
+  ReadJobs();
+  core::Info(core::Part::kNode, "node {} serves callers on {}", settings_.name_,
+             config::ToString(settings_.callers_));
+  return true;
+}
+
+void Node::Drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drain_until_ = loop_.Now() + settings_.shutdown_limit_;
+  core::Info(core::Part::kNode, "shutdown has begun; requests under way are finished first");
+  Beat();
+  loop_.At(loop_.Now() + settings_.shutdown_notice_, [this] {
+    server_->StopAccepting();
+    loop_.Every(kDrainCheckInterval, [this] {
+      const bool idle = server_->InFlight() == 0 && !HoldsTerm(decider_, replica_.jobs_);
+      if (idle || loop_.Now() >= drain_until_) {
+        core::Info(core::Part::kNode, "shutdown ends with {} requests under way",
+                   server_->InFlight());
+        loop_.Stop();
+      }
+    });
+  });
+}
+
+}  // namespace laburnumledge::node
--- /dev/null
+++ b/src/laburnumledge/node/node.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "laburnumledge/config/settings.hpp"
+#include "laburnumledge/http/client.hpp"
+#include "laburnumledge/http/server.hpp"
+#include "laburnumledge/loop/loop.hpp"
+#include "laburnumledge/node/decider.hpp"
+#include "laburnumledge/node/metrics.hpp"
+#include "laburnumledge/node/replica.hpp"
+#include "laburnumledge/node/request_path.hpp"
+#include "laburnumledge/peer/peers.hpp"
+#include "laburnumledge/platform/appender.hpp"
+#include "laburnumledge/platform/log.hpp"
+#include "laburnumledge/platform/vm_list.hpp"
+
+namespace laburnumledge::node {
+
+/** @brief Receives what became of a record that this node appended. */
+using RecordDone = std::function<void(const state::ApplyResult&)>;
+
+/**
+ * @brief One entry VM's process: puts the packages together on the loop.
+ *
+ * Not thread safe: every call comes from the loop's thread.
+ */
+class Node {
+ public:
+  /** @brief Settings must outlive the node. */
+  Node(loop::Loop& loop, const config::Settings& settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /** @brief Listens and starts to follow the log. False with the last reason if it can't. */
+  [[nodiscard]] bool Start();
+
+  /** @brief Begins a graceful shutdown: the loop stops when nothing is left. */
+  void Drain();
+
+ private:
+  // follow.cpp: reading and writing the log
+  void ReadConfiguration();
+  void ReadJobs();
+  void AppendTo(platform::Appender& appender);
+  void Settle(platform::Appender& appender, const std::vector<Applied>& applied);
+  void OnConfigurationApplied();
+  void AppendAndWait(platform::Appender& appender, proto::Record record,
+                     platform::Priority priority, RecordDone done);
+
+  // roles.cpp: membership, term, decisions, workers
+  void Beat();
+  void OnMessage(const proto::PeerMessage& message);
+  void ReadVms();
+  void TakeVms(const platform::VmList& list);
+  void Redivide();
+  void StepRole();
+  void ClaimTermIfDue();
+  void Exchange();
+  void ExchangeWith(const std::string& worker);
+  void SendReports();
+  [[nodiscard]] worker::Freshness MakeFreshness() const;
+
+  // endpoints.cpp: what callers and operators ask
+  void Handle(http::Request request, http::Respond respond);
+  void HandleJobs(const http::Request& request, const http::Respond& respond);
+  void PutJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void GetJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void WaitForJob(const std::string& id, core::TimePoint deadline, const http::Respond& respond);
+  void DeleteJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  bool ForwardToHolder(const http::Request& request, const http::Respond& respond);
+  void HandleConfiguration(const http::Request& request, const http::Respond& respond);
+  void HandleZone(const http::Request& request, const http::Respond& respond);
+  void HandleStatus(const http::Respond& respond) const;
+  void HandleReady(const http::Respond& respond) const;
+  [[nodiscard]] bool IsReady() const;
+
+  loop::Loop& loop_;
+  const config::Settings& settings_;
+  std::uint64_t incarnation_;
+  core::Random random_;
+  core::TimePoint started_;
+  http::Client platform_client_;
+  http::Client worker_client_;
+  platform::Log log_;
+  Replica replica_;
+  platform::Appender configuration_appender_;
+  platform::Appender jobs_appender_;
+  std::map<std::string, RecordDone> waiting_records_;
+  peer::Membership membership_;
+  std::unique_ptr<peer::Peers> peers_;
+  Decider decider_;
+  Metrics metrics_;
+  RequestPath requests_;
+  std::unique_ptr<http::Server> server_;
+  std::vector<std::string> nodes_;  ///< Live nodes that work is divided among.
+  std::string claim_id_;            ///< Record of this node's newest claim.
+  core::TimePoint drain_until_;
+  bool draining_{};
+  bool reading_configuration_{};
+  bool reading_jobs_{};
+};
+
+}  // namespace laburnumledge::node
--- /dev/null
+++ b/src/laburnumledge/node/roles.cpp
@@ -0,0 +1,218 @@
+#include <algorithm>
+
+#include "laburnumledge/core/hash.hpp"
+#include "laburnumledge/core/log.hpp"
+#include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/node/node.hpp"
+
+namespace laburnumledge::node {
+
+namespace {
+
+constexpr core::Milliseconds kVmListTimeout{3000};
+constexpr core::Milliseconds kExchangeTimeout{3000};
+constexpr core::Milliseconds kStartFreshness{2000};
+constexpr unsigned kOk = 200;
+
+std::uint64_t AgeMs(core::TimePoint then, core::TimePoint now) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<core::Milliseconds>(now - then).count());
+}
+
+}  // namespace
+
+void Node::Beat() {
+  const core::TimePoint now = loop_.Now();
+  proto::PeerMessage message;
+  proto::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_region(settings_.region_);
+  heartbeat.set_zone(settings_.zone_);
+  heartbeat.set_draining(draining_);
+  heartbeat.set_configuration_version(replica_.configuration_.version_);
+  heartbeat.set_configuration_offset(replica_.configuration_reader_.next_);
+  heartbeat.set_configuration_age_ms(AgeMs(replica_.configuration_reader_.fresh_at_, now));
+  heartbeat.set_jobs_offset(replica_.jobs_reader_.next_);
+  heartbeat.set_jobs_age_ms(AgeMs(replica_.jobs_reader_.fresh_at_, now));
+  heartbeat.set_term(replica_.jobs_.term_.number_);
+  heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
+  for (const auto& [name, member] : membership_.members_) {
+    peers_->Send(name, message);
+  }
+  Redivide();
+}
+
+void Node::OnMessage(const proto::PeerMessage& message) {
+  if (message.has_lease_reports()) {
+    TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
+    return;
+  }
+  if (!message.has_call()) {
+    return;
+  }
+  const proto::Call& call = message.call();
+  http::Request request;
+  request.method_ = call.method();
+  request.path_ = call.path();
+  request.body_ = call.body();
+  for (const proto::Header& header : call.headers()) {
+    request.headers_.push_back({header.name(), header.value()});
+  }
+  request.headers_.push_back({"Forwarded", message.from()});
+  Handle(std::move(request), [this, message](const http::Reply& reply) {
+    proto::PeerMessage answer;
+    proto::CallReply& body = *answer.mutable_call_reply();
+    body.set_status(reply.status_);
+    body.set_body(reply.body_);
+    for (const http::Field& field : reply.headers_) {
+      proto::Header* header = body.add_headers();
+      header->set_name(field.name_);
+      header->set_value(field.value_);
+    }
+    peers_->Reply(message, std::move(answer));
+  });
+}
+
+void Node::ReadVms() {
+  platform::ReadVmList(platform_client_, settings_.platform_, loop_.Now() + kVmListTimeout,
+                       [this](const std::optional<platform::VmList>& list) {
+                         if (list.has_value()) {
+                           TakeVms(*list);
+                         } else {
+                           core::Warning(core::Part::kPlatform, "{}", core::LastReason());
+                         }
+                       });
+}
+
+void Node::TakeVms(const platform::VmList& list) {
+  std::vector<std::string> nodes;
+  std::vector<std::string> live;
+  std::vector<std::string> leaving;
+  for (const platform::Vm& vm : list.vms_) {
+    if (vm.kind_ == platform::VmKind::kNode) {
+      peer::AddMember(membership_, vm.name_, vm.address_);
+      nodes.push_back(vm.name_);
+    } else {
+      (vm.leaving_ ? leaving : live).push_back(vm.name_);
+    }
+  }
+  for (const config::Seed& seed : settings_.seeds_) {
+    nodes.push_back(seed.name_);
+  }
+  peer::RetainMembers(membership_, nodes, loop_.Now());
+  routing::ObserveVmList(requests_.Router(), live, leaving, loop_.Now());
+  requests_.Pump();
+}
+
+void Node::Redivide() {
+  const core::TimePoint now = loop_.Now();
+  nodes_ = peer::LiveNodes(membership_, draining_, now);
+  worker::Divide(replica_.shard_, settings_.name_, nodes_, now);
+  routing::Configure(requests_.Router(), replica_.configuration_.configuration_,
+                     replica_.configuration_.zones_out_, settings_.name_, nodes_);
+}
+
+void Node::ClaimTermIfDue() {
+  const core::TimePoint now = loop_.Now();
+  const state::Term& term = replica_.jobs_.term_;
+  const bool settled = replica_.jobs_reader_.at_tail_ && replica_.jobs_reader_.failures_ == 0 &&
+                       now - started_ > settings_.peer_timeout_;
+  const bool vacant = term.holder_.empty() || term.holder_ == settings_.name_ ||
+                      !peer::IsLive(membership_, term.holder_, now);
+  const std::size_t candidate = core::RendezvousOwner(settings_.region_, nodes_);
+  const bool mine = candidate != core::kNoOwner && nodes_[candidate] == settings_.name_;
+  if (!settled || !vacant || !mine || platform::IsUnseen(jobs_appender_, claim_id_)) {
+    return;
+  }
+  proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
+  claim_id_ = record.id();
+  record.mutable_claim_term()->set_term(term.number_ + 1);
+  record.mutable_claim_term()->set_node(settings_.name_);
+  record.mutable_claim_term()->set_incarnation(incarnation_);
+  core::Info(core::Part::kNode, "claiming term {} of region {}", term.number_ + 1,
+             settings_.region_);
+  platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
+}
+
+void Node::StepRole() {
+  const core::TimePoint now = loop_.Now();
+  if (!HoldsTerm(decider_, replica_.jobs_)) {
+    ClaimTermIfDue();
+  } else if (draining_) {
+    proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
+    record.mutable_release_term();
+    if (!platform::IsUnseen(jobs_appender_, claim_id_)) {
+      claim_id_ = record.id();
+      platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
+    }
+  } else {
+    for (Outgoing& outgoing : Step(decider_, replica_.jobs_, replica_.configuration_,
+                                   replica_.plan_, jobs_appender_, random_, now)) {
+      platform::Submit(jobs_appender_, std::move(outgoing.record_), outgoing.priority_);
+    }
+  }
+  AppendTo(jobs_appender_);
+  AppendTo(configuration_appender_);
+  Exchange();
+}
+
+void Node::Exchange() {
+  const core::TimePoint now = loop_.Now();
+  for (const std::string& worker : replica_.shard_.owned_) {
+    worker::WorkerView& view = replica_.shard_.workers_[worker];
+    if (!view.under_way_ && view.next_exchange_ <= now) {
+      view.under_way_ = true;
+      view.next_exchange_ = now + settings_.exchange_interval_;
+      ExchangeWith(worker);
+    }
+  }
+}
+
+void Node::ExchangeWith(const std::string& worker) {
+  const core::TimePoint sent = loop_.Now();
+  const worker::ExchangeRequest request =
+      worker::PlanExchange(replica_.shard_, replica_.jobs_, worker, MakeFreshness(), sent);
+  http::Call call;
+  call.method_ = "POST";
+  call.url_ = fmt::format("http://{}/v1/exchange",
+                          config::ToString(replica_.shard_.workers_[worker].address_));
+  call.headers_ = {{"Content-Type", "application/json"}};
+  call.body_ = worker::EncodeRequest(request);
+  call.deadline_ = sent + kExchangeTimeout;
+  worker_client_.Send(std::move(call), [this, worker, sent](const http::Response& response) {
+    std::optional<worker::ExchangeReply> reply;
+    if (response.status_ == kOk) {
+      reply = worker::ParseReply(response.body_);
+    }
+    if (!reply.has_value()) {
+      worker::OnSilence(replica_.shard_, worker, loop_.Now());
+      return;
+    }
+    worker::OnReply(replica_.shard_, worker, std::move(*reply), sent, loop_.Now());
+    SendReports();
+  });
+}
+
+void Node::SendReports() {
+  const proto::LeaseReports reports =
+      worker::MakeReports(replica_.shard_, replica_.jobs_, loop_.Now());
+  if (reports.reports().empty() && reports.silent_workers().empty()) {
+    return;
+  }
+  if (HoldsTerm(decider_, replica_.jobs_)) {
+    TakeReports(decider_, replica_.jobs_, reports, loop_.Now());
+    return;
+  }
+  proto::PeerMessage message;
+  *message.mutable_lease_reports() = reports;
+  peers_->Send(replica_.jobs_.term_.holder_, std::move(message));
+}
+
+worker::Freshness Node::MakeFreshness() const {
+  const core::TimePoint now = loop_.Now();
+  const core::TimePoint until = replica_.configuration_reader_.fresh_at_ + kStartFreshness;
+  return {.may_start_ = replica_.configuration_reader_.at_tail_ && until > now,
+          .fresh_until_ = until,
+          .zones_out_ = replica_.configuration_.zones_out_};
+}
+
+}  // namespace laburnumledge::node
--- /dev/null
+++ b/src/laburnumledge/operators/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace laburnumledge::operators {
+
+struct StatusView;
+
+}  // namespace laburnumledge::operators
--- /dev/null
+++ b/test/laburnumledge/platform/appender.cpp
@@ -0,0 +1,66 @@
+#include "laburnumledge/platform/appender.hpp"
+
+#include <doctest/doctest.h>
+
+namespace laburnumledge::platform {
+
+namespace {
+
+proto::Record RecordOf(const std::string& id) {
+  proto::Record record;
+  record.set_id(id);
+  return record;
+}
+
+core::TimePoint At(int ms) { return core::TimePoint(core::Milliseconds(ms)); }
+
+}  // namespace
+
+TEST_CASE("a lost answer is looked for before the record is sent again") {
+  Appender appender;
+  core::Random random = core::MakeRandom(1, "test");
+  Submit(appender, RecordOf("a"), Priority::kOther);
+  REQUIRE(NextAppend(appender, At(0)).has_value());
+  OnAnswer(appender, {.verdict_ = core::Verdict::kMayHaveRun}, At(10), random);
+  CHECK_FALSE(NextAppend(appender, At(60000)).has_value());
+  OnTail(appender, At(9));
+  CHECK_FALSE(NextAppend(appender, At(60000)).has_value());
+  OnTail(appender, At(11));
+  CHECK(NextAppend(appender, At(60000)).has_value());
+}
+
+TEST_CASE("a record that was seen is not sent again") {
+  Appender appender;
+  core::Random random = core::MakeRandom(1, "test");
+  Submit(appender, RecordOf("a"), Priority::kOther);
+  REQUIRE(NextAppend(appender, At(0)).has_value());
+  OnAnswer(appender, {.verdict_ = core::Verdict::kMayHaveRun}, At(10), random);
+  OnSeen(appender, "a");
+  OnTail(appender, At(11));
+  CHECK_FALSE(NextAppend(appender, At(60000)).has_value());
+}
+
+TEST_CASE("only a record that was never sent can be taken back") {
+  Appender appender;
+  Submit(appender, RecordOf("a"), Priority::kOther);
+  CHECK(Withdraw(appender, "a") == core::Verdict::kNotRun);
+  CHECK_FALSE(NextAppend(appender, At(0)).has_value());
+  Submit(appender, RecordOf("b"), Priority::kOther);
+  REQUIRE(NextAppend(appender, At(100)).has_value());
+  CHECK(Withdraw(appender, "b") == core::Verdict::kMayHaveRun);
+}
+
+TEST_CASE("configuration goes before placements and placements before the rest") {
+  Appender appender;
+  Submit(appender, RecordOf("other"), Priority::kOther);
+  Submit(appender, RecordOf("placement"), Priority::kPlacement);
+  Submit(appender, RecordOf("configuration"), Priority::kConfiguration);
+  proto::RecordBatch batch;
+  REQUIRE(batch.ParseFromString(NextAppend(appender, At(0)).value()));
+  REQUIRE(batch.records_size() == 3);
+  CHECK(batch.records(0).id() == "configuration");
+  CHECK(batch.records(1).id() == "placement");
+  CHECK(batch.records(2).id() == "other");
+}
+
+}  // namespace laburnumledge::platform
--- /dev/null
+++ b/test/process/library.sh
@@ -0,0 +1,142 @@
+# Functions for the process tests: start stand-ins and nodes on free loopback ports, clean up.
+# Sourced by each test; expects LABURNUMLEDGE_BINARY and LABURNUMLEDGE_STANDIN.
+set -euo pipefail
+
+work=$(mktemp -d)
+pids=()
+nodes=()
+
+cleanup() {
+  local status=$?
+  for pid in "${pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  if [ "$status" -ne 0 ]; then
+    tail -n 40 "$work"/*.log || true
+  fi
+  rm -rf "$work"
+  exit "$status"
+}
+trap cleanup EXIT
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+# free_ports COUNT: prints free loopback ports, one a line.
+free_ports() {
+  "$LABURNUMLEDGE_STANDIN" free-ports "$1"
+}
+
+# make_configuration ZONES RACKS WORKERS INSTANCES: writes $work/configuration.json.
+# Zones are zone-1.., racks zone-1-rack-1.., workers zone-1-rack-1-worker-1.., of 8 accelerators.
+make_configuration() {
+  local zones=$1 racks=$2 workers=$3 instances=$4
+  local ports index=0 zone rack worker
+  mapfile -t ports < <(free_ports $((zones * racks * workers + instances)))
+  {
+    echo '{"inventory":{"zones":['
+    for ((zone = 1; zone <= zones; ++zone)); do
+      echo "$([ "$zone" -gt 1 ] && echo ,){\"name\":\"zone-$zone\",\"region\":\"region-1\"}"
+    done
+    echo '],"racks":['
+    local comma=''
+    for ((zone = 1; zone <= zones; ++zone)); do
+      for ((rack = 1; rack <= racks; ++rack)); do
+        echo "$comma{\"name\":\"zone-$zone-rack-$rack\",\"zone\":\"zone-$zone\"}"
+        comma=,
+      done
+    done
+    echo '],"workers":['
+    comma=''
+    for ((zone = 1; zone <= zones; ++zone)); do
+      for ((rack = 1; rack <= racks; ++rack)); do
+        for ((worker = 1; worker <= workers; ++worker)); do
+          echo "$comma{\"name\":\"zone-$zone-rack-$rack-worker-$worker\",\"rack\":\"zone-$zone-rack-$rack\",\"address\":\"127.0.0.1:${ports[$index]}\",\"accelerators\":8,\"cores\":128,\"memory_mb\":262144}"
+          echo "zone-$zone-rack-$rack-worker-$worker ${ports[$index]}" >> "$work/workers"
+          index=$((index + 1))
+          comma=,
+        done
+      done
+    done
+    echo '],"instances":['
+    comma=''
+    for ((instance = 1; instance <= instances; ++instance)); do
+      echo "$comma{\"name\":\"booking-$instance\",\"service\":\"booking\",\"zone\":\"zone-$(((instance - 1) % zones + 1))\",\"address\":\"127.0.0.1:${ports[$index]}\"}"
+      echo "booking-$instance ${ports[$index]}" >> "$work/instances"
+      index=$((index + 1))
+      comma=,
+    done
+    echo ']},"rules":{"organisations":[{"name":"stofn"},{"name":"lefka"}],'
+    echo '"services":[{"name":"booking","classes":[{"name":"counter","weight":4,"interactive":true},{"name":"batch"}]}]}}'
+  } > "$work/configuration.json"
+}
+
+# start_standin: starts the platform, the workers and the instances of $work/configuration.json.
+start_standin() {
+  platform=$(free_ports 1)
+  "$LABURNUMLEDGE_STANDIN" "127.0.0.1:$platform" "$work/configuration.json" 2> "$work/standin.log" &
+  standin_pid=$!
+  pids+=("$standin_pid")
+  wait_until 10 curl -sf -o /dev/null "http://127.0.0.1:$platform/v1/vms"
+}
+
+# make_nodes COUNT: writes settings of node-1.. and sets caller_port[i].
+make_nodes() {
+  local count=$1 ports i seeds='' comma=''
+  mapfile -t ports < <(free_ports $((2 * count)))
+  caller_port=()
+  for ((i = 1; i <= count; ++i)); do
+    seeds="$seeds$comma{\"name\":\"node-$i\",\"peers\":\"127.0.0.1:${ports[$((2 * i - 1))]}\"}"
+    comma=,
+  done
+  for ((i = 1; i <= count; ++i)); do
+    caller_port[i]=${ports[$((2 * i - 2))]}
+    cat > "$work/node-$i.json" <<S
+{"name":"node-$i","region":"region-1","zone":"zone-$(((i - 1) % 2 + 1))",
+ "callers":"127.0.0.1:${caller_port[i]}","peers":"127.0.0.1:${ports[$((2 * i - 1))]}",
+ "platform":"127.0.0.1:$platform","seeds":[$seeds],"log_level":"debug",
+ "peer_timeout_ms":2000,"exchange_interval_ms":200,"lease_length_ms":8000,
+ "shutdown_notice_ms":300,"shutdown_limit_ms":10000}
+S
+  done
+}
+
+# start_node I: starts node-I; its process identifier is node_pid[I].
+start_node() {
+  "$LABURNUMLEDGE_BINARY" serve "$work/node-$1.json" 2>> "$work/node-$1.log" &
+  node_pid[$1]=$!
+  pids+=("${node_pid[$1]}")
+  wait_until 10 curl -sf -o /dev/null "http://127.0.0.1:${caller_port[$1]}/healthz"
+}
+
+# wait_until SECONDS COMMAND...: repeats a command until it succeeds.
+wait_until() {
+  local tries=$(($1 * 10))
+  shift
+  until "$@"; do
+    tries=$((tries - 1))
+    [ "$tries" -gt 0 ] || fail "never succeeded: $*"
+    sleep 0.1
+  done
+}
+
+# call NODE METHOD PATH [CURL ARGUMENTS...]: calls a node and prints the body.
+call() {
+  local port=${caller_port[$1]} method=$2 path=$3
+  shift 3
+  curl -s -X "$method" "http://127.0.0.1:$port$path" "$@"
+}
+
+# has_holder NODE: whether the node knows who decides.
+has_holder() {
+  call "$1" GET /v1/status | grep -q '"holder":"node-'
+}
+
+# publish NODE REPLACES: publishes $work/configuration.json.
+publish() {
+  call "$1" POST "/v1/configuration?replaces=$2" --data-binary "@$work/configuration.json"
+}
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -1,1 +1,120 @@
-int main() { return 0; }
+#include <fmt/core.h>
+
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <vector>
+
+#include "instance.hpp"
+#include "laburnumledge/core/hash.hpp"
+#include "laburnumledge/core/reason.hpp"
+#include "platform.hpp"
+#include "worker.hpp"
+
+namespace laburnumledge::standin {
+
+namespace {
+
+constexpr std::uint64_t kLargestClockOffsetMs = 1000000;
+
+/** @brief Everything that the process stands in for. */
+struct World {
+  std::unique_ptr<Platform> platform_;
+  std::vector<std::unique_ptr<StandinWorker>> workers_;
+  std::vector<std::unique_ptr<StandinInstance>> instances_;
+  std::vector<std::unique_ptr<http::Server>> servers_;
+};
+
+template <typename Target>
+bool Listen(loop::Loop& loop, World& world, const config::Address& address, unsigned connections,
+            Target* target) {
+  auto server = http::Server::Start(loop, address, {.max_connections_ = connections},
+                                    [target](http::Request request, http::Respond respond) {
+                                      target->Handle(std::move(request), std::move(respond));
+                                    });
+  if (server == nullptr) {
+    fmt::print(stderr, "{}\n", core::LastReason());
+    return false;
+  }
+  world.servers_.push_back(std::move(server));
+  return true;
+}
+
+bool Build(loop::Loop& loop, World& world, const config::Address& platform,
+           const config::Configuration& configuration) {
+  constexpr unsigned kPlenty = 1024;
+  world.platform_ = std::make_unique<Platform>(loop);
+  world.platform_->ListInstances(configuration);
+  if (!Listen(loop, world, platform, kPlenty, world.platform_.get())) {
+    return false;
+  }
+  for (const config::Worker& worker : configuration.inventory_.workers_) {
+    const core::Milliseconds offset(core::Hash(worker.name_) % kLargestClockOffsetMs);
+    world.workers_.push_back(std::make_unique<StandinWorker>(loop, worker, offset));
+    if (!Listen(loop, world, worker.address_, kPlenty, world.workers_.back().get())) {
+      return false;
+    }
+  }
+  for (const config::Instance& instance : configuration.inventory_.instances_) {
+    world.instances_.push_back(std::make_unique<StandinInstance>(loop, instance));
+    if (!Listen(loop, world, instance.address_, instance.connections_,
+                world.instances_.back().get())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+int Run(const std::string& platform_text, const std::string& path) {
+  const std::optional<config::Address> platform = config::ParseAddress(platform_text);
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto configuration = config::ParseConfiguration(text.str(), path);
+  if (!platform.has_value() || !configuration.has_value()) {
+    fmt::print(stderr, "{}\n", core::LastReason());
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  loop::Loop loop;
+  World world;
+  if (!Build(loop, world, *platform, *configuration)) {
+    return 1;
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
+/** Prints free loopback ports; all are held until the last one is known, so that none repeats. */
+int PrintFreePorts(int count) {
+  loop::Loop loop;
+  std::vector<std::unique_ptr<http::Server>> servers;
+  for (int i = 0; i < count; ++i) {
+    servers.push_back(http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
+                                          [](const http::Request&, const http::Respond&) {}));
+    if (servers.back() == nullptr) {
+      return 1;
+    }
+    fmt::print("{}\n", servers.back()->Port());
+  }
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace laburnumledge::standin
+
+int main(int argc, char** argv) {
+  if (argc == 3 && std::string(argv[1]) == "free-ports") {
+    return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]));
+  }
+  if (argc != 3) {
+    fmt::print(stderr,
+               "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports N\n");
+    return 2;
+  }
+  return laburnumledge::standin::Run(argv[1], argv[2]);
+}
