--- a/src/laburnumledge/node/decider.cpp
+++ b/src/laburnumledge/node/decider.cpp
@@ -7,18 +7,24 @@
 #include <utility>
 
 #include "laburnumledge/core/assert.hpp"
+#include "laburnumledge/core/log.hpp"
 #include "laburnumledge/state/snapshot.hpp"
 
 namespace laburnumledge::node {
 
 namespace {
 
+constexpr core::Milliseconds kFirstSnapshot{2000};
+constexpr std::size_t kChunkBytes = 128U << 10U;
+constexpr int kForgetAtOnce = 1000;
+
 using state::Job;
 using state::Phase;
 
 struct Context {
   Decider& decider_;
   const state::State& state_;
+  const JobIndex& index_;
   const platform::Appender& appender_;
   core::Random& random_;
   core::TimePoint now_;
@@ -45,6 +51,16 @@
   return context.outgoing_.back().record_;
 }
 
+/** Emits a record that no decision has to wait for. */
+proto::Record& EmitBackground(Context& context, std::string& slot) {
+  proto::Record record =
+      MakeRecord(context.decider_, context.state_, context.random_, context.now_);
+  slot = record.id();
+  context.outgoing_.push_back(
+      {.record_ = std::move(record), .priority_ = platform::Priority::kOther});
+  return context.outgoing_.back().record_;
+}
+
 void AdoptConfiguration(Context& context, const state::ConfigurationState& configuration) {
   const state::State& state = context.state_;
   if (configuration.version_ <= state.configuration_version_ ||
@@ -227,8 +243,8 @@
 }
 
 void StepGangs(Context& context) {
-  for (const auto& [id, job] : context.state_.jobs_) {
-    StepGang(context, job);
+  for (const std::string& id : context.index_.active_) {
+    StepGang(context, context.state_.jobs_.at(id));
   }
   std::erase_if(context.decider_.gangs_, [&](const auto& entry) {
     const auto job = context.state_.jobs_.find(entry.first);
@@ -267,11 +283,7 @@
 }
 
 void StepPolicy(Context& context, policy::Plan& plan) {
-  auto& outstanding = context.decider_.outstanding_;
-  const bool waiting = std::any_of(outstanding.begin(), outstanding.end(), [&](const auto& entry) {
-    return platform::IsUnseen(context.appender_, entry.second);
-  });
-  if (waiting) {
+  if (!context.decider_.outstanding_.empty()) {
     return;
   }
   const core::StateTime now = StateNow(context.decider_, context.now_);
@@ -282,18 +294,50 @@
 }
 
 void ForgetOldJobs(Context& context) {
-  if (IsOutstanding(context, "/forget")) {
+  if (platform::IsUnseen(context.appender_, context.decider_.forget_record_)) {
     return;
   }
   const core::StateTime now = StateNow(context.decider_, context.now_);
   proto::ForgetJobs body;
-  for (const auto& [id, job] : context.state_.jobs_) {
-    if (job.phase_ == Phase::kFinished && now - job.finished_ > context.decider_.result_memory_) {
-      body.add_jobs(id);
+  for (const auto& [finished, id] : context.index_.finished_) {
+    if (now - finished <= context.decider_.result_memory_ || body.jobs_size() >= kForgetAtOnce) {
+      break;
     }
+    body.add_jobs(id);
   }
   if (!body.jobs().empty()) {
-    *Emit(context, "/forget", platform::Priority::kOther).mutable_forget_jobs() = std::move(body);
+    *EmitBackground(context, context.decider_.forget_record_).mutable_forget_jobs() =
+        std::move(body);
+  }
+}
+
+/** Forgets which records were under way once they were read. */
+void PruneOutstanding(Context& context) {
+  std::erase_if(context.decider_.outstanding_, [&](const auto& entry) {
+    return !platform::IsUnseen(context.appender_, entry.second);
+  });
+}
+
+void FollowTerm(Decider& decider, const state::State& state, core::TimePoint now) {
+  if (decider.snapshot_term_ != state.term_.number_) {
+    decider.snapshot_term_ = state.term_.number_;
+    decider.snapshot_at_ = now + kFirstSnapshot;
+    decider.configuration_snapshot_at_ = now + kFirstSnapshot;
+  }
+}
+
+void StepSnapshot(Context& context, const platform::Reader& reader) {
+  Decider& decider = context.decider_;
+  const state::State& state = context.state_;
+  const bool expired = reader.first_ > state.snapshot_.whole_offset_;
+  const bool under_way = platform::IsUnseen(context.appender_, decider.snapshot_record_);
+  if (under_way || (context.now_ < decider.snapshot_at_ && !expired)) {
+    return;
+  }
+  decider.snapshot_at_ = context.now_ + decider.snapshot_interval_;
+  const std::string id = core::MakeUniqueId(context.random_);
+  for (proto::SnapshotChunk& chunk : state::CutSnapshot(state, id, kChunkBytes)) {
+    *EmitBackground(context, decider.snapshot_record_).mutable_snapshot_chunk() = std::move(chunk);
   }
 }
 
@@ -340,27 +384,74 @@
   record.set_format_major(state::kFormatMajor);
   record.set_term(state.term_.number_);
   record.set_at_ms(static_cast<std::uint64_t>(core::ToMs(StateNow(decider, now))));
+  record.set_base_offset(state.next_offset_);
+  return record;
+}
+
+proto::Record MakeConfigurationRecord(const state::ConfigurationState& configuration,
+                                      core::Random& random) {
+  proto::Record record;
+  record.set_id(core::MakeUniqueId(random));
+  record.set_format_major(state::kFormatMajor);
+  record.set_base_offset(configuration.next_offset_);
   return record;
 }
 
+void OnTermLost(Decider& decider, platform::Appender& appender) {
+  for (const auto& [subject, id] : decider.outstanding_) {
+    if (platform::Withdraw(appender, id) == core::Verdict::kNotRun) {
+      core::Debug(core::Part::kNode, "record {} of an earlier term was not sent", id);
+    }
+  }
+  decider.outstanding_.clear();
+  decider.gangs_.clear();
+}
+
+std::optional<Outgoing> StepConfigurationSnapshot(Decider& decider,
+                                                  const state::ConfigurationState& configuration,
+                                                  const platform::Reader& reader,
+                                                  const platform::Appender& appender,
+                                                  core::Random& random, core::TimePoint now) {
+  if (decider.configuration_snapshot_ < configuration.snapshot_offset_) {
+    decider.configuration_snapshot_ = configuration.snapshot_offset_;
+    decider.configuration_snapshot_at_ = now + decider.snapshot_interval_;
+  }
+  const bool under_way = platform::IsUnseen(appender, decider.configuration_record_);
+  const bool expired = reader.first_ > configuration.snapshot_offset_;
+  const bool due = now >= decider.configuration_snapshot_at_ || expired;
+  if (configuration.version_ == 0 || under_way || !due) {
+    return std::nullopt;
+  }
+  decider.configuration_snapshot_at_ = now + decider.snapshot_interval_;
+  proto::Record record = MakeConfigurationRecord(configuration, random);
+  *record.mutable_configuration_snapshot() = state::MakeConfigurationSnapshot(configuration);
+  decider.configuration_record_ = record.id();
+  return Outgoing{.record_ = std::move(record), .priority_ = platform::Priority::kOther};
+}
+
 std::vector<Outgoing> Step(Decider& decider, const state::State& state,
                            const state::ConfigurationState& configuration, policy::Plan& plan,
+                           const JobIndex& index, const platform::Reader& reader,
                            const platform::Appender& appender, core::Random& random,
                            core::TimePoint now) {
   LABURNUMLEDGE_ASSERT(HoldsTerm(decider, state), "only the holder of the term decides");
   std::vector<Outgoing> outgoing;
   Context context{.decider_ = decider,
                   .state_ = state,
+                  .index_ = index,
                   .appender_ = appender,
                   .random_ = random,
                   .now_ = now,
                   .outgoing_ = outgoing};
+  FollowTerm(decider, state, now);
+  PruneOutstanding(context);
   AdoptConfiguration(context, configuration);
   StepGangs(context);
   if (outgoing.empty()) {
     StepPolicy(context, plan);
   }
   ForgetOldJobs(context);
+  StepSnapshot(context, reader);
   return outgoing;
 }
 
--- a/src/laburnumledge/node/endpoints.cpp
+++ b/src/laburnumledge/node/endpoints.cpp
@@ -33,6 +33,13 @@
   return http::ProblemReply(status, core::Verdict::kNotRun, reason);
 }
 
+/** Answer for a record that was not read in time. */
+http::Reply NotReadReply(const RecordOutcome& outcome) {
+  return http::ProblemReply(
+      outcome.verdict_ == core::Verdict::kNotRun ? kUnavailable : kGatewayTimeout, outcome.verdict_,
+      "the log did not confirm the record in time");
+}
+
 }  // namespace
 
 void Node::Handle(http::Request request, http::Respond respond) {
@@ -61,8 +68,8 @@
 }
 
 bool Node::IsReady() const {
-  return !draining_ && replica_.configuration_.version_ > 0 &&
-         replica_.configuration_reader_.at_tail_;
+  return !draining_ &&
+         MayServe(replica_, membership_, started_ + settings_.peer_timeout_, loop_.Now());
 }
 
 void Node::HandleReady(const http::Respond& respond) const {
@@ -148,10 +155,18 @@
   proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, loop_.Now());
   *record.mutable_submit_job()->mutable_spec() = state::ToProto(*spec);
   AppendAndWait(jobs_appender_, std::move(record), platform::Priority::kOther,
-                [this, id, respond](const state::ApplyResult& result) {
+                [this, id, spec = *spec, respond](const RecordOutcome& outcome) {
+                  if (outcome.verdict_ != core::Verdict::kRan) {
+                    respond(NotReadReply(outcome));
+                    return;
+                  }
                   const auto job = replica_.jobs_.jobs_.find(id);
                   if (job == replica_.jobs_.jobs_.end()) {
-                    respond(NotRun(kUnavailable, result.reason_));
+                    respond(NotRun(kUnavailable, outcome.result_.reason_));
+                    return;
+                  }
+                  if (job->second.spec_ != spec) {
+                    respond(NotRun(kConflict, "another job has this identifier"));
                     return;
                   }
                   respond(http::JsonReply(kOk, caller::JobText(replica_.jobs_, job->second)));
@@ -194,7 +209,12 @@
   proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, loop_.Now());
   record.mutable_cancel_job()->set_job(id);
   AppendAndWait(jobs_appender_, std::move(record), platform::Priority::kPlacement,
-                [this, id, respond](const state::ApplyResult& result) {
+                [this, id, respond](const RecordOutcome& outcome) {
+                  if (outcome.verdict_ != core::Verdict::kRan) {
+                    respond(NotReadReply(outcome));
+                    return;
+                  }
+                  const state::ApplyResult& result = outcome.result_;
                   const auto job = replica_.jobs_.jobs_.find(id);
                   if (job == replica_.jobs_.jobs_.end()) {
                     respond(NotRun(kNotFound, result.reason_));
@@ -209,13 +229,16 @@
     respond(NotRun(kBadRequest, core::LastReason()));
     return;
   }
-  proto::Record record;
-  record.set_id(core::MakeUniqueId(random_));
-  record.set_format_major(state::kFormatMajor);
+  proto::Record record = MakeConfigurationRecord(replica_.configuration_, random_);
   record.mutable_publish_configuration()->set_replaces(QueryNumber(request, "replaces"));
   record.mutable_publish_configuration()->set_text(request.body_);
   AppendAndWait(configuration_appender_, std::move(record), platform::Priority::kConfiguration,
-                [this, respond](const state::ApplyResult& result) {
+                [this, respond](const RecordOutcome& outcome) {
+                  if (outcome.verdict_ != core::Verdict::kRan) {
+                    respond(NotReadReply(outcome));
+                    return;
+                  }
+                  const state::ApplyResult& result = outcome.result_;
                   if (result.code_ != state::ApplyCode::kApplied) {
                     respond(NotRun(kConflict, result.reason_));
                     return;
@@ -231,14 +254,17 @@
     respond(NotRun(kBadRequest, "argument out must be true or false"));
     return;
   }
-  proto::Record record;
-  record.set_id(core::MakeUniqueId(random_));
-  record.set_format_major(state::kFormatMajor);
+  proto::Record record = MakeConfigurationRecord(replica_.configuration_, random_);
   record.mutable_set_zone()->set_zone(request.path_.substr(std::string("/v1/zones/").size()));
   record.mutable_set_zone()->set_out(out == "true");
   record.mutable_set_zone()->set_replaces(QueryNumber(request, "replaces"));
   AppendAndWait(configuration_appender_, std::move(record), platform::Priority::kConfiguration,
-                [this, respond](const state::ApplyResult& result) {
+                [this, respond](const RecordOutcome& outcome) {
+                  if (outcome.verdict_ != core::Verdict::kRan) {
+                    respond(NotReadReply(outcome));
+                    return;
+                  }
+                  const state::ApplyResult& result = outcome.result_;
                   const bool holds = result.code_ == state::ApplyCode::kApplied ||
                                      result.code_ == state::ApplyCode::kNoChange;
                   if (!holds) {
--- a/src/laburnumledge/node/follow.cpp
+++ b/src/laburnumledge/node/follow.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/core/log.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/node/node.hpp"
+#include "laburnumledge/node/recovery.hpp"
 
 namespace laburnumledge::node {
 
@@ -8,11 +9,14 @@
 
 constexpr core::Milliseconds kReadTimeout{2000};
 constexpr core::Milliseconds kAppendTimeout{5000};
+constexpr core::Milliseconds kStateTimeout{5000};
+constexpr core::Milliseconds kWithdrawAfter{4000};
+constexpr core::Milliseconds kAnswerAfter{9000};
 
 }  // namespace
 
 void Node::ReadConfiguration() {
-  if (reading_configuration_) {
+  if (reading_configuration_ || replica_.incompatible_) {
     return;
   }
   reading_configuration_ = true;
@@ -26,13 +30,14 @@
                  platform::Reject(target);
                  return;
                }
-               const auto entries = platform::Accept(target, std::move(*answer), sent);
-               const auto applied = ApplyConfigurationEntries(replica_, entries);
-               if (target.fresh_at_ == sent) {
+               const std::uint64_t version = replica_.configuration_.version_;
+               const auto applied = TakeConfigurationAnswer(replica_, std::move(*answer), sent);
+               Settle(pending_configuration_, configuration_appender_, applied,
+                      replica_.configuration_.records_);
+               if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(configuration_appender_, sent);
                }
-               Settle(configuration_appender_, applied);
-               if (!applied.empty()) {
+               if (version != replica_.configuration_.version_) {
                  OnConfigurationApplied();
                }
                AppendTo(configuration_appender_);
@@ -40,7 +45,7 @@
 }
 
 void Node::ReadJobs() {
-  if (reading_jobs_) {
+  if (reading_jobs_ || replica_.incompatible_) {
     return;
   }
   reading_jobs_ = true;
@@ -54,30 +59,16 @@
                  platform::Reject(target);
                  return;
                }
-               const auto entries = platform::Accept(target, std::move(*answer), sent);
-               const auto applied = ApplyJobsEntries(replica_, entries);
+               const auto applied = TakeJobsAnswer(replica_, std::move(*answer), sent);
                FollowClock(decider_, replica_.jobs_, loop_.Now());
-               Settle(jobs_appender_, applied);
-               if (target.fresh_at_ == sent) {
+               Settle(pending_jobs_, jobs_appender_, applied, replica_.jobs_.records_);
+               if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(jobs_appender_, sent);
                }
                StepRole();
              });
 }
 
-void Node::Settle(platform::Appender& appender, const std::vector<Applied>& applied) {
-  for (const Applied& record : applied) {
-    platform::OnSeen(appender, record.id_);
-    const auto waiting = waiting_records_.find(record.id_);
-    if (waiting == waiting_records_.end()) {
-      continue;
-    }
-    const RecordDone done = std::move(waiting->second);
-    waiting_records_.erase(waiting);
-    done(record.result_);
-  }
-}
-
 void Node::OnConfigurationApplied() {
   core::Info(core::Part::kConfig, "configuration version {} is in force",
              replica_.configuration_.version_);
@@ -108,9 +99,53 @@
 
 void Node::AppendAndWait(platform::Appender& appender, proto::Record record,
                          platform::Priority priority, RecordDone done) {
-  waiting_records_.emplace(record.id(), std::move(done));
+  const core::TimePoint now = loop_.Now();
+  PendingRecords& pending = &appender == &jobs_appender_ ? pending_jobs_ : pending_configuration_;
+  Await(pending, record, now + kWithdrawAfter, now + kAnswerAfter, std::move(done));
   platform::Submit(appender, std::move(record), priority);
   AppendTo(appender);
 }
 
+void Node::StepPendingRecords() {
+  const core::TimePoint now = loop_.Now();
+  StepPending(
+      pending_configuration_, configuration_appender_,
+      [this] { return MakeConfigurationRecord(replica_.configuration_, random_); }, now);
+  StepPending(
+      pending_jobs_, jobs_appender_,
+      [this, now] { return MakeRecord(decider_, replica_.jobs_, random_, now); }, now);
+}
+
+void Node::AskForState() {
+  const std::optional<StateWish> wish = WishForState(replica_, membership_, loop_.Now());
+  if (!wish.has_value() || asking_for_state_) {
+    return;
+  }
+  asking_for_state_ = true;
+  proto::PeerMessage message;
+  *message.mutable_state_request() = wish->request_;
+  peers_->Call(wish->peer_, std::move(message), loop_.Now() + kStateTimeout,
+               [this](const proto::PeerMessage* reply) {
+                 asking_for_state_ = false;
+                 if (reply == nullptr || !reply->has_state_reply()) {
+                   return;
+                 }
+                 const std::uint64_t version = replica_.configuration_.version_;
+                 if (!TakeStateReply(replica_, reply->state_reply())) {
+                   core::Warning(core::Part::kState, "state of node {} is not taken: {}",
+                                 reply->from(), core::LastReason());
+                 }
+                 FollowClock(decider_, replica_.jobs_, loop_.Now());
+                 if (version != replica_.configuration_.version_) {
+                   OnConfigurationApplied();
+                 }
+               });
+}
+
+void Node::AnswerStateRequest(const proto::PeerMessage& message) {
+  proto::PeerMessage reply;
+  *reply.mutable_state_reply() = MakeStateReply(replica_, message.state_request());
+  peers_->Reply(message, std::move(reply));
+}
+
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -44,6 +44,8 @@
   decider_.anchor_time_ = started_;
   replica_.shard_.limits_.lease_length_ = settings.lease_length_;
   nodes_ = {settings.name_};
+  candidates_ = nodes_;
+  beats_.sequence_ = incarnation_;
 }
 
 Node::~Node() = default;
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -10,9 +10,12 @@
 #include "laburnumledge/http/server.hpp"
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/node/decider.hpp"
+#include "laburnumledge/node/freshness.hpp"
 #include "laburnumledge/node/metrics.hpp"
+#include "laburnumledge/node/pending.hpp"
 #include "laburnumledge/node/replica.hpp"
 #include "laburnumledge/node/request_path.hpp"
+#include "laburnumledge/node/term.hpp"
 #include "laburnumledge/peer/peers.hpp"
 #include "laburnumledge/platform/appender.hpp"
 #include "laburnumledge/platform/log.hpp"
@@ -20,9 +23,6 @@
 
 namespace laburnumledge::node {
 
-/** @brief Receives what became of a record that this node appended. */
-using RecordDone = std::function<void(const state::ApplyResult&)>;
-
 /**
  * @brief One entry VM's process: puts the packages together on the loop.
  *
@@ -47,7 +47,9 @@
   void ReadConfiguration();
   void ReadJobs();
   void AppendTo(platform::Appender& appender);
-  void Settle(platform::Appender& appender, const std::vector<Applied>& applied);
+  void StepPendingRecords();
+  void AskForState();
+  void AnswerStateRequest(const proto::PeerMessage& message);
   void OnConfigurationApplied();
   void AppendAndWait(platform::Appender& appender, proto::Record record,
                      platform::Priority priority, RecordDone done);
@@ -60,10 +62,12 @@
   void Redivide();
   void StepRole();
   void ClaimTermIfDue();
+  void ReleaseTerm();
+  void Decide();
   void Exchange();
   void ExchangeWith(const std::string& worker);
   void SendReports();
-  [[nodiscard]] worker::Freshness MakeFreshness() const;
+  [[nodiscard]] TermView ViewOfTerm() const;
 
   // endpoints.cpp: what callers and operators ask
   void Handle(http::Request request, http::Respond respond);
@@ -90,19 +94,24 @@
   Replica replica_;
   platform::Appender configuration_appender_;
   platform::Appender jobs_appender_;
-  std::map<std::string, RecordDone> waiting_records_;
+  PendingRecords pending_configuration_;
+  PendingRecords pending_jobs_;
   peer::Membership membership_;
   std::unique_ptr<peer::Peers> peers_;
   Decider decider_;
   Metrics metrics_;
   RequestPath requests_;
   std::unique_ptr<http::Server> server_;
-  std::vector<std::string> nodes_;  ///< Live nodes that work is divided among.
-  std::string claim_id_;            ///< Record of this node's newest claim.
+  std::vector<std::string> nodes_;       ///< Live nodes that work is divided among.
+  std::vector<std::string> candidates_;  ///< Live nodes that may have roles.
+  Beats beats_;
+  std::string claim_id_;  ///< Record of this node's newest claim.
   core::TimePoint drain_until_;
   bool draining_{};
   bool reading_configuration_{};
   bool reading_jobs_{};
+  bool asking_for_state_{};
+  bool held_term_{};
 };
 
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -11,14 +11,8 @@
 
 constexpr core::Milliseconds kVmListTimeout{3000};
 constexpr core::Milliseconds kExchangeTimeout{3000};
-constexpr core::Milliseconds kStartFreshness{2000};
 constexpr unsigned kOk = 200;
 
-std::uint64_t AgeMs(core::TimePoint then, core::TimePoint now) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<core::Milliseconds>(now - then).count());
-}
-
 }  // namespace
 
 void Node::Beat() {
@@ -28,17 +22,15 @@
   heartbeat.set_region(settings_.region_);
   heartbeat.set_zone(settings_.zone_);
   heartbeat.set_draining(draining_);
-  heartbeat.set_configuration_version(replica_.configuration_.version_);
-  heartbeat.set_configuration_offset(replica_.configuration_reader_.next_);
-  heartbeat.set_configuration_age_ms(AgeMs(replica_.configuration_reader_.fresh_at_, now));
-  heartbeat.set_jobs_offset(replica_.jobs_reader_.next_);
-  heartbeat.set_jobs_age_ms(AgeMs(replica_.jobs_reader_.fresh_at_, now));
-  heartbeat.set_term(replica_.jobs_.term_.number_);
+  NextBeat(beats_, now);
+  FillHeartbeat(beats_, replica_, now, heartbeat);
   heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
   for (const auto& [name, member] : membership_.members_) {
+    heartbeat.set_echo(member.heartbeat_.sequence());
     peers_->Send(name, message);
   }
   Redivide();
+  AskForState();
 }
 
 void Node::OnMessage(const proto::PeerMessage& message) {
@@ -46,6 +38,10 @@
     TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
     return;
   }
+  if (message.has_state_request()) {
+    AnswerStateRequest(message);
+    return;
+  }
   if (!message.has_call()) {
     return;
   }
@@ -106,50 +102,78 @@
 void Node::Redivide() {
   const core::TimePoint now = loop_.Now();
   nodes_ = peer::LiveNodes(membership_, draining_, now);
-  worker::Divide(replica_.shard_, settings_.name_, nodes_, now);
+  candidates_ =
+      Candidates(membership_, settings_.zone_, draining_, replica_.configuration_.zones_out_, now);
+  worker::Divide(replica_.shard_, settings_.name_, candidates_, now);
   routing::Configure(requests_.Router(), replica_.configuration_.configuration_,
                      replica_.configuration_.zones_out_, settings_.name_, nodes_);
 }
 
+TermView Node::ViewOfTerm() const {
+  return {.replica_ = replica_,
+          .membership_ = membership_,
+          .candidates_ = candidates_,
+          .started_ = started_,
+          .peer_timeout_ = settings_.peer_timeout_};
+}
+
 void Node::ClaimTermIfDue() {
   const core::TimePoint now = loop_.Now();
-  const state::Term& term = replica_.jobs_.term_;
-  const bool settled = replica_.jobs_reader_.at_tail_ && replica_.jobs_reader_.failures_ == 0 &&
-                       now - started_ > settings_.peer_timeout_;
-  const bool vacant = term.holder_.empty() || term.holder_ == settings_.name_ ||
-                      !peer::IsLive(membership_, term.holder_, now);
-  const std::size_t candidate = core::RendezvousOwner(settings_.region_, nodes_);
-  const bool mine = candidate != core::kNoOwner && nodes_[candidate] == settings_.name_;
-  if (!settled || !vacant || !mine || platform::IsUnseen(jobs_appender_, claim_id_)) {
+  if (!ClaimIsDue(ViewOfTerm(), now) || platform::IsUnseen(jobs_appender_, claim_id_)) {
     return;
   }
-  proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
+  proto::Record record = MakeClaim(decider_, replica_.jobs_, random_, now);
   claim_id_ = record.id();
-  record.mutable_claim_term()->set_term(term.number_ + 1);
-  record.mutable_claim_term()->set_node(settings_.name_);
-  record.mutable_claim_term()->set_incarnation(incarnation_);
-  core::Info(core::Part::kNode, "claiming term {} of region {}", term.number_ + 1,
+  core::Info(core::Part::kNode, "claiming term {} of region {}", record.claim_term().term(),
              settings_.region_);
   platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
 }
 
-void Node::StepRole() {
+void Node::ReleaseTerm() {
+  if (platform::IsUnseen(jobs_appender_, claim_id_)) {
+    return;
+  }
+  proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, loop_.Now());
+  record.mutable_release_term();
+  claim_id_ = record.id();
+  platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
+}
+
+void Node::Decide() {
   const core::TimePoint now = loop_.Now();
-  if (!HoldsTerm(decider_, replica_.jobs_)) {
-    ClaimTermIfDue();
-  } else if (draining_) {
+  for (Outgoing& outgoing :
+       Step(decider_, replica_.jobs_, replica_.configuration_, replica_.plan_, replica_.index_,
+            replica_.jobs_reader_, jobs_appender_, random_, now)) {
+    platform::Submit(jobs_appender_, std::move(outgoing.record_), outgoing.priority_);
+  }
+  auto snapshot =
+      StepConfigurationSnapshot(decider_, replica_.configuration_, replica_.configuration_reader_,
+                                configuration_appender_, random_, now);
+  if (snapshot.has_value()) {
+    platform::Submit(configuration_appender_, std::move(snapshot->record_), snapshot->priority_);
+  }
+  if (KeepIsDue(ViewOfTerm(), now) && !platform::IsUnseen(jobs_appender_, claim_id_)) {
     proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
-    record.mutable_release_term();
-    if (!platform::IsUnseen(jobs_appender_, claim_id_)) {
-      claim_id_ = record.id();
-      platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
-    }
+    record.mutable_keep_term();
+    claim_id_ = record.id();
+    platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
+  }
+}
+
+void Node::StepRole() {
+  const bool holds = HoldsTerm(decider_, replica_.jobs_);
+  if (held_term_ && !holds) {
+    OnTermLost(decider_, jobs_appender_);
+  }
+  held_term_ = holds;
+  if (!holds) {
+    ClaimTermIfDue();
+  } else if (ReleaseIsDue(ViewOfTerm())) {
+    ReleaseTerm();
   } else {
-    for (Outgoing& outgoing : Step(decider_, replica_.jobs_, replica_.configuration_,
-                                   replica_.plan_, jobs_appender_, random_, now)) {
-      platform::Submit(jobs_appender_, std::move(outgoing.record_), outgoing.priority_);
-    }
+    Decide();
   }
+  StepPendingRecords();
   AppendTo(jobs_appender_);
   AppendTo(configuration_appender_);
   Exchange();
@@ -170,7 +194,8 @@
 void Node::ExchangeWith(const std::string& worker) {
   const core::TimePoint sent = loop_.Now();
   const worker::ExchangeRequest request =
-      worker::PlanExchange(replica_.shard_, replica_.jobs_, worker, MakeFreshness(), sent);
+      worker::PlanExchange(replica_.shard_, replica_.jobs_, worker,
+                           MakeFreshness(replica_, beats_, membership_, sent), sent);
   http::Call call;
   call.method_ = "POST";
   call.url_ = fmt::format("http://{}/v1/exchange",
@@ -207,12 +232,4 @@
   peers_->Send(replica_.jobs_.term_.holder_, std::move(message));
 }
 
-worker::Freshness Node::MakeFreshness() const {
-  const core::TimePoint now = loop_.Now();
-  const core::TimePoint until = replica_.configuration_reader_.fresh_at_ + kStartFreshness;
-  return {.may_start_ = replica_.configuration_reader_.at_tail_ && until > now,
-          .fresh_until_ = until,
-          .zones_out_ = replica_.configuration_.zones_out_};
-}
-
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/platform/reader.cpp
+++ b/src/laburnumledge/platform/reader.cpp
@@ -6,8 +6,10 @@
 
 std::vector<Entry> Accept(Reader& reader, ReadAnswer answer, core::TimePoint sent) {
   reader.failures_ = 0;
+  reader.first_ = answer.first_;
   if (answer.first_ > reader.next_) {
     reader.gap_ = true;
+    reader.at_tail_ = false;
     return {};
   }
   std::vector<Entry> entries;
@@ -17,13 +19,27 @@
       entries.push_back(std::move(entry));
     }
   }
-  if (reader.next_ >= answer.next_) {
+  if (reader.next_ >= answer.next_ && !reader.loading_) {
     reader.at_tail_ = true;
     reader.fresh_at_ = sent;
   }
   return entries;
 }
 
+void BeginLoading(Reader& reader) noexcept {
+  reader.next_ = reader.first_;
+  reader.gap_ = false;
+  reader.at_tail_ = false;
+  reader.loading_ = true;
+}
+
+void EndLoading(Reader& reader, std::uint64_t next) noexcept {
+  reader.next_ = next;
+  reader.gap_ = false;
+  reader.at_tail_ = false;
+  reader.loading_ = false;
+}
+
 void Reject(Reader& reader) noexcept { ++reader.failures_; }
 
 }  // namespace laburnumledge::platform
--- a/src/laburnumledge/state/apply.cpp
+++ b/src/laburnumledge/state/apply.cpp
@@ -19,7 +19,7 @@
     "applied",        "repeated",       "voided",       "newer-format", "malformed",
     "stale-term",     "term-taken",     "superseded",   "unknown-job",  "known-job",
     "wrong-phase",    "wrong-attempt",  "zone-out",     "cells-taken",  "not-adjacent",
-    "guarantee-lost", "unknown-worker", "unknown-zone", "no-change"};
+    "guarantee-lost", "unknown-worker", "unknown-zone", "no-change",    "expired"};
 
 Job* FindJob(State& state, const std::string& id) {
   const auto found = state.jobs_.find(id);
@@ -81,6 +81,18 @@
   return Applied(Change::Kind::kTerm);
 }
 
+/** Keeps the addresses of workers that leave the inventory: their leases still have to be ended. */
+void NoteUnlisted(State& state, const config::Configuration& next) {
+  for (const config::Worker& worker : state.configuration_.inventory_.workers_) {
+    if (state.pool_.worker_by_name_.contains(worker.name_)) {
+      state.unlisted_[worker.name_] = worker.address_;
+    }
+  }
+  for (const config::Worker& worker : next.inventory_.workers_) {
+    state.unlisted_.erase(worker.name_);
+  }
+}
+
 ApplyResult ApplyAdopt(State& state, const proto::AdoptConfiguration& body) {
   if (body.version() <= state.configuration_version_) {
     return Reject(ApplyCode::kSuperseded, "version {} is adopted already",
@@ -91,6 +103,7 @@
     if (!configuration.has_value()) {
       return Reject(ApplyCode::kMalformed, "{}", core::LastReason());
     }
+    NoteUnlisted(state, *configuration);
     state.configuration_ = std::move(*configuration);
     state.configuration_text_ = body.text();
     cells::UpdateInventory(state.pool_, state.configuration_.inventory_, state.region_);
@@ -394,6 +407,20 @@
   return Applied(Change::Kind::kWorker, body.worker());
 }
 
+ApplyResult ApplySnapshotChunk(State& state, const proto::SnapshotChunk& body) {
+  SnapshotMark& mark = state.snapshot_;
+  if (mark.id_ != body.snapshot()) {
+    mark.id_ = body.snapshot();
+    mark.received_ = 0;
+  }
+  ++mark.received_;
+  if (mark.received_ == body.count()) {
+    mark.whole_offset_ = body.offset();
+    mark.whole_at_ = state.clock_;
+  }
+  return Applied(Change::Kind::kNone);
+}
+
 ApplyResult ApplyHolderBody(State& state, const proto::Record& record, std::uint64_t offset) {
   switch (record.body_case()) {
     case proto::Record::kReleaseTerm:
@@ -421,6 +448,8 @@
     case proto::Record::kMarkWorker:
       return ApplyMarkWorker(state, record.mark_worker());
     case proto::Record::kSnapshotChunk:
+      return ApplySnapshotChunk(state, record.snapshot_chunk());
+    case proto::Record::kKeepTerm:
       return Applied(Change::Kind::kNone);
     default:
       return Reject(ApplyCode::kMalformed, "record has no body of the jobs stream");
@@ -432,7 +461,7 @@
     return ApplyClaim(state, record.claim_term());
   }
   if (record.has_void_record()) {
-    internal::Remember(state.voided_, record.void_record().record());
+    internal::Remember(state.voided_, record.void_record().record(), offset);
     return Applied(Change::Kind::kNone);
   }
   if (record.term() != state.term_.number_ || state.term_.holder_.empty()) {
@@ -450,13 +479,16 @@
 
 ApplyResult Apply(State& state, const proto::Record& record, std::uint64_t offset) {
   LABURNUMLEDGE_ASSERT(offset + 1 >= state.next_offset_, "records are applied in offset order");
-  state.next_offset_ = offset + 1;
   ApplyResult envelope = internal::CheckEnvelope(state.records_, state.voided_, record);
+  if (envelope.code_ == ApplyCode::kNewerFormat) {
+    return envelope;
+  }
+  state.next_offset_ = offset + 1;
   if (envelope.code_ != ApplyCode::kApplied) {
     return envelope;
   }
   ApplyResult result = ApplyBody(state, record, offset);
-  internal::Remember(state.records_, record.id());
+  internal::Remember(state.records_, record.id(), offset);
   return result;
 }
 
--- a/src/laburnumledge/state/apply.hpp
+++ b/src/laburnumledge/state/apply.hpp
@@ -31,10 +31,11 @@
   kUnknownWorker,
   kUnknownZone,
   kNoChange,
+  kExpired,  ///< Made so long ago that it may repeat a forgotten record.
 };
 
 /** @brief Number of codes, for counters indexed by code. */
-inline constexpr std::size_t kApplyCodes = static_cast<std::size_t>(ApplyCode::kNoChange) + 1;
+inline constexpr std::size_t kApplyCodes = static_cast<std::size_t>(ApplyCode::kExpired) + 1;
 
 /** @brief What a record changed. */
 struct Change {
@@ -57,7 +58,8 @@
  * @param state State up to the record.
  * @param record The record.
  * @param offset Offset of the append that carried it; not below state.next_offset_.
- * @return What became of it. A record that does not hold leaves the state as it was.
+ * @return What became of it. A record that does not hold leaves the state as it was. A record of a
+ * newer format leaves next_offset_ as well: this program can't follow the stream any further.
  * @warning Pure: the same records in the same order give the same state on every node.
  */
 ApplyResult ApplyConfiguration(ConfigurationState& state, const proto::Record& record,
--- a/src/laburnumledge/state/configuration.cpp
+++ b/src/laburnumledge/state/configuration.cpp
@@ -62,31 +62,23 @@
   return Applied(Change::Kind::kConfiguration);
 }
 
-ApplyResult TakeSnapshot(ConfigurationState& state, const proto::ConfigurationSnapshot& body) {
-  if (body.version() <= state.version_) {
-    return Reject(ApplyCode::kNoChange, "version {} is in force already", state.version_);
-  }
-  auto configuration = config::ParseConfiguration(body.text(), "configuration");
-  if (!configuration.has_value()) {
-    return Reject(ApplyCode::kMalformed, "{}", core::LastReason());
-  }
-  state.configuration_ = std::move(*configuration);
-  state.text_ = body.text();
-  state.zones_out_.assign(body.zones_out().begin(), body.zones_out().end());
-  state.version_ = body.version();
-  return Applied(Change::Kind::kConfiguration);
+/** What a snapshot says is known already to whoever applies it in its place in the stream. */
+ApplyResult NoteSnapshot(ConfigurationState& state, const proto::ConfigurationSnapshot& body) {
+  state.snapshot_offset_ = std::max(state.snapshot_offset_, body.offset());
+  return Applied(Change::Kind::kNone);
 }
 
-ApplyResult ApplyBody(ConfigurationState& state, const proto::Record& record) {
+ApplyResult ApplyBody(ConfigurationState& state, const proto::Record& record,
+                      std::uint64_t offset) {
   switch (record.body_case()) {
     case proto::Record::kPublishConfiguration:
       return Publish(state, record.publish_configuration());
     case proto::Record::kSetZone:
       return SetZone(state, record.set_zone());
     case proto::Record::kConfigurationSnapshot:
-      return TakeSnapshot(state, record.configuration_snapshot());
+      return NoteSnapshot(state, record.configuration_snapshot());
     case proto::Record::kVoidRecord:
-      internal::Remember(state.voided_, record.void_record().record());
+      internal::Remember(state.voided_, record.void_record().record(), offset);
       return Applied(Change::Kind::kNone);
     default:
       return Reject(ApplyCode::kMalformed, "record has no body of the configuration stream");
@@ -98,14 +90,17 @@
 ApplyResult ApplyConfiguration(ConfigurationState& state, const proto::Record& record,
                                std::uint64_t offset) {
   LABURNUMLEDGE_ASSERT(offset + 1 >= state.next_offset_, "records are applied in offset order");
-  state.next_offset_ = offset + 1;
   ApplyResult envelope = internal::CheckEnvelope(state.records_, state.voided_, record);
+  if (envelope.code_ == ApplyCode::kNewerFormat) {
+    return envelope;
+  }
+  state.next_offset_ = offset + 1;
   if (envelope.code_ != ApplyCode::kApplied) {
     return envelope;
   }
   const std::uint64_t before = state.version_;
-  ApplyResult result = ApplyBody(state, record);
-  internal::Remember(state.records_, record.id());
+  ApplyResult result = ApplyBody(state, record, offset);
+  internal::Remember(state.records_, record.id(), offset);
   LABURNUMLEDGE_ASSERT(state.version_ >= before, "a configuration never reverts");
   return result;
 }
--- a/src/laburnumledge/state/snapshot.cpp
+++ b/src/laburnumledge/state/snapshot.cpp
@@ -80,6 +80,95 @@
   return job;
 }
 
+/** Inventory that makes the pool of an image, worker by worker in its order. */
+config::Inventory PoolInventory(const proto::StateImage& image, const std::string& region,
+                                bool with_unlisted) {
+  config::Inventory inventory;
+  for (const proto::ZoneImage& zone : image.zones()) {
+    inventory.zones_.push_back({.name_ = zone.name(), .region_ = region});
+  }
+  for (const proto::RackImage& rack : image.racks()) {
+    inventory.racks_.push_back(
+        {.name_ = rack.name(), .zone_ = image.zones(static_cast<int>(rack.zone())).name()});
+  }
+  for (const proto::WorkerImage& worker : image.pool_workers()) {
+    if (with_unlisted || !worker.unlisted()) {
+      inventory.workers_.push_back({.name_ = worker.name(),
+                                    .rack_ = image.racks(static_cast<int>(worker.rack())).name(),
+                                    .address_ = {},
+                                    .accelerators_ = worker.capacity().accelerators(),
+                                    .cores_ = worker.capacity().cores(),
+                                    .memory_mb_ = worker.capacity().memory_mb()});
+    }
+  }
+  return inventory;
+}
+
+bool PoolIsSound(const proto::StateImage& image) {
+  const bool racks = std::all_of(image.racks().begin(), image.racks().end(), [&](const auto& rack) {
+    return rack.zone() < static_cast<std::uint32_t>(image.zones_size());
+  });
+  return racks &&
+         std::all_of(image.pool_workers().begin(), image.pool_workers().end(),
+                     [&](const auto& worker) {
+                       return worker.rack() < static_cast<std::uint32_t>(image.racks_size());
+                     });
+}
+
+/** The pool keeps its order: packing breaks ties by it, so it is part of what replicas agree on. */
+bool RestorePool(State& state, const proto::StateImage& image) {
+  if (!PoolIsSound(image)) {
+    core::SetLastReason("snapshot has an inconsistent pool");
+    return false;
+  }
+  cells::UpdateInventory(state.pool_, PoolInventory(image, state.region_, true), state.region_);
+  cells::UpdateInventory(state.pool_, PoolInventory(image, state.region_, false), state.region_);
+  for (int i = 0; i < image.zones_size(); ++i) {
+    state.pool_.zones_[i].racks_.assign(image.zones(i).racks().begin(),
+                                        image.zones(i).racks().end());
+  }
+  for (int i = 0; i < image.racks_size(); ++i) {
+    state.pool_.racks_[i].workers_.assign(image.racks(i).workers().begin(),
+                                          image.racks(i).workers().end());
+  }
+  for (const proto::WorkerImage& worker : image.pool_workers()) {
+    if (worker.unlisted()) {
+      state.unlisted_[worker.name()] = {.ip_ = worker.ip(),
+                                        .port_ = static_cast<std::uint16_t>(worker.port())};
+    }
+  }
+  cells::SetZonesOut(state.pool_, state.zones_out_);
+  return true;
+}
+
+void PoolToProto(const State& state, proto::StateImage& image) {
+  for (const cells::ZoneCells& zone : state.pool_.zones_) {
+    proto::ZoneImage* message = image.add_zones();
+    message->set_name(zone.name_);
+    message->mutable_racks()->Assign(zone.racks_.begin(), zone.racks_.end());
+  }
+  for (const cells::RackCells& rack : state.pool_.racks_) {
+    proto::RackImage* message = image.add_racks();
+    message->set_name(rack.name_);
+    message->set_zone(rack.zone_);
+    message->mutable_workers()->Assign(rack.workers_.begin(), rack.workers_.end());
+  }
+  for (const cells::WorkerCells& worker : state.pool_.workers_) {
+    proto::WorkerImage* message = image.add_pool_workers();
+    message->set_name(worker.name_);
+    message->set_rack(worker.rack_);
+    message->mutable_capacity()->set_accelerators(worker.capacity_.accelerators_);
+    message->mutable_capacity()->set_cores(worker.capacity_.cores_);
+    message->mutable_capacity()->set_memory_mb(worker.capacity_.memory_mb_);
+    message->set_unlisted(!worker.listed_);
+    const auto address = state.unlisted_.find(worker.name_);
+    if (address != state.unlisted_.end()) {
+      message->set_ip(address->second.ip_);
+      message->set_port(address->second.port_);
+    }
+  }
+}
+
 bool RestoreConfiguration(State& state, const proto::StateImage& image) {
   state.configuration_version_ = image.configuration_version();
   state.configuration_text_ = image.configuration_text();
@@ -92,9 +181,7 @@
     return false;
   }
   state.configuration_ = std::move(*configuration);
-  cells::UpdateInventory(state.pool_, state.configuration_.inventory_, state.region_);
-  cells::SetZonesOut(state.pool_, state.zones_out_);
-  return true;
+  return RestorePool(state, image);
 }
 
 void RestoreWorkers(State& state, const proto::StateImage& image) {
@@ -196,12 +283,13 @@
     mark->set_worker(worker);
     mark->set_health(static_cast<proto::WorkerHealth>(health));
   }
-  for (const std::string& id : state.records_.order_) {
-    image.add_recent_records(id);
-  }
-  for (const std::string& id : state.voided_.order_) {
-    image.add_voided_records(id);
-  }
+  *image.mutable_recent() = internal::ToProto(state.records_);
+  *image.mutable_voided() = internal::ToProto(state.voided_);
+  PoolToProto(state, image);
+  image.mutable_snapshot()->set_snapshot(state.snapshot_.id_);
+  image.mutable_snapshot()->set_received(state.snapshot_.received_);
+  image.mutable_snapshot()->set_whole_offset(state.snapshot_.whole_offset_);
+  image.mutable_snapshot()->set_whole_ms(core::ToMs(state.snapshot_.whole_at_));
   return image;
 }
 
@@ -224,12 +312,48 @@
   if (!RestoreJobs(state, image)) {
     return std::nullopt;
   }
-  for (const std::string& id : image.recent_records()) {
-    internal::Remember(state.records_, id);
+  state.records_ = internal::FromProto(image.recent());
+  state.voided_ = internal::FromProto(image.voided());
+  const proto::SnapshotMark& mark = image.snapshot();
+  state.snapshot_ = {
+      .id_ = mark.snapshot(),
+      .received_ = mark.received(),
+      .whole_offset_ = mark.whole_offset(),
+      .whole_at_ = core::FromMs<core::StateTime>(static_cast<std::int64_t>(mark.whole_ms()))};
+  return state;
+}
+
+proto::ConfigurationSnapshot MakeConfigurationSnapshot(const ConfigurationState& state) {
+  proto::ConfigurationSnapshot snapshot;
+  snapshot.set_version(state.version_);
+  snapshot.set_text(state.text_);
+  for (const std::string& zone : state.zones_out_) {
+    snapshot.add_zones_out(zone);
   }
-  for (const std::string& id : image.voided_records()) {
-    internal::Remember(state.voided_, id);
+  snapshot.set_offset(state.next_offset_);
+  *snapshot.mutable_recent() = internal::ToProto(state.records_);
+  *snapshot.mutable_voided() = internal::ToProto(state.voided_);
+  return snapshot;
+}
+
+std::optional<ConfigurationState> RestoreConfigurationSnapshot(
+    const proto::ConfigurationSnapshot& snapshot) {
+  ConfigurationState state;
+  state.next_offset_ = snapshot.offset();
+  state.snapshot_offset_ = snapshot.offset();
+  state.version_ = snapshot.version();
+  state.text_ = snapshot.text();
+  state.zones_out_.assign(snapshot.zones_out().begin(), snapshot.zones_out().end());
+  state.records_ = internal::FromProto(snapshot.recent());
+  state.voided_ = internal::FromProto(snapshot.voided());
+  if (state.version_ == 0) {
+    return state;
   }
+  auto configuration = config::ParseConfiguration(state.text_, "snapshot");
+  if (!configuration.has_value()) {
+    return std::nullopt;
+  }
+  state.configuration_ = std::move(*configuration);
   return state;
 }
 
--- a/src/laburnumledge/state/snapshot.hpp
+++ b/src/laburnumledge/state/snapshot.hpp
@@ -18,6 +18,14 @@
 [[nodiscard]] std::optional<State> RestoreImage(const proto::StateImage& image,
                                                 std::string_view region);
 
+/** @brief Converts a whole configuration state into its wire form. */
+[[nodiscard]] proto::ConfigurationSnapshot MakeConfigurationSnapshot(
+    const ConfigurationState& state);
+
+/** @brief Inverse of MakeConfigurationSnapshot. Empty with the last reason if it is malformed. */
+[[nodiscard]] std::optional<ConfigurationState> RestoreConfigurationSnapshot(
+    const proto::ConfigurationSnapshot& snapshot);
+
 /** @brief Hash of everything that replicas must agree on; equal states hash equally. */
 [[nodiscard]] std::uint64_t HashState(const State& state);
 
--- a/src/laburnumledge/worker/shard.cpp
+++ b/src/laburnumledge/worker/shard.cpp
@@ -42,6 +42,9 @@
       shard.workers_[worker.name_].address_ = worker.address_;
     }
   }
+  for (const auto& [name, address] : state.unlisted_) {
+    shard.workers_[name].address_ = address;
+  }
 }
 
 /** Latest reading that the worker's clock can't be behind. */
