Drive the capacity measurement through whole log answers

Cause: the replica now takes a whole answer of the log, gaps included, so that the measurement no longer compiled. Change: the fleet is filled through TakeJobsAnswer, one answer a record.

--- a/test/measure/fleet.hpp
+++ b/test/measure/fleet.hpp
@@ -101,9 +101,12 @@
 inline void MustApply(node::Replica& replica, const proto::Record& record) {
   proto::RecordBatch batch;
   *batch.add_records() = record;
-  const platform::Entry entry{.offset_ = replica.jobs_.next_offset_,
-                              .data_ = batch.SerializeAsString()};
-  for (const node::Applied& applied : node::ApplyJobsEntries(replica, {entry})) {
+  const std::uint64_t offset = replica.jobs_.next_offset_;
+  platform::ReadAnswer answer{
+      .first_ = 0,
+      .next_ = offset + 1,
+      .entries_ = {{.offset_ = offset, .data_ = batch.SerializeAsString()}}};
+  for (const node::Applied& applied : node::TakeJobsAnswer(replica, std::move(answer), {})) {
     if (applied.result_.code_ != state::ApplyCode::kApplied) {
       fmt::print(stderr, "record does not hold: {}\n", applied.result_.reason_);
       std::exit(1);
