--- a/src/laburnumledge/node/endpoints.cpp
+++ b/src/laburnumledge/node/endpoints.cpp
@@ -233,7 +233,7 @@
   record.mutable_publish_configuration()->set_replaces(QueryNumber(request, "replaces"));
   record.mutable_publish_configuration()->set_text(request.body_);
   AppendAndWait(configuration_appender_, std::move(record), platform::Priority::kConfiguration,
-                [this, respond](const RecordOutcome& outcome) {
+                [respond](const RecordOutcome& outcome) {
                   if (outcome.verdict_ != core::Verdict::kRan) {
                     respond(NotReadReply(outcome));
                     return;
@@ -243,8 +243,7 @@
                     respond(NotRun(kConflict, result.reason_));
                     return;
                   }
-                  respond(http::JsonReply(
-                      kOk, fmt::format("{{\"version\":{}}}", replica_.configuration_.version_)));
+                  respond(http::JsonReply(kOk, fmt::format("{{\"version\":{}}}", result.version_)));
                 });
 }
 
@@ -259,7 +258,7 @@
   record.mutable_set_zone()->set_out(out == "true");
   record.mutable_set_zone()->set_replaces(QueryNumber(request, "replaces"));
   AppendAndWait(configuration_appender_, std::move(record), platform::Priority::kConfiguration,
-                [this, respond](const RecordOutcome& outcome) {
+                [respond](const RecordOutcome& outcome) {
                   if (outcome.verdict_ != core::Verdict::kRan) {
                     respond(NotReadReply(outcome));
                     return;
@@ -271,8 +270,7 @@
                     respond(NotRun(kConflict, result.reason_));
                     return;
                   }
-                  respond(http::JsonReply(
-                      kOk, fmt::format("{{\"version\":{}}}", replica_.configuration_.version_)));
+                  respond(http::JsonReply(kOk, fmt::format("{{\"version\":{}}}", result.version_)));
                 });
 }
 
--- a/src/laburnumledge/node/follow.cpp
+++ b/src/laburnumledge/node/follow.cpp
@@ -33,7 +33,7 @@
                const std::uint64_t version = replica_.configuration_.version_;
                const auto applied = TakeConfigurationAnswer(replica_, std::move(*answer), sent);
                Settle(pending_configuration_, configuration_appender_, applied,
-                      replica_.configuration_.records_);
+                      replica_.configuration_.records_, replica_.configuration_loads_);
                if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(configuration_appender_, sent);
                }
@@ -61,7 +61,8 @@
                }
                const auto applied = TakeJobsAnswer(replica_, std::move(*answer), sent);
                FollowClock(decider_, replica_.jobs_, loop_.Now());
-               Settle(pending_jobs_, jobs_appender_, applied, replica_.jobs_.records_);
+               Settle(pending_jobs_, jobs_appender_, applied, replica_.jobs_.records_,
+                      replica_.jobs_loads_);
                if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(jobs_appender_, sent);
                }
@@ -135,6 +136,10 @@
                    core::Warning(core::Part::kState, "state of node {} is not taken: {}",
                                  reply->from(), core::LastReason());
                  }
+                 Settle(pending_configuration_, configuration_appender_, {},
+                        replica_.configuration_.records_, replica_.configuration_loads_);
+                 Settle(pending_jobs_, jobs_appender_, {}, replica_.jobs_.records_,
+                        replica_.jobs_loads_);
                  FollowClock(decider_, replica_.jobs_, loop_.Now());
                  if (version != replica_.configuration_.version_) {
                    OnConfigurationApplied();
--- a/src/laburnumledge/node/pending.cpp
+++ b/src/laburnumledge/node/pending.cpp
@@ -43,6 +43,15 @@
           .result_ = {}});
 }
 
+/** What became of a record in the part that was not read is not known. */
+void SettleLoaded(PendingRecords& pending, platform::Appender& appender,
+                  const state::RecordMemory& memory) {
+  const auto known = [&](const std::string& id) { return memory.known_.contains(id); };
+  for (const std::string& id : platform::OnLoaded(appender, known)) {
+    Answer(pending, id, {.verdict_ = core::Verdict::kMayHaveRun, .result_ = {}});
+  }
+}
+
 std::vector<std::string> Ids(const PendingRecords& pending) {
   std::vector<std::string> ids;
   ids.reserve(pending.records_.size());
@@ -64,7 +73,11 @@
 }
 
 void Settle(PendingRecords& pending, platform::Appender& appender,
-            const std::vector<Applied>& applied, const state::RecordMemory& memory) {
+            const std::vector<Applied>& applied, const state::RecordMemory& memory,
+            std::uint64_t loads) {
+  if (std::exchange(pending.loads_, loads) != loads) {
+    SettleLoaded(pending, appender, memory);
+  }
   for (const Applied& record : applied) {
     platform::OnSeen(appender, record.id_);
     const auto voided = pending.voids_.find(record.id_);
--- a/src/laburnumledge/node/pending.hpp
+++ b/src/laburnumledge/node/pending.hpp
@@ -40,6 +40,7 @@
 struct PendingRecords {
   std::map<std::string, PendingRecord> records_;  ///< By identifier.
   std::map<std::string, std::string> voids_;      ///< Identifier of the void to the record's.
+  std::uint64_t loads_{};                         ///< Loaded states that were looked over.
 };
 
 /** @brief Waits for a record that was submitted. `done` is called exactly once. */
@@ -52,9 +53,11 @@
  * @param appender Appender that they were submitted to.
  * @param applied What was read.
  * @param memory The stream's memory: a record may stand in a part that a loaded state replaced.
+ * @param loads Times that the stream's state was loaded.
  */
 void Settle(PendingRecords& pending, platform::Appender& appender,
-            const std::vector<Applied>& applied, const state::RecordMemory& memory);
+            const std::vector<Applied>& applied, const state::RecordMemory& memory,
+            std::uint64_t loads);
 
 /**
  * @brief Takes back what is due and answers what is overdue.
--- a/src/laburnumledge/node/replica.cpp
+++ b/src/laburnumledge/node/replica.cpp
@@ -186,6 +186,7 @@
   }
   LABURNUMLEDGE_ASSERT(state.term_.number_ >= replica.jobs_.term_.number_, "a term never reverts");
   replica.jobs_ = std::move(state);
+  ++replica.jobs_loads_;
   platform::EndLoading(replica.jobs_reader_, replica.jobs_.next_offset_);
   policy::Rebuild(replica.plan_, replica.jobs_);
   worker::Rebuild(replica.shard_, replica.jobs_);
@@ -200,6 +201,7 @@
   LABURNUMLEDGE_ASSERT(state.version_ >= replica.configuration_.version_,
                        "a configuration never reverts");
   replica.configuration_ = std::move(state);
+  ++replica.configuration_loads_;
   platform::EndLoading(replica.configuration_reader_, replica.configuration_.next_offset_);
   return true;
 }
--- a/src/laburnumledge/node/replica.hpp
+++ b/src/laburnumledge/node/replica.hpp
@@ -33,8 +33,10 @@
   platform::Reader configuration_reader_;
   platform::Reader jobs_reader_;
   Loading loading_;
-  core::TimePoint term_heard_;  ///< When the newest record of the term in force was read.
-  bool incompatible_{};         ///< A stream has a record of a newer format: no following.
+  std::uint64_t configuration_loads_{};  ///< Times that a whole state was installed.
+  std::uint64_t jobs_loads_{};           ///< Times that a whole state was installed.
+  core::TimePoint term_heard_;           ///< When the newest record of the term in force was read.
+  bool incompatible_{};                  ///< A stream has a record of a newer format: no following.
   std::array<std::uint64_t, state::kApplyCodes> codes_{};  ///< Records by what became of them.
 };
 
--- a/src/laburnumledge/node/term.cpp
+++ b/src/laburnumledge/node/term.cpp
@@ -22,7 +22,7 @@
   if (term.holder_.empty() || own) {
     return true;
   }
-  return !peer::IsLive(view.membership_, term.holder_, now) &&
+  return !peer::IsLive(view.membership_, term.holder_, term.incarnation_, now) &&
          now - view.replica_.term_heard_ > kTermSilence;
 }
 
--- a/src/laburnumledge/peer/membership.cpp
+++ b/src/laburnumledge/peer/membership.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t kPastIncarnations = 8;
 
 void ReplaceIncarnation(Member& member, std::uint64_t incarnation) {
+  std::erase(member.past_incarnations_, incarnation);
   if (member.incarnation_ != 0) {
     member.past_incarnations_.push_back(member.incarnation_);
   }
@@ -46,7 +47,8 @@
   }
   Member& member = found->second;
   const auto& past = member.past_incarnations_;
-  if (std::find(past.begin(), past.end(), message.incarnation()) != past.end()) {
+  const bool replaced = std::find(past.begin(), past.end(), message.incarnation()) != past.end();
+  if (replaced && member.alive_until_ > now) {
     return false;
   }
   if (member.incarnation_ != message.incarnation()) {
@@ -71,6 +73,13 @@
          found->second.alive_until_ > now;
 }
 
+bool IsLive(const Membership& membership, const std::string& name, std::uint64_t incarnation,
+            core::TimePoint now) {
+  const auto found = membership.members_.find(name);
+  return IsLive(membership, name, now) &&
+         (found == membership.members_.end() || found->second.incarnation_ == incarnation);
+}
+
 std::vector<std::string> LiveNodes(const Membership& membership, bool self_draining,
                                    core::TimePoint now) {
   std::vector<std::string> nodes;
--- a/src/laburnumledge/peer/membership.hpp
+++ b/src/laburnumledge/peer/membership.hpp
@@ -40,6 +40,10 @@
 
 /**
  * @brief Takes over a message's sender.
+ *
+ * A late message of an old process can come to a node that has just started after one of the new
+ * process. Which of the two lives shows when the other falls silent.
+ *
  * @return False if the message is from a process that was replaced: it must be dropped.
  */
 [[nodiscard]] bool AcceptSender(Membership& membership, const proto::PeerMessage& message,
@@ -49,6 +53,10 @@
 [[nodiscard]] bool IsLive(const Membership& membership, const std::string& name,
                           core::TimePoint now);
 
+/** @brief Whether the very process that an incarnation names is live. */
+[[nodiscard]] bool IsLive(const Membership& membership, const std::string& name,
+                          std::uint64_t incarnation, core::TimePoint now);
+
 /** @brief Live nodes of this node's region that are not draining, with this one, sorted. */
 [[nodiscard]] std::vector<std::string> LiveNodes(const Membership& membership, bool self_draining,
                                                  core::TimePoint now);
--- a/src/laburnumledge/platform/appender.cpp
+++ b/src/laburnumledge/platform/appender.cpp
@@ -92,6 +92,23 @@
 
 void OnSeen(Appender& appender, const std::string& id) { appender.unseen_.erase(id); }
 
+std::vector<std::string> OnLoaded(Appender& appender,
+                                  const std::function<bool(const std::string&)>& known) {
+  std::vector<std::string> seen;
+  for (const auto& [id, record] : appender.unseen_) {
+    const auto& sent = appender.sent_;
+    if (known(id)) {
+      seen.push_back(id);
+    } else if (record.may_have_landed_ && std::find(sent.begin(), sent.end(), id) == sent.end()) {
+      appender.waiting_[record.priority_].push_back(id);
+    }
+  }
+  for (const std::string& id : seen) {
+    appender.unseen_.erase(id);
+  }
+  return seen;
+}
+
 void OnTail(Appender& appender, core::TimePoint sent) {
   if (!appender.in_doubt_ || sent < appender.doubt_since_) {
     return;
--- a/src/laburnumledge/platform/appender.hpp
+++ b/src/laburnumledge/platform/appender.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -60,6 +61,19 @@
 /** @brief Notes that a record was read from the stream. */
 void OnSeen(Appender& appender, const std::string& id);
 
+/**
+ * @brief Looks over every unseen record after a state was loaded in place of reading on.
+ *
+ * Those that the loaded state knows are seen; the rest are sent again, since they may stand in the
+ * part that was not read, or in none.
+ *
+ * @param appender The appender.
+ * @param known Whether the loaded state knows a record.
+ * @return Identifiers of the records that are known.
+ */
+std::vector<std::string> OnLoaded(Appender& appender,
+                                  const std::function<bool(const std::string&)>& known);
+
 /** @brief Notes a read that reached the tail and was sent at a time: ends a doubt before it. */
 void OnTail(Appender& appender, core::TimePoint sent);
 
--- a/src/laburnumledge/policy/decide.cpp
+++ b/src/laburnumledge/policy/decide.cpp
@@ -111,9 +111,9 @@
   }
   const state::Job& job = found->second;
   if (job.phase_ == state::Phase::kQueued) {
-    plan.queued_[job.submit_offset_] = job.spec_.id_;
+    plan.queued_[job.submission_] = job.spec_.id_;
   } else {
-    plan.queued_.erase(job.submit_offset_);
+    plan.queued_.erase(job.submission_);
   }
 }
 
--- a/src/laburnumledge/state/apply.cpp
+++ b/src/laburnumledge/state/apply.cpp
@@ -114,19 +114,20 @@
   return Applied(Change::Kind::kConfiguration);
 }
 
-ApplyResult ApplySubmit(State& state, const proto::SubmitJob& body, std::uint64_t offset) {
+ApplyResult ApplySubmit(State& state, const proto::SubmitJob& body) {
   const std::string& id = body.spec().id();
   if (id.empty() || body.spec().tasks() == 0) {
     return Reject(ApplyCode::kMalformed, "job has no identifier or no tasks");
   }
   Job job;
   job.spec_ = FromProto(body.spec());
-  job.submit_offset_ = offset;
+  job.submission_ = state.submissions_ + 1;
   job.submitted_ = state.clock_;
   const bool added = state.jobs_.emplace(id, std::move(job)).second;
   if (!added) {
     return Reject(ApplyCode::kKnownJob, "job {} is known already", id);
   }
+  ++state.submissions_;
   return Applied(Change::Kind::kJob, id);
 }
 
@@ -428,7 +429,7 @@
     case proto::Record::kAdoptConfiguration:
       return ApplyAdopt(state, record.adopt_configuration());
     case proto::Record::kSubmitJob:
-      return ApplySubmit(state, record.submit_job(), offset);
+      return ApplySubmit(state, record.submit_job());
     case proto::Record::kPlaceJob:
       return ApplyPlace(state, record, offset);
     case proto::Record::kStartJob:
--- a/src/laburnumledge/state/apply.hpp
+++ b/src/laburnumledge/state/apply.hpp
@@ -47,7 +47,8 @@
 struct ApplyResult {
   ApplyCode code_{ApplyCode::kApplied};
   Change change_;
-  std::string reason_;  ///< Empty when applied.
+  std::string reason_;       ///< Empty when applied.
+  std::uint64_t version_{};  ///< Of the configuration after the record; 0 in the jobs stream.
 };
 
 /** @brief Name of a code in metrics and answers, such as `stale-term`. */
--- a/src/laburnumledge/state/configuration.cpp
+++ b/src/laburnumledge/state/configuration.cpp
@@ -101,6 +101,7 @@
   const std::uint64_t before = state.version_;
   ApplyResult result = ApplyBody(state, record, offset);
   internal::Remember(state.records_, record.id(), offset);
+  result.version_ = state.version_;
   LABURNUMLEDGE_ASSERT(state.version_ >= before, "a configuration never reverts");
   return result;
 }
--- a/src/laburnumledge/state/job.hpp
+++ b/src/laburnumledge/state/job.hpp
@@ -47,7 +47,7 @@
 struct Job {
   JobSpec spec_;
   Phase phase_{Phase::kQueued};
-  std::uint64_t submit_offset_{};
+  std::uint64_t submission_{};  ///< Number of its submission: unique, in stream order.
   core::StateTime submitted_;
   std::uint32_t attempt_{};  ///< Of the newest placement; 0 before the first.
   cells::Placement placement_;
--- a/src/laburnumledge/state/snapshot.cpp
+++ b/src/laburnumledge/state/snapshot.cpp
@@ -27,7 +27,7 @@
   image.set_result(job.result_);
   image.set_reason(job.reason_);
   image.set_finished_ms(core::ToMs(job.finished_));
-  image.set_submit_offset(job.submit_offset_);
+  image.set_submission(job.submission_);
   for (const std::string& worker : job.failed_on_) {
     image.add_failed_on(worker);
   }
@@ -60,7 +60,7 @@
   Job job;
   job.spec_ = FromProto(image.spec());
   job.phase_ = static_cast<Phase>(image.phase());
-  job.submit_offset_ = image.submit_offset();
+  job.submission_ = image.submission();
   job.submitted_ = core::FromMs<core::StateTime>(static_cast<std::int64_t>(image.submitted_ms()));
   job.attempt_ = image.attempt();
   job.placement_ = std::move(*placement);
@@ -267,6 +267,7 @@
   image.set_format_major(kFormatMajor);
   image.set_next_offset(state.next_offset_);
   image.set_clock_ms(core::ToMs(state.clock_));
+  image.set_submissions(state.submissions_);
   image.set_term(state.term_.number_);
   image.set_holder(state.term_.holder_);
   image.set_holder_incarnation(state.term_.incarnation_);
@@ -301,6 +302,7 @@
   State state;
   state.region_ = region;
   state.next_offset_ = image.next_offset();
+  state.submissions_ = image.submissions();
   state.clock_ = core::FromMs<core::StateTime>(static_cast<std::int64_t>(image.clock_ms()));
   state.term_ = {.number_ = image.term(),
                  .holder_ = image.holder(),
--- a/src/laburnumledge/state/state.hpp
+++ b/src/laburnumledge/state/state.hpp
@@ -80,6 +80,7 @@
   config::Configuration configuration_;
   std::vector<std::string> zones_out_;  ///< As adopted; sorted.
   cells::Pool pool_;
+  std::uint64_t submissions_{};  ///< Accepted so far.
   std::map<std::string, Job> jobs_;
   std::map<std::string, Health> health_;             ///< Only workers that are not healthy.
   std::map<std::string, config::Address> unlisted_;  ///< Workers that left the inventory.
