--- a/test/randomised/cluster/fake_log.cpp
+++ b/test/randomised/cluster/fake_log.cpp
@@ -76,6 +76,9 @@
   const bool late = Chance(random, log.late_appends_);
   const bool lost = down || late || Chance(random, log.lost_answers_);
   const core::Milliseconds there = late ? Between(random, 5000, 20000) : Delay(log, random, sent);
+  if (late) {
+    log.late_until_ = std::max(log.late_until_, sent + there);
+  }
   if (!down || late) {
     At(timeline, sent + there, [&timeline, &log, stream, data = std::move(data)]() mutable {
       Append(log, stream, std::move(data), timeline.now_);
--- a/test/randomised/cluster/fake_log.hpp
+++ b/test/randomised/cluster/fake_log.hpp
@@ -29,6 +29,7 @@
   core::Milliseconds retention_{std::chrono::seconds(40)};
   core::TimePoint down_until_;
   core::TimePoint slow_until_;
+  core::TimePoint late_until_;    ///< Landing of the latest append that is late.
   std::uint32_t lost_answers_{};  ///< In 100.
   std::uint32_t late_appends_{};  ///< In 100: land after their caller gave up.
   std::function<void(const std::string& stream, const platform::Entry& entry)> on_append_;
--- a/test/randomised/cluster/sim_node.cpp
+++ b/test/randomised/cluster/sim_node.cpp
@@ -222,6 +222,9 @@
   for (node::Outgoing& outgoing :
        node::Step(node.decider_, replica.jobs_, replica.configuration_, replica.plan_,
                   replica.index_, replica.jobs_reader_, node.jobs_appender_, node.random_, now)) {
+    if (cluster.defect_ == Defect::kForgetStarted && outgoing.record_.has_release_cells()) {
+      outgoing.record_.mutable_release_cells()->clear_may_have_started();
+    }
     const bool dropped =
         cluster.defect_ == Defect::kNoRelease && outgoing.record_.has_release_cells();
     if (!dropped) {
