Exchange with workers on changes and report only what changed

A job's path waited for timers at each step: the log's poll, the exchange interval and the role's step. Now a record that changes a job makes its workers due at once, the node that appended wakes its peers by a heartbeat, a read that was skipped is made again, and reports go out for each worker as its answer comes instead of a scan over all owned workers.

The protocol with a worker carries a boot number, the newest change seen, changes only, and one renewal for all leases. The interval grows with the time since a lease changed, up to a bound given by the owned share. An unanswered worker is renewed no further before it is heard again; a lapse is declared after the last renewal that may have arrived, also by an earlier owner. What is left of a lease is told by the latest reading of its clock.

A node that can't read the log is fresh through a peer whose heartbeat echoes its own; a node behind a peer starts nothing; a node cut off from the log and from every peer renews nothing. Links on which nothing gets through are opened anew.

--- a/src/laburnumledge/node/follow.cpp
+++ b/src/laburnumledge/node/follow.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "laburnumledge/core/log.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/node/node.hpp"
@@ -20,11 +22,15 @@
     return;
   }
   reading_configuration_ = true;
+  read_configuration_again_ = false;
   const core::TimePoint sent = loop_.Now();
   platform::Reader& reader = replica_.configuration_reader_;
   log_.read_(reader.stream_, reader.next_, sent + kReadTimeout,
              [this, sent](std::optional<platform::ReadAnswer> answer) {
                reading_configuration_ = false;
+               if (read_configuration_again_) {
+                 loop_.Soon([this] { ReadConfiguration(); });
+               }
                platform::Reader& target = replica_.configuration_reader_;
                if (!answer.has_value()) {
                  platform::Reject(target);
@@ -32,6 +38,7 @@
                }
                const std::uint64_t version = replica_.configuration_.version_;
                const auto applied = TakeConfigurationAnswer(replica_, std::move(*answer), sent);
+               NudgeIfOwn(configuration_appender_, applied);
                Settle(pending_configuration_, configuration_appender_, applied,
                       replica_.configuration_.records_);
                if (target.at_tail_ && target.fresh_at_ == sent) {
@@ -49,11 +56,15 @@
     return;
   }
   reading_jobs_ = true;
+  read_jobs_again_ = false;
   const core::TimePoint sent = loop_.Now();
   platform::Reader& reader = replica_.jobs_reader_;
   log_.read_(reader.stream_, reader.next_, sent + kReadTimeout,
              [this, sent](std::optional<platform::ReadAnswer> answer) {
                reading_jobs_ = false;
+               if (read_jobs_again_) {
+                 loop_.Soon([this] { ReadJobs(); });
+               }
                platform::Reader& target = replica_.jobs_reader_;
                if (!answer.has_value()) {
                  platform::Reject(target);
@@ -61,6 +72,7 @@
                }
                const auto applied = TakeJobsAnswer(replica_, std::move(*answer), sent);
                FollowClock(decider_, replica_.jobs_, loop_.Now());
+               NudgeIfOwn(jobs_appender_, applied);
                Settle(pending_jobs_, jobs_appender_, applied, replica_.jobs_.records_);
                if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(jobs_appender_, sent);
@@ -69,6 +81,25 @@
              });
 }
 
+void Node::ReadConfigurationAgain() {
+  read_configuration_again_ = reading_configuration_;
+  ReadConfiguration();
+}
+
+void Node::ReadJobsAgain() {
+  read_jobs_again_ = reading_jobs_;
+  ReadJobs();
+}
+
+void Node::NudgeIfOwn(const platform::Appender& appender, const std::vector<Applied>& applied) {
+  const bool own = std::any_of(applied.begin(), applied.end(), [&](const Applied& record) {
+    return platform::IsUnseen(appender, record.id_);
+  });
+  if (own) {
+    Nudge();
+  }
+}
+
 void Node::OnConfigurationApplied() {
   core::Info(core::Part::kConfig, "configuration version {} is in force",
              replica_.configuration_.version_);
@@ -90,9 +121,9 @@
                                  appender.stream_, answer.reason_);
                  }
                  if (&appender == &jobs_appender_) {
-                   ReadJobs();
+                   ReadJobsAgain();
                  } else {
-                   ReadConfiguration();
+                   ReadConfigurationAgain();
                  }
                });
 }
--- a/src/laburnumledge/node/freshness.cpp
+++ b/src/laburnumledge/node/freshness.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr core::Milliseconds kStartFreshness{2000};
-constexpr std::size_t kKeptBeats = 16;
+constexpr std::size_t kKeptBeats = 64;
 
 std::uint64_t AgeMs(const platform::Reader& reader, core::TimePoint now) {
   const auto age = std::chrono::ceil<core::Milliseconds>(now - reader.fresh_at_);
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -13,6 +13,7 @@
 constexpr long kPlatformConnections = 4;
 constexpr long kWorkerConnections = 1;
 constexpr core::Milliseconds kStepInterval{100};
+constexpr core::Milliseconds kReportSweep{1000};
 constexpr core::Milliseconds kDrainCheckInterval{50};
 constexpr core::Milliseconds kMillisecondsPerSecond{1000};
 
@@ -43,6 +44,8 @@
   decider_.incarnation_ = incarnation_;
   decider_.anchor_time_ = started_;
   replica_.shard_.limits_.lease_length_ = settings.lease_length_;
+  replica_.shard_.limits_.hand_over_ = settings.peer_timeout_;
+  replica_.shard_.limits_.least_interval_ = settings.exchange_interval_;
   nodes_ = {settings.name_};
   candidates_ = nodes_;
   beats_.sequence_ = incarnation_;
@@ -73,6 +76,10 @@
   loop_.Every(settings_.heartbeat_interval_, [this] { Beat(); });
   loop_.Every(settings_.vm_list_interval_, [this] { ReadVms(); });
   loop_.Every(kStepInterval, [this] { StepRole(); });
+  loop_.Every(kReportSweep, [this] {
+    SendDueReports();
+    PublishCosts();
+  });
   ReadVms();
   ReadConfiguration();
   ReadJobs();
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -46,6 +46,9 @@
   // follow.cpp: reading and writing the log
   void ReadConfiguration();
   void ReadJobs();
+  void ReadConfigurationAgain();
+  void ReadJobsAgain();
+  void NudgeIfOwn(const platform::Appender& appender, const std::vector<Applied>& applied);
   void AppendTo(platform::Appender& appender);
   void StepPendingRecords();
   void AskForState();
@@ -64,10 +67,20 @@
   void ClaimTermIfDue();
   void ReleaseTerm();
   void Decide();
+  [[nodiscard]] TermView ViewOfTerm() const;
+  void StepSoon();
+  void Nudge();
+  void SendBeat(bool everywhere);
+  void OnHeartbeat(const proto::PeerMessage& message);
+  void OnCall(const proto::PeerMessage& message);
+
+  // exchanges.cpp: workers
   void Exchange();
   void ExchangeWith(const std::string& worker);
-  void SendReports();
-  [[nodiscard]] TermView ViewOfTerm() const;
+  void SendReports(const std::string& worker);
+  void SendDueReports();
+  [[nodiscard]] worker::Freshness WorkerFreshness() const;
+  void PublishCosts();
 
   // endpoints.cpp: what callers and operators ask
   void Handle(http::Request request, http::Respond respond);
@@ -108,8 +121,15 @@
   std::string claim_id_;  ///< Record of this node's newest claim.
   core::TimePoint drain_until_;
   bool draining_{};
+  core::TimePoint next_nudge_;
+  std::uint64_t exchange_bytes_{};  ///< Bodies of exchanges, both ways.
+  std::uint64_t exchanges_{};
+  bool step_planned_{};
+  bool nudge_planned_{};
   bool reading_configuration_{};
   bool reading_jobs_{};
+  bool read_configuration_again_{};
+  bool read_jobs_again_{};
   bool asking_for_state_{};
   bool held_term_{};
 };
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -10,12 +10,19 @@
 namespace {
 
 constexpr core::Milliseconds kVmListTimeout{3000};
-constexpr core::Milliseconds kExchangeTimeout{3000};
-constexpr unsigned kOk = 200;
+constexpr core::Milliseconds kNudgeSpacing{125};
+constexpr core::Milliseconds kNudgeBurst{1000};
 
 }  // namespace
 
 void Node::Beat() {
+  SendBeat(true);
+  peers_->MaintainLinks();
+  Redivide();
+  AskForState();
+}
+
+void Node::SendBeat(bool everywhere) {
   const core::TimePoint now = loop_.Now();
   proto::PeerMessage message;
   proto::Heartbeat& heartbeat = *message.mutable_heartbeat();
@@ -25,26 +32,60 @@
   NextBeat(beats_, now);
   FillHeartbeat(beats_, replica_, now, heartbeat);
   heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
-  for (const auto& [name, member] : membership_.members_) {
+  for (auto& [name, member] : membership_.members_) {
+    const bool far = !member.region_.empty() && member.region_ != settings_.region_;
+    if (far && (!everywhere || now < member.next_beat_)) {
+      continue;
+    }
+    member.next_beat_ = now + settings_.heartbeat_interval_ * peer::kFarTimeoutFactor;
     heartbeat.set_echo(member.heartbeat_.sequence());
     peers_->Send(name, message);
   }
-  Redivide();
-  AskForState();
 }
 
-void Node::OnMessage(const proto::PeerMessage& message) {
-  if (message.has_lease_reports()) {
-    TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
+void Node::Nudge() {
+  if (nudge_planned_) {
     return;
   }
-  if (message.has_state_request()) {
-    AnswerStateRequest(message);
-    return;
+  nudge_planned_ = true;
+  loop_.At(std::max(loop_.Now(), next_nudge_), [this] {
+    nudge_planned_ = false;
+    next_nudge_ = std::max(next_nudge_, loop_.Now() - kNudgeBurst) + kNudgeSpacing;
+    SendBeat(false);
+  });
+}
+
+void Node::OnHeartbeat(const proto::PeerMessage& message) {
+  const proto::Heartbeat& heartbeat = message.heartbeat();
+  const auto beat = std::find_if(beats_.sent_.begin(), beats_.sent_.end(), [&](const auto& sent) {
+    return sent.sequence_ == heartbeat.echo();
+  });
+  if (beat != beats_.sent_.end()) {
+    peer::ConfirmBeat(membership_, message.from(), beat->sent_);
   }
-  if (!message.has_call()) {
-    return;
+  if (heartbeat.configuration_offset() > replica_.configuration_.next_offset_) {
+    ReadConfigurationAgain();
+  }
+  const bool here = heartbeat.region() == settings_.region_;
+  if (here && heartbeat.jobs_offset() > replica_.jobs_.next_offset_) {
+    ReadJobsAgain();
   }
+}
+
+void Node::OnMessage(const proto::PeerMessage& message) {
+  if (message.has_heartbeat()) {
+    OnHeartbeat(message);
+  } else if (message.has_lease_reports()) {
+    TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
+    StepSoon();
+  } else if (message.has_state_request()) {
+    AnswerStateRequest(message);
+  } else if (message.has_call()) {
+    OnCall(message);
+  }
+}
+
+void Node::OnCall(const proto::PeerMessage& message) {
   const proto::Call& call = message.call();
   http::Request request;
   request.method_ = call.method();
@@ -179,57 +220,15 @@
   Exchange();
 }
 
-void Node::Exchange() {
-  const core::TimePoint now = loop_.Now();
-  for (const std::string& worker : replica_.shard_.owned_) {
-    worker::WorkerView& view = replica_.shard_.workers_[worker];
-    if (!view.under_way_ && view.next_exchange_ <= now) {
-      view.under_way_ = true;
-      view.next_exchange_ = now + settings_.exchange_interval_;
-      ExchangeWith(worker);
-    }
-  }
-}
-
-void Node::ExchangeWith(const std::string& worker) {
-  const core::TimePoint sent = loop_.Now();
-  const worker::ExchangeRequest request =
-      worker::PlanExchange(replica_.shard_, replica_.jobs_, worker,
-                           MakeFreshness(replica_, beats_, membership_, sent), sent);
-  http::Call call;
-  call.method_ = "POST";
-  call.url_ = fmt::format("http://{}/v1/exchange",
-                          config::ToString(replica_.shard_.workers_[worker].address_));
-  call.headers_ = {{"Content-Type", "application/json"}};
-  call.body_ = worker::EncodeRequest(request);
-  call.deadline_ = sent + kExchangeTimeout;
-  worker_client_.Send(std::move(call), [this, worker, sent](const http::Response& response) {
-    std::optional<worker::ExchangeReply> reply;
-    if (response.status_ == kOk) {
-      reply = worker::ParseReply(response.body_);
-    }
-    if (!reply.has_value()) {
-      worker::OnSilence(replica_.shard_, worker, loop_.Now());
-      return;
-    }
-    worker::OnReply(replica_.shard_, worker, std::move(*reply), sent, loop_.Now());
-    SendReports();
-  });
-}
-
-void Node::SendReports() {
-  const proto::LeaseReports reports =
-      worker::MakeReports(replica_.shard_, replica_.jobs_, loop_.Now());
-  if (reports.reports().empty() && reports.silent_workers().empty()) {
+void Node::StepSoon() {
+  if (step_planned_) {
     return;
   }
-  if (HoldsTerm(decider_, replica_.jobs_)) {
-    TakeReports(decider_, replica_.jobs_, reports, loop_.Now());
-    return;
-  }
-  proto::PeerMessage message;
-  *message.mutable_lease_reports() = reports;
-  peers_->Send(replica_.jobs_.term_.holder_, std::move(message));
+  step_planned_ = true;
+  loop_.Soon([this] {
+    step_planned_ = false;
+    StepRole();
+  });
 }
 
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/peer/membership.cpp
+++ b/src/laburnumledge/peer/membership.cpp
@@ -17,6 +17,18 @@
   }
   member.incarnation_ = incarnation;
   member.heartbeat_.Clear();
+  member.confirmed_at_ = {};
+}
+
+void TakeHeartbeat(Membership& membership, const proto::Heartbeat& heartbeat, Member& member) {
+  if (heartbeat.sequence() < member.heartbeat_.sequence()) {
+    return;
+  }
+  member.heartbeat_ = heartbeat;
+  member.region_ = heartbeat.region();
+  member.zone_ = heartbeat.zone();
+  membership.newest_configuration_ =
+      std::max(membership.newest_configuration_, heartbeat.configuration_offset());
 }
 
 }  // namespace
@@ -55,13 +67,40 @@
   member.alive_until_ = alive_until;
   member.heard_at_ = now;
   if (message.has_heartbeat()) {
-    member.heartbeat_ = message.heartbeat();
-    member.region_ = message.heartbeat().region();
-    member.zone_ = message.heartbeat().zone();
+    TakeHeartbeat(membership, message.heartbeat(), member);
   }
   return true;
 }
 
+void ConfirmBeat(Membership& membership, const std::string& name, core::TimePoint sent) {
+  const auto found = membership.members_.find(name);
+  if (found != membership.members_.end()) {
+    found->second.confirmed_at_ = std::max(found->second.confirmed_at_, sent);
+  }
+}
+
+bool IsBehind(const Membership& membership, std::uint64_t next_offset) noexcept {
+  return membership.newest_configuration_ > next_offset;
+}
+
+core::TimePoint ConnectedAt(const Membership& membership, core::TimePoint now) noexcept {
+  if (membership.members_.empty()) {
+    return now;
+  }
+  core::TimePoint connected_at;
+  for (const auto& [name, member] : membership.members_) {
+    connected_at = std::max(connected_at, member.confirmed_at_);
+  }
+  return connected_at;
+}
+
+bool IsStuck(const Membership& membership, const Member& member, core::TimePoint opened_at,
+             core::Milliseconds timeout, core::TimePoint now) noexcept {
+  const bool far = member.region_ != membership.region_;
+  const core::Milliseconds bound = far ? timeout * kFarTimeoutFactor : timeout;
+  return now > std::max(member.confirmed_at_, opened_at) + bound;
+}
+
 bool IsLive(const Membership& membership, const std::string& name, core::TimePoint now) {
   if (name == membership.self_) {
     return true;
--- a/src/laburnumledge/peer/peers.cpp
+++ b/src/laburnumledge/peer/peers.cpp
@@ -23,6 +23,7 @@
 struct Link {
   config::Address address_;
   zmq::socket_t socket_;
+  core::TimePoint opened_at_;
 };
 
 struct PendingCall {
@@ -48,13 +49,16 @@
   loop::Handle watch_{};
   std::uint64_t bytes_sent_{};
   std::uint64_t bytes_received_{};
+  std::uint64_t links_reopened_{};
 
   Implementation(loop::Loop& loop, Membership& membership) : loop_(loop), membership_(membership) {}
 
   Link* Connect(const std::string& peer);
-  void Transmit(const std::string& peer, proto::PeerMessage& message);
+  bool Transmit(const std::string& peer, proto::PeerMessage& message);
   void Drain();
   void Receive(const zmq::message_t& frame);
+  [[nodiscard]] core::TimePoint AliveUntil(const proto::PeerMessage& message,
+                                           core::TimePoint now) const;
   void EndCall(std::uint64_t correlation, const proto::PeerMessage* reply);
 };
 
@@ -75,21 +79,24 @@
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
   socket.connect(fmt::format("tcp://{}", config::ToString(member->second.address_)));
-  Link link{.address_ = member->second.address_, .socket_ = std::move(socket)};
+  Link link{
+      .address_ = member->second.address_, .socket_ = std::move(socket), .opened_at_ = loop_.Now()};
   return &links_.insert_or_assign(peer, std::move(link)).first->second;
 }
 
-void Peers::Implementation::Transmit(const std::string& peer, proto::PeerMessage& message) {
+bool Peers::Implementation::Transmit(const std::string& peer, proto::PeerMessage& message) {
   Link* link = Connect(peer);
   if (link == nullptr) {
-    return;
+    return false;
   }
   message.set_from(self_);
   message.set_incarnation(incarnation_);
   const std::string bytes = message.SerializeAsString();
   if (link->socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value()) {
     bytes_sent_ += bytes.size();
+    return true;
   }
+  return false;
 }
 
 void Peers::Implementation::Drain() {
@@ -114,7 +121,7 @@
     return;
   }
   const core::TimePoint now = loop_.Now();
-  if (!AcceptSender(membership_, message, now + timeout_, now)) {
+  if (!AcceptSender(membership_, message, AliveUntil(message, now), now)) {
     core::Debug(core::Part::kPeer, "dropped a message from unknown or replaced node {}",
                 message.from());
     return;
@@ -136,6 +143,15 @@
   }
 }
 
+core::TimePoint Peers::Implementation::AliveUntil(const proto::PeerMessage& message,
+                                                  core::TimePoint now) const {
+  const auto member = membership_.members_.find(message.from());
+  const std::string& region = message.has_heartbeat() || member == membership_.members_.end()
+                                  ? message.heartbeat().region()
+                                  : member->second.region_;
+  return now + (region == membership_.region_ ? timeout_ : timeout_ * kFarTimeoutFactor);
+}
+
 void Peers::Implementation::EndCall(std::uint64_t correlation, const proto::PeerMessage* reply) {
   const auto found = calls_.find(correlation);
   if (found == calls_.end()) {
@@ -191,7 +207,9 @@
       self->loop_.At(deadline, [self, correlation] { self->EndCall(correlation, nullptr); });
   self->calls_.emplace(correlation,
                        PendingCall{.peer_ = peer, .handler_ = std::move(handler), .timer_ = timer});
-  self->Transmit(peer, message);
+  if (!self->Transmit(peer, message)) {
+    self->loop_.Soon([self, correlation] { self->EndCall(correlation, nullptr); });
+  }
 }
 
 void Peers::Reply(const proto::PeerMessage& call, proto::PeerMessage reply) {
@@ -200,6 +218,25 @@
   implementation_->Transmit(call.from(), reply);
 }
 
+void Peers::MaintainLinks() {
+  Implementation* self = implementation_.get();
+  const core::TimePoint now = self->loop_.Now();
+  for (auto link = self->links_.begin(); link != self->links_.end();) {
+    const auto member = self->membership_.members_.find(link->first);
+    const bool gone = member == self->membership_.members_.end();
+    const bool stuck = !gone && IsStuck(self->membership_, member->second, link->second.opened_at_,
+                                        self->timeout_, now);
+    if (stuck) {
+      ++self->links_reopened_;
+      core::Info(core::Part::kPeer, "nothing gets through to node {}; opening a new connection",
+                 link->first);
+    }
+    link = gone || stuck ? self->links_.erase(link) : std::next(link);
+  }
+}
+
+std::uint64_t Peers::LinksReopened() const noexcept { return implementation_->links_reopened_; }
+
 std::uint64_t Peers::BytesSent() const noexcept { return implementation_->bytes_sent_; }
 
 std::uint64_t Peers::BytesReceived() const noexcept { return implementation_->bytes_received_; }
--- a/src/laburnumledge/peer/peers.hpp
+++ b/src/laburnumledge/peer/peers.hpp
@@ -53,6 +53,15 @@
   /** @brief Replies to a call that the handler was given. */
   void Reply(const proto::PeerMessage& call, proto::PeerMessage reply);
 
+  /**
+   * @brief Closes links to nodes that are no members, and opens links anew on which nothing gets
+   * through: the member has echoed no heartbeat for the peer timeout. Called regularly.
+   */
+  void MaintainLinks();
+
+  /** @brief Links that were opened anew because nothing got through. */
+  [[nodiscard]] std::uint64_t LinksReopened() const noexcept;
+
   /** @brief Bytes sent and received since the start. */
   [[nodiscard]] std::uint64_t BytesSent() const noexcept;
   /** @copydoc BytesSent */
--- a/src/laburnumledge/worker/exchange.cpp
+++ b/src/laburnumledge/worker/exchange.cpp
@@ -47,11 +47,24 @@
   lease.progress_ = core::Milliseconds(value.at("progress_ms").get<std::int64_t>());
   lease.checkpointed_ = core::Milliseconds(value.at("checkpointed_ms").get<std::int64_t>());
   lease.memory_mb_ = value.at("memory_mb").get<std::uint64_t>();
+  lease.throttled_ = value.value("throttled", false);
   lease.result_ = value.value("result", "");
   lease.failure_ = value.value("failure", "");
   return lease;
 }
 
+void AddRenewals(json& body, const ExchangeRequest& request) {
+  if (request.renew_all_ && !request.renewals_.empty()) {
+    body["renew_all_ms"] = core::ToMs(request.renewals_.front().expires_);
+    return;
+  }
+  for (const Renewal& renewal : request.renewals_) {
+    json value = KeyJson(renewal.key_);
+    value["expires_ms"] = core::ToMs(renewal.expires_);
+    body["renew"].push_back(std::move(value));
+  }
+}
+
 }  // namespace
 
 std::string_view ToString(LeaseState state) noexcept {
@@ -68,7 +81,7 @@
 }
 
 std::string EncodeRequest(const ExchangeRequest& request) {
-  json body = json::object();
+  json body = {{"boot", request.boot_}, {"seen", request.seen_}};
   for (const Grant& grant : request.grants_) {
     body["grant"].push_back(GrantJson(grant));
   }
@@ -77,14 +90,14 @@
     value["start_by_ms"] = core::ToMs(start.start_by_);
     body["start"].push_back(std::move(value));
   }
-  for (const Renewal& renewal : request.renewals_) {
-    json value = KeyJson(renewal.key_);
-    value["expires_ms"] = core::ToMs(renewal.expires_);
-    body["renew"].push_back(std::move(value));
+  for (const Throttle& throttle : request.throttles_) {
+    json value = KeyJson(throttle.key_);
+    value["reason"] = throttle.reason_;
+    body["throttle"].push_back(std::move(value));
   }
+  AddRenewals(body, request);
   AddKeys(body, "checkpoint", request.checkpoints_);
   AddKeys(body, "stop", request.stops_);
-  AddKeys(body, "throttle", request.throttles_);
   AddKeys(body, "forget", request.forgets_);
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -97,6 +110,10 @@
   try {
     ExchangeReply reply;
     reply.clock_ = core::FromMs<core::WorkerTime>(document.at("clock_ms").get<std::int64_t>());
+    reply.boot_ = document.at("boot").get<std::uint64_t>();
+    reply.sequence_ = document.at("sequence").get<std::uint64_t>();
+    reply.partial_ = document.value("partial", false);
+    reply.renewed_ = document.value("renewed", false);
     for (const json& value : document.at("leases")) {
       LeaseKey key{.job_ = value.at("job").get<std::string>(),
                    .attempt_ = value.at("attempt").get<std::uint32_t>(),
--- a/src/laburnumledge/worker/exchange.hpp
+++ b/src/laburnumledge/worker/exchange.hpp
@@ -46,7 +46,8 @@
   core::WorkerTime expires_;
   core::Milliseconds progress_{};
   core::Milliseconds checkpointed_{};  ///< Progress kept by the newest checkpoint.
-  std::uint64_t memory_mb_{};
+  std::uint64_t memory_mb_{};          ///< In use, as last measured by the worker.
+  bool throttled_{};
   std::string result_;
   std::string failure_;
 };
@@ -77,19 +78,32 @@
   core::WorkerTime expires_;
 };
 
+/** @brief Order to slow a task down. */
+struct Throttle {
+  LeaseKey key_;
+  std::string reason_;
+};
+
 /** @brief Everything one node tells one worker at once. Idempotent by task and attempt. */
 struct ExchangeRequest {
+  std::uint64_t boot_{};  ///< Orders are void if the worker was restarted since this number.
+  std::uint64_t seen_{};  ///< Newest change of the worker that the node has seen.
+  bool renew_all_{};      ///< The renewals are every active lease, until one common time.
   std::vector<Grant> grants_;
   std::vector<Start> starts_;
   std::vector<Renewal> renewals_;
   std::vector<LeaseKey> checkpoints_;
   std::vector<LeaseKey> stops_;
-  std::vector<LeaseKey> throttles_;
+  std::vector<Throttle> throttles_;
   std::vector<LeaseKey> forgets_;  ///< Ended leases whose end was committed.
 };
 
-/** @brief What a worker answers: its clock and every lease that it knows. */
+/** @brief What a worker answers: its clock and its leases, or those that changed. */
 struct ExchangeReply {
+  std::uint64_t boot_{};      ///< Changes when the worker is restarted.
+  std::uint64_t sequence_{};  ///< Number of its newest change.
+  bool partial_{};            ///< Only leases that changed after ExchangeRequest::seen_.
+  bool renewed_{};            ///< Every active lease was renewed by ExchangeRequest::renew_all_.
   core::WorkerTime clock_;
   std::map<LeaseKey, Lease> leases_;
 };
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <vector>
 
+#include "audit.hpp"
 #include "instance.hpp"
 #include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/core/reason.hpp"
@@ -20,6 +21,8 @@
 
 /** @brief Everything that the process stands in for. */
 struct World {
+  core::TimePoint started_;
+  std::vector<Event> events_;
   std::unique_ptr<Platform> platform_;
   std::vector<std::unique_ptr<StandinWorker>> workers_;
   std::vector<std::unique_ptr<StandinInstance>> instances_;
@@ -44,14 +47,22 @@
 bool Build(loop::Loop& loop, World& world, const config::Address& platform,
            const config::Configuration& configuration) {
   constexpr unsigned kPlenty = 1024;
+  world.started_ = loop.Now();
   world.platform_ = std::make_unique<Platform>(loop);
+  world.platform_->audit_ = [&loop, &world](const std::string& job) {
+    for (const auto& worker : world.workers_) {
+      worker->Advance();
+    }
+    const auto now = std::chrono::duration_cast<core::Milliseconds>(loop.Now() - world.started_);
+    return AuditText(world.events_, job, now);
+  };
   world.platform_->ListInstances(configuration);
   if (!Listen(loop, world, platform, kPlenty, world.platform_.get())) {
     return false;
   }
   for (const config::Worker& worker : configuration.inventory_.workers_) {
     const core::Milliseconds offset(core::Hash(worker.name_) % kLargestClockOffsetMs);
-    world.workers_.push_back(std::make_unique<StandinWorker>(loop, worker, offset));
+    world.workers_.push_back(std::make_unique<StandinWorker>(loop, worker, offset, world.events_));
     if (!Listen(loop, world, worker.address_, kPlenty, world.workers_.back().get())) {
       return false;
     }
--- a/test/standin/platform.cpp
+++ b/test/standin/platform.cpp
@@ -45,6 +45,9 @@
     ChangeVm(request, respond);
   } else if (request.path_ == "/faults") {
     SetFaults(request, respond);
+  } else if (request.path_ == "/audit") {
+    respond(
+        http::JsonReply(200, audit_(std::string(http::Find(request.query_, "job").value_or("")))));
   } else if (request.path_ == "/appends") {
     respond(http::JsonReply(200, json{{"appends", appends_}}.dump()));
   } else {
--- a/test/standin/platform.hpp
+++ b/test/standin/platform.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
   /** @brief Answers a request. */
   void Handle(const http::Request& request, const http::Respond& respond);
 
+  std::function<std::string(const std::string& job)> audit_;  ///< What happened to a job.
+
  private:
   void HandleStream(const http::Request& request, const http::Respond& respond);
   void Append(Stream& stream, const http::Request& request, const http::Respond& respond);
--- a/test/standin/worker.cpp
+++ b/test/standin/worker.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "laburnumledge/core/random.hpp"
+
 namespace laburnumledge::standin {
 
 using nlohmann::json;
@@ -39,6 +41,21 @@
   }
 }
 
+json TaskJson(const LeaseKey& key, const Task& task) {
+  return {{"job", key.job_},
+          {"attempt", key.attempt_},
+          {"task", key.task_},
+          {"state", worker::ToString(task.state_)},
+          {"started", task.started_},
+          {"expires_ms", core::ToMs(task.expires_)},
+          {"progress_ms", task.progress_.count()},
+          {"checkpointed_ms", task.checkpointed_.count()},
+          {"memory_mb", task.memory_mb_},
+          {"throttled", task.throttled_},
+          {"result", task.state_ == LeaseState::kSucceeded ? task.result_ : ""},
+          {"failure", task.state_ == LeaseState::kFailed ? task.failure_ : ""}};
+}
+
 }  // namespace
 
 /** @brief Carries out the orders of one exchange. */
@@ -83,8 +100,8 @@
     const std::uint64_t fence = value.at("fence_offset").get<std::uint64_t>();
     const bool granted = task.expires_ > now_ && CellsFree(task.accelerators_) &&
                          FenceHolds(task.accelerators_, fence);
-    task.state_ = granted ? LeaseState::kGranted : LeaseState::kRefused;
-    self_.tasks_.emplace(key, std::move(task));
+    Task& kept = self_.tasks_.emplace(key, std::move(task)).first->second;
+    self_.Enter(key, kept, granted ? LeaseState::kGranted : LeaseState::kRefused, now_);
   }
 
   void Start(const json& value) {
@@ -96,12 +113,13 @@
       return;
     }
     ++self_.starts_;
-    found->second.started_ = true;
-    found->second.progress_at_ = now_;
-    found->second.state_ =
-        self_.faults_.fail_everything_ ? LeaseState::kFailed : LeaseState::kRunning;
+    Task& task = found->second;
+    task.started_ = true;
+    task.progress_at_ = now_;
+    self_.Enter(found->first, task, LeaseState::kRunning, now_);
     if (self_.faults_.fail_everything_) {
-      found->second.failure_ = "accelerator fault";
+      task.failure_ = "accelerator fault";
+      self_.Enter(found->first, task, LeaseState::kFailed, now_);
     }
   }
 
@@ -111,20 +129,40 @@
       found->second.expires_ =
           std::max(found->second.expires_,
                    core::FromMs<core::WorkerTime>(value.at("expires_ms").get<std::int64_t>()));
+      found->second.sequence_ = ++self_.sequence_;
+    }
+  }
+
+  /** Renews every active lease, if the node has seen the newest change. */
+  bool RenewAll(const json& body) {
+    const auto until = body.find("renew_all_ms");
+    if (until == body.end() || body.value("seen", std::uint64_t{0}) != self_.sequence_) {
+      return false;
     }
+    const auto expires = core::FromMs<core::WorkerTime>(until->get<std::int64_t>());
+    for (auto& [key, task] : self_.tasks_) {
+      if (worker::IsActive(task.state_)) {
+        task.expires_ = std::max(task.expires_, expires);
+      }
+    }
+    return true;
   }
 
   void Checkpoint(const json& value) {
     const auto found = self_.tasks_.find(KeyOf(value));
-    if (found != self_.tasks_.end() && found->second.state_ == LeaseState::kRunning) {
-      found->second.checkpointed_ = found->second.progress_;
+    if (found == self_.tasks_.end() || found->second.state_ != LeaseState::kRunning ||
+        found->second.checkpoint_at_ != core::WorkerTime{}) {
+      return;
     }
+    found->second.checkpoint_at_ = now_ + self_.faults_.checkpoint_takes_;
+    self_.AdvanceTask(found->first, found->second, now_);
   }
 
   void Stop(const json& value) {
-    Task& task = self_.tasks_[KeyOf(value)];
+    const LeaseKey key = KeyOf(value);
+    Task& task = self_.tasks_[key];
     if (worker::IsActive(task.state_) || task.state_ == LeaseState::kUnknown) {
-      task.state_ = LeaseState::kStopped;
+      self_.Enter(key, task, LeaseState::kStopped, now_);
     }
   }
 
@@ -132,12 +170,14 @@
     const auto found = self_.tasks_.find(KeyOf(value));
     if (found != self_.tasks_.end()) {
       found->second.throttled_ = true;
+      found->second.sequence_ = ++self_.sequence_;
     }
   }
 
   void Forget(const json& value) {
     const auto found = self_.tasks_.find(KeyOf(value));
     if (found != self_.tasks_.end() && !worker::IsActive(found->second.state_)) {
+      self_.forgotten_.push_back(found->first);
       self_.tasks_.erase(found);
     }
   }
@@ -154,15 +194,28 @@
   }
 };
 
-StandinWorker::StandinWorker(loop::Loop& loop, config::Worker spec, core::Milliseconds clock_offset)
-    : loop_(loop), spec_(std::move(spec)), started_(loop.Now()), clock_offset_(clock_offset) {}
+StandinWorker::StandinWorker(loop::Loop& loop, config::Worker spec, core::Milliseconds clock_offset,
+                             std::vector<Event>& events)
+    : loop_(loop),
+      spec_(std::move(spec)),
+      started_(loop.Now()),
+      clock_offset_(clock_offset),
+      events_(events),
+      boot_(core::EntropySeed()) {}
 
 core::WorkerTime StandinWorker::Clock() const {
   return core::WorkerTime(clock_offset_ +
                           std::chrono::duration_cast<core::Milliseconds>(loop_.Now() - started_));
 }
 
-void StandinWorker::AdvanceTask(Task& task, core::WorkerTime now) const {
+void StandinWorker::Enter(const LeaseKey& key, Task& task, LeaseState state, core::WorkerTime at) {
+  task.state_ = state;
+  task.sequence_ = ++sequence_;
+  const core::Milliseconds since_start = at.time_since_epoch() - clock_offset_;
+  events_.push_back({.key_ = key, .worker_ = spec_.name_, .state_ = state, .at_ = since_start});
+}
+
+void StandinWorker::AdvanceTask(const LeaseKey& key, Task& task, core::WorkerTime now) {
   if (!worker::IsActive(task.state_)) {
     return;
   }
@@ -172,17 +225,24 @@
     task.progress_ += task.throttled_ ? taken / 2 : taken;
     task.progress_at_ = until;
   }
+  const core::WorkerTime checkpoint_at = task.checkpoint_at_;
+  if (checkpoint_at != core::WorkerTime{} && checkpoint_at <= until) {
+    task.checkpointed_ = task.progress_;
+    task.checkpoint_at_ = {};
+    task.sequence_ = ++sequence_;
+  }
   if (task.state_ == LeaseState::kRunning && task.progress_ >= task.runtime_) {
-    task.state_ = task.failure_.empty() ? LeaseState::kSucceeded : LeaseState::kFailed;
+    const core::WorkerTime end = until - (task.progress_ - task.runtime_);
+    Enter(key, task, task.failure_.empty() ? LeaseState::kSucceeded : LeaseState::kFailed, end);
   } else if (now > task.expires_) {
-    task.state_ = LeaseState::kLapsed;
+    Enter(key, task, LeaseState::kLapsed, task.expires_);
   }
 }
 
 void StandinWorker::Advance() {
   const core::WorkerTime now = Clock();
   for (auto& [key, task] : tasks_) {
-    AdvanceTask(task, now);
+    AdvanceTask(key, task, now);
   }
 }
 
@@ -207,8 +267,17 @@
     respond(http::JsonReply(400, "{}"));
     return;
   }
+  forgotten_.clear();
+  const bool same_boot = body.value("boot", std::uint64_t{0}) == boot_;
+  const std::uint64_t seen = body.value("seen", std::uint64_t{0});
+  if (!same_boot) {
+    respond(http::JsonReply(200, ReportText(seen, false, false)));
+    return;
+  }
+  bool renewed = false;
   try {
     WorkerOrders orders{.self_ = *this, .now_ = Clock()};
+    renewed = orders.RenewAll(body);
     orders.Each(body, "renew", &WorkerOrders::Renew);
     orders.Each(body, "checkpoint", &WorkerOrders::Checkpoint);
     orders.Each(body, "stop", &WorkerOrders::Stop);
@@ -220,7 +289,7 @@
     respond(http::JsonReply(400, json{{"error", error.what()}}.dump()));
     return;
   }
-  respond(http::JsonReply(200, ReportText()));
+  respond(http::JsonReply(200, ReportText(seen, true, renewed)));
 }
 
 void StandinWorker::SetFaults(const http::Request& request, const http::Respond& respond) {
@@ -232,28 +301,38 @@
   faults_.fail_everything_ = body.value("fail_everything", faults_.fail_everything_);
   faults_.paused_ = body.value("paused", faults_.paused_);
   faults_.gone_ = body.value("gone", faults_.gone_);
+  faults_.checkpoint_takes_ =
+      core::Milliseconds(body.value("checkpoint_takes_ms", faults_.checkpoint_takes_.count()));
   if (faults_.gone_) {
-    tasks_.clear();
+    LoseTasks();
   }
   respond(http::JsonReply(200, "{}"));
 }
 
-std::string StandinWorker::ReportText() const {
+void StandinWorker::LoseTasks() {
+  for (auto& [key, task] : tasks_) {
+    if (worker::IsActive(task.state_)) {
+      Enter(key, task, LeaseState::kLapsed, Clock());
+    }
+  }
+  tasks_.clear();
+  ++boot_;
+}
+
+std::string StandinWorker::ReportText(std::uint64_t seen, bool partial, bool renewed) const {
   json leases = json::array();
+  for (const LeaseKey& key : forgotten_) {
+    leases.push_back(TaskJson(key, {}));
+  }
   for (const auto& [key, task] : tasks_) {
-    leases.push_back({{"job", key.job_},
-                      {"attempt", key.attempt_},
-                      {"task", key.task_},
-                      {"state", worker::ToString(task.state_)},
-                      {"started", task.started_},
-                      {"expires_ms", core::ToMs(task.expires_)},
-                      {"progress_ms", task.progress_.count()},
-                      {"checkpointed_ms", task.checkpointed_.count()},
-                      {"memory_mb", task.memory_mb_},
-                      {"result", task.state_ == LeaseState::kSucceeded ? task.result_ : ""},
-                      {"failure", task.state_ == LeaseState::kFailed ? task.failure_ : ""}});
+    if (!partial || task.sequence_ > seen) {
+      leases.push_back(TaskJson(key, task));
+    }
   }
-  return json{{"clock_ms", core::ToMs(Clock())}, {"leases", std::move(leases)}}.dump();
+  return json{
+      {"boot", boot_},      {"sequence", sequence_},           {"partial", partial},
+      {"renewed", renewed}, {"clock_ms", core::ToMs(Clock())}, {"leases", std::move(leases)}}
+      .dump();
 }
 
 }  // namespace laburnumledge::standin
