Give each running process test a range of ports of its own

Ports were picked from the range that the kernel gives to outgoing connections and released before use, so that tests running side by side took each other's. Each test now holds a range below it by a file lock.

--- a/test/process/library.sh
+++ b/test/process/library.sh
@@ -26,9 +26,28 @@
   exit 1
 }
 
+# Each running test holds a range of ports below those that the kernel gives to outgoing connections.
+take_port_range() {
+  local slots=${TMPDIR:-/tmp}/laburnumledge-ports slot
+  mkdir -p "$slots"
+  for ((slot = 0; slot < 80; ++slot)); do
+    exec {port_lock}> "$slots/$slot"
+    if flock -n "$port_lock"; then
+      echo $((12000 + 250 * slot)) > "$work/next_port"
+      return
+    fi
+    exec {port_lock}>&-
+  done
+  fail "no range of ports is free"
+}
+take_port_range
+
 # free_ports COUNT: prints free loopback ports, one a line.
 free_ports() {
-  "$LABURNUMLEDGE_STANDIN" free-ports "$1"
+  local ports
+  ports=$("$LABURNUMLEDGE_STANDIN" free-ports "$(cat "$work/next_port")" "$1")
+  echo "$(($(tail -n 1 <<< "$ports") + 1))" > "$work/next_port"
+  echo "$ports"
 }
 
 # make_configuration ZONES RACKS WORKERS INSTANCES: writes $work/configuration.json.
@@ -182,7 +201,7 @@
 
 # accepts NODE JOB TASKS COMMAND [MORE]: whether the job was accepted.
 accepts() {
-  submit "$@" | grep -q "\"id\":\"$2\""
+  submit "$@" | tee "$work/answer" | grep -q "\"id\":\"$2\"" || { cat "$work/answer" >&2; false; }
 }
 
 # has_phase NODE JOB PHASE: whether a job is in a phase, as a node knows it.
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -100,16 +100,21 @@
 }
 
 /** Prints free loopback ports; all are held until the last one is known, so that none repeats. */
-int PrintFreePorts(int count) {
+int PrintFreePorts(int first, int count) {
+  constexpr int kLastPort = 65535;
   loop::Loop loop;
   std::vector<std::unique_ptr<http::Server>> servers;
-  for (int i = 0; i < count; ++i) {
-    servers.push_back(http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
-                                          [](const http::Request&, const http::Respond&) {}));
-    if (servers.back() == nullptr) {
+  for (int port = first; servers.size() < static_cast<std::size_t>(count); ++port) {
+    if (port > kLastPort) {
       return 1;
     }
-    fmt::print("{}\n", servers.back()->Port());
+    const config::Address address{.ip_ = "127.0.0.1", .port_ = static_cast<std::uint16_t>(port)};
+    auto server =
+        http::Server::Start(loop, address, {}, [](const http::Request&, const http::Respond&) {});
+    if (server != nullptr) {
+      fmt::print("{}\n", server->Port());
+      servers.push_back(std::move(server));
+    }
   }
   return 0;
 }
@@ -119,12 +124,13 @@
 }  // namespace laburnumledge::standin
 
 int main(int argc, char** argv) {
-  if (argc == 3 && std::string(argv[1]) == "free-ports") {
-    return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]));
+  if (argc == 4 && std::string(argv[1]) == "free-ports") {
+    return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]), std::atoi(argv[3]));
   }
   if (argc != 3) {
-    fmt::print(stderr,
-               "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports N\n");
+    fmt::print(
+        stderr,
+        "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports FIRST COUNT\n");
     return 2;
   }
   return laburnumledge::standin::Run(argv[1], argv[2]);
