--- a/src/laburnumledge/worker/orders.cpp
+++ b/src/laburnumledge/worker/orders.cpp
@@ -126,6 +126,13 @@
   }
 }
 
+/** A worker that did not answer is told nothing that would prolong its leases unseen. */
+void KeepStopsOnly(ExchangeRequest& request) {
+  request.grants_.clear();
+  request.starts_.clear();
+  request.renewals_.clear();
+}
+
 }  // namespace
 
 ExchangeRequest PlanExchange(Shard& shard, const state::State& state, const std::string& worker,
@@ -134,7 +141,7 @@
   WorkerView& view = shard.workers_.at(worker);
   request.boot_ = view.boot_;
   request.seen_ = view.sequence_;
-  if (!view.heard_ || view.unanswered_) {
+  if (!view.heard_) {
     return request;
   }
   for (const std::string& id : view.jobs_) {
@@ -152,6 +159,9 @@
     }
   }
   PlanLeftovers(state, view, request);
+  if (view.unanswered_) {
+    KeepStopsOnly(request);
+  }
   if (!request.grants_.empty() || !request.renewals_.empty()) {
     view.lapsed_at_ = std::max(view.lapsed_at_, LapseTime(shard.limits_, now));
     view.renewed_until_ = EarliestClock(view, now) + shard.limits_.lease_length_;
--- a/src/laburnumledge/worker/shard.cpp
+++ b/src/laburnumledge/worker/shard.cpp
@@ -83,6 +83,17 @@
   return changed;
 }
 
+/** Forgets what was known of a worker before: another node may have dealt with it since. */
+void TakeOver(WorkerView& view, const ShardLimits& limits, core::TimePoint now) {
+  view.heard_ = false;
+  view.boot_ = 0;
+  view.sequence_ = 0;
+  view.leases_.clear();
+  view.silent_since_ = now;
+  view.lapsed_at_ = LapseTime(limits, now) + limits.hand_over_;
+  view.next_exchange_ = now;
+}
+
 }  // namespace
 
 void Observe(Shard& shard, const state::State& state, const state::Change& change) {
@@ -115,6 +126,11 @@
 
 void Divide(Shard& shard, const std::string& self, const std::vector<std::string>& nodes,
             core::TimePoint now) {
+  if (nodes == shard.nodes_ && shard.workers_.size() == shard.divided_) {
+    return;
+  }
+  shard.nodes_ = nodes;
+  shard.divided_ = shard.workers_.size();
   std::set<std::string> owned;
   for (auto& [name, view] : shard.workers_) {
     const std::size_t owner = core::RendezvousOwner(name, nodes);
@@ -123,9 +139,7 @@
     }
     owned.insert(name);
     if (!shard.owned_.contains(name)) {
-      view.silent_since_ = now;
-      view.lapsed_at_ = LapseTime(shard.limits_, now) + shard.limits_.hand_over_;
-      view.next_exchange_ = now;
+      TakeOver(view, shard.limits_, now);
     }
   }
   shard.owned_ = std::move(owned);
--- a/src/laburnumledge/worker/shard.hpp
+++ b/src/laburnumledge/worker/shard.hpp
@@ -72,6 +72,8 @@
   std::set<std::string> owned_;                ///< Workers that this node has now.
   std::map<std::string, std::set<std::string>> workers_of_job_;
   ShardLimits limits_;
+  std::vector<std::string> nodes_;  ///< Nodes that the workers were last divided among.
+  std::size_t divided_{};           ///< Number of workers then.
 };
 
 /** @brief Notes what one applied record changed. Linear in the change. */
