Report every error of a file with its line

The parsers named a path but no line, a syntax error carried the library's own message, a member that stood twice was silently the last one, and nesting was bounded by the stack alone. One SAX pass now checks nesting and repeated members before the document is built; only when something does not hold does a second pass find the lines of the paths.

--- a/src/laburnumledge/caller/job.cpp
+++ b/src/laburnumledge/caller/job.cpp
@@ -1,11 +1,12 @@
 #include "laburnumledge/caller/job.hpp"
 
-#include <fmt/ranges.h>
+#include <fmt/core.h>
 
 #include <array>
 #include <nlohmann/json.hpp>
 
 #include "laburnumledge/config/reader.hpp"
+#include "laburnumledge/core/name.hpp"
 #include "laburnumledge/core/reason.hpp"
 
 namespace laburnumledge::caller {
@@ -15,7 +16,6 @@
 using config::internal::Errors;
 using config::internal::ObjectReader;
 
-constexpr std::size_t kMaxIdBytes = 128;
 constexpr std::size_t kMaxCommandBytes = 64U << 10U;
 constexpr std::uint64_t kMaxTasks = 4096;
 constexpr std::uint64_t kMaxAccelerators = 64;
@@ -35,7 +35,7 @@
 }
 
 void ReadSpec(ObjectReader& reader, state::JobSpec& spec) {
-  reader.Text("organisation", spec.organisation_, true);
+  reader.Name("organisation", spec.organisation_);
   reader.Text("kind", spec.kind_, false);
   reader.Bool("urgent", spec.urgent_);
   reader.Number("tasks", spec.tasks_, 1, kMaxTasks, false);
@@ -57,10 +57,11 @@
 }  // namespace
 
 std::optional<state::JobSpec> ParseJob(std::string_view id, std::string_view body) {
-  if (id.empty() || id.size() > kMaxIdBytes || id.find('/') != std::string_view::npos) {
-    return core::Fail("a job's identifier has 1 to {} bytes and no slash", kMaxIdBytes);
+  if (!core::IsName(id)) {
+    return core::Fail("a job's identifier has 1 to {} letters, digits or any of - _ . :",
+                      core::kMaxNameBytes);
   }
-  Errors errors{.file_ = "job", .lines_ = {}};
+  Errors errors{.file_ = "job", .found_ = {}, .left_out_ = 0};
   const std::optional<nlohmann::json> document = config::internal::ParseJson(body, errors);
   state::JobSpec spec;
   spec.id_ = id;
@@ -68,8 +69,8 @@
     ObjectReader reader(errors, *document, "");
     ReadSpec(reader, spec);
   }
-  if (!errors.lines_.empty()) {
-    return core::Fail("{}", fmt::join(errors.lines_, "\n"));
+  if (!errors.Empty()) {
+    return core::Fail("{}", config::internal::DescribeErrors(errors, body));
   }
   return spec;
 }
--- a/src/laburnumledge/config/configuration.cpp
+++ b/src/laburnumledge/config/configuration.cpp
@@ -2,10 +2,11 @@
 
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <array>
-#include <set>
 
 #include "laburnumledge/config/reader.hpp"
+#include "laburnumledge/config/references.hpp"
 #include "laburnumledge/core/reason.hpp"
 
 namespace laburnumledge::config {
@@ -24,8 +25,8 @@
 Zone ParseZone(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Zone zone;
-  reader.Text("name", zone.name_, true);
-  reader.Text("region", zone.region_, true);
+  reader.Name("name", zone.name_);
+  reader.Name("region", zone.region_);
   reader.Finish();
   return zone;
 }
@@ -33,8 +34,8 @@
 Rack ParseRack(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Rack rack;
-  reader.Text("name", rack.name_, true);
-  reader.Text("zone", rack.zone_, true);
+  reader.Name("name", rack.name_);
+  reader.Name("zone", rack.zone_);
   reader.Finish();
   return rack;
 }
@@ -42,8 +43,8 @@
 Worker ParseWorker(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Worker worker;
-  reader.Text("name", worker.name_, true);
-  reader.Text("rack", worker.rack_, true);
+  reader.Name("name", worker.name_);
+  reader.Name("rack", worker.rack_);
   reader.AddressOf("address", worker.address_, true);
   reader.Number("accelerators", worker.accelerators_, 0, kMaxAccelerators, true);
   reader.Number("cores", worker.cores_, 1, kMaxCount, true);
@@ -52,12 +53,22 @@
   return worker;
 }
 
+Vm ParseVm(Errors& errors, const nlohmann::json& value, const std::string& path) {
+  ObjectReader reader(errors, value, path);
+  Vm vm;
+  reader.Name("name", vm.name_);
+  reader.Name("zone", vm.zone_);
+  reader.AddressOf("address", vm.address_, true);
+  reader.Finish();
+  return vm;
+}
+
 Instance ParseInstance(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Instance instance;
-  reader.Text("name", instance.name_, true);
-  reader.Text("service", instance.service_, true);
-  reader.Text("zone", instance.zone_, true);
+  reader.Name("name", instance.name_);
+  reader.Name("service", instance.service_);
+  reader.Name("zone", instance.zone_);
   reader.AddressOf("address", instance.address_, true);
   reader.Number("slots", instance.slots_, 1, kMaxCount, false);
   reader.Number("connections", instance.connections_, 1, kMaxCount, false);
@@ -86,7 +97,7 @@
                                const std::string& path) {
   ObjectReader reader(errors, value, path);
   Organisation organisation;
-  reader.Text("name", organisation.name_, true);
+  reader.Name("name", organisation.name_);
   reader.Number("weight", organisation.weight_, 1, kMaxCount, false);
   reader.Number("quota_accelerators", organisation.quota_accelerators_, 0, kMaxCount, false);
   reader.Texts("zones", organisation.zones_);
@@ -100,11 +111,11 @@
 Service ParseService(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Service service;
-  reader.Text("name", service.name_, true);
+  reader.Name("name", service.name_);
   reader.Each("classes", true, [&](const nlohmann::json& member, const std::string& place) {
     ObjectReader class_reader(errors, member, place);
     RequestClass request_class;
-    class_reader.Text("name", request_class.name_, true);
+    class_reader.Name("name", request_class.name_);
     class_reader.Number("weight", request_class.weight_, 1, kMaxCount, false);
     class_reader.Bool("interactive", request_class.interactive_);
     class_reader.Finish();
@@ -128,6 +139,9 @@
   ParseList(errors, reader, "racks", inventory.racks_, ParseRack);
   ParseList(errors, reader, "workers", inventory.workers_, ParseWorker);
   ParseList(errors, reader, "instances", inventory.instances_, ParseInstance);
+  reader.Each("vms", false, [&](const nlohmann::json& member, const std::string& path) {
+    inventory.vms_.push_back(ParseVm(errors, member, path));
+  });
   reader.Finish();
 }
 
@@ -140,71 +154,10 @@
   reader.Finish();
 }
 
-template <typename Item>
-std::set<std::string> CheckNames(Errors& errors, const std::vector<Item>& items,
-                                 std::string_view path) {
-  std::set<std::string> names;
-  for (std::size_t i = 0; i < items.size(); ++i) {
-    if (!names.insert(items[i].name_).second) {
-      errors.Add(fmt::format("{}/{}/name", path, i),
-                 fmt::format("\"{}\" is used twice", items[i].name_));
-    }
-  }
-  return names;
-}
-
-void CheckKnown(Errors& errors, const std::set<std::string>& names, const std::string& name,
-                const std::string& path) {
-  if (!names.contains(name)) {
-    errors.Add(path, fmt::format("\"{}\" is not in the inventory", name));
-  }
-}
-
-void CheckZones(Errors& errors, const std::set<std::string>& zones,
-                const std::vector<std::string>& named, const std::string& path) {
-  for (std::size_t i = 0; i < named.size(); ++i) {
-    CheckKnown(errors, zones, named[i], fmt::format("{}/{}", path, i));
-  }
-}
-
-void CheckReferences(Errors& errors, const Configuration& configuration) {
-  const Inventory& inventory = configuration.inventory_;
-  const Rules& rules = configuration.rules_;
-  const auto zones = CheckNames(errors, inventory.zones_, "/inventory/zones");
-  const auto racks = CheckNames(errors, inventory.racks_, "/inventory/racks");
-  CheckNames(errors, inventory.workers_, "/inventory/workers");
-  CheckNames(errors, inventory.instances_, "/inventory/instances");
-  CheckNames(errors, rules.organisations_, "/rules/organisations");
-  const auto services = CheckNames(errors, rules.services_, "/rules/services");
-  for (std::size_t i = 0; i < inventory.racks_.size(); ++i) {
-    CheckKnown(errors, zones, inventory.racks_[i].zone_,
-               fmt::format("/inventory/racks/{}/zone", i));
-  }
-  for (std::size_t i = 0; i < inventory.workers_.size(); ++i) {
-    CheckKnown(errors, racks, inventory.workers_[i].rack_,
-               fmt::format("/inventory/workers/{}/rack", i));
-  }
-  for (std::size_t i = 0; i < inventory.instances_.size(); ++i) {
-    const Instance& instance = inventory.instances_[i];
-    CheckKnown(errors, zones, instance.zone_, fmt::format("/inventory/instances/{}/zone", i));
-    CheckKnown(errors, services, instance.service_,
-               fmt::format("/inventory/instances/{}/service", i));
-  }
-  for (std::size_t i = 0; i < rules.organisations_.size(); ++i) {
-    const Organisation& organisation = rules.organisations_[i];
-    const std::string path = fmt::format("/rules/organisations/{}", i);
-    CheckZones(errors, zones, organisation.zones_, path + "/zones");
-    for (std::size_t j = 0; j < organisation.guarantees_.size(); ++j) {
-      CheckZones(errors, zones, organisation.guarantees_[j].zones_,
-                 fmt::format("{}/guarantees/{}/zones", path, j));
-    }
-  }
-}
-
 }  // namespace
 
 std::optional<Configuration> ParseConfiguration(std::string_view text, std::string_view file) {
-  Errors errors{.file_ = std::string(file), .lines_ = {}};
+  Errors errors{.file_ = std::string(file), .found_ = {}, .left_out_ = 0};
   const std::optional<nlohmann::json> document = internal::ParseJson(text, errors);
   Configuration configuration;
   if (document.has_value()) {
@@ -216,10 +169,10 @@
       ParseRules(errors, *rules, configuration.rules_);
     }
     reader.Finish();
-    CheckReferences(errors, configuration);
+    internal::CheckReferences(errors, configuration);
   }
-  if (!errors.lines_.empty()) {
-    return core::Fail("{}", fmt::join(errors.lines_, "\n"));
+  if (!errors.Empty()) {
+    return core::Fail("{}", internal::DescribeErrors(errors, text));
   }
   return configuration;
 }
--- a/src/laburnumledge/config/configuration.hpp
+++ b/src/laburnumledge/config/configuration.hpp
@@ -42,12 +42,20 @@
   std::uint32_t connections_{64};
 };
 
+/** @brief Entry VM that a node runs on. */
+struct Vm {
+  std::string name_;
+  std::string zone_;
+  Address address_;  ///< Where the other nodes reach it.
+};
+
 /** @brief What operators load from their asset register. */
 struct Inventory {
   std::vector<Zone> zones_;
   std::vector<Rack> racks_;
   std::vector<Worker> workers_;
   std::vector<Instance> instances_;
+  std::vector<Vm> vms_;
 };
 
 /** @brief Level of the hierarchy that a guaranteed shape is stated in. */
@@ -98,6 +106,10 @@
 
 /**
  * @brief Parses inventory and rules: JSON with comments.
+ *
+ * Applied to records of the log too: the same on every machine, and linear in the text but for a
+ * logarithm.
+ *
  * @param text The file's text.
  * @param file Name used in messages.
  * @return The configuration, or empty with every error, one a line, as the last reason.
--- a/src/laburnumledge/config/fwd.hpp
+++ b/src/laburnumledge/config/fwd.hpp
@@ -8,6 +8,7 @@
 struct Rules;
 struct Worker;
 struct Instance;
+struct Vm;
 struct Organisation;
 struct Guarantee;
 enum class Cell : unsigned char;
--- a/src/laburnumledge/config/reader.cpp
+++ b/src/laburnumledge/config/reader.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <unordered_set>
 
+#include "laburnumledge/core/name.hpp"
 #include "laburnumledge/core/reason.hpp"
 
 namespace laburnumledge::config {
@@ -58,6 +60,8 @@
 }
 
 std::string Nearest(std::string_view name, const std::vector<std::string>& known) {
+  constexpr std::size_t kLongestName = 64;
+  name = name.substr(0, kLongestName);
   const auto nearest =
       std::min_element(known.begin(), known.end(), [&](const std::string& a, const std::string& b) {
         return EditDistance(name, a) < EditDistance(name, b);
@@ -67,10 +71,6 @@
 
 }  // namespace
 
-void Errors::Add(std::string_view path, std::string_view text) {
-  lines_.push_back(fmt::format("{}: {}: {}", file_, path.empty() ? "/" : path, text));
-}
-
 ObjectReader::ObjectReader(Errors& errors, const nlohmann::json& value, std::string path)
     : errors_(errors), path_(std::move(path)) {
   if (!value.is_object()) {
@@ -81,7 +81,7 @@
 }
 
 std::string ObjectReader::PathOf(std::string_view key) const {
-  return fmt::format("{}/{}", path_, key);
+  return fmt::format("{}/{}", path_, EscapeStep(key));
 }
 
 void ObjectReader::Fail(std::string_view key, std::string_view text) {
@@ -118,6 +118,20 @@
   }
 }
 
+void ObjectReader::Name(const char* key, std::string& target) {
+  std::string text;
+  Text(key, text, true);
+  if (text.empty()) {
+    return;
+  }
+  if (!core::IsName(text)) {
+    Fail(key,
+         fmt::format("expected 1 to {} letters, digits or any of - _ . :", core::kMaxNameBytes));
+    return;
+  }
+  target = std::move(text);
+}
+
 void ObjectReader::ReadNumber(const char* key, std::uint64_t& target, std::uint64_t lowest,
                               std::uint64_t highest, bool required) {
   const nlohmann::json* member = Get(key, required);
@@ -168,12 +182,16 @@
 }
 
 void ObjectReader::Texts(const char* key, std::vector<std::string>& target) {
+  std::unordered_set<std::string> seen;
   Each(key, false, [&](const nlohmann::json& member, const std::string& path) {
     if (!member.is_string()) {
       errors_.Add(path, fmt::format("expected a text, found {}", member.type_name()));
       return;
     }
     target.push_back(member.get<std::string>());
+    if (!seen.insert(target.back()).second) {
+      errors_.Add(path, fmt::format("\"{}\" stands twice in this list", target.back()));
+    }
   });
 }
 
@@ -201,13 +219,4 @@
   }
 }
 
-std::optional<nlohmann::json> ParseJson(std::string_view text, Errors& errors) {
-  try {
-    return nlohmann::json::parse(text, nullptr, true, true);
-  } catch (const nlohmann::json::exception& error) {
-    errors.lines_.push_back(fmt::format("{}: {}", errors.file_, error.what()));
-    return std::nullopt;
-  }
-}
-
 }  // namespace laburnumledge::config::internal
--- a/src/laburnumledge/config/reader.hpp
+++ b/src/laburnumledge/config/reader.hpp
@@ -8,19 +8,11 @@
 #include <string_view>
 #include <vector>
 
+#include "laburnumledge/config/document.hpp"
 #include "laburnumledge/config/settings.hpp"
 
 namespace laburnumledge::config::internal {
 
-/** @brief Errors of one file, each with its place. */
-struct Errors {
-  std::string file_;
-  std::vector<std::string> lines_;
-
-  /** @brief Adds an error at a path of the document. */
-  void Add(std::string_view path, std::string_view text);
-};
-
 /** @brief Reads the members of one JSON object and reports those that are unknown. */
 class ObjectReader {
  public:
@@ -34,6 +26,9 @@
   /** @brief Reads a text. Left as it is if the member is missing and not required. */
   void Text(const char* key, std::string& target, bool required);
 
+  /** @brief Reads a name that must be there; see core::IsName. */
+  void Name(const char* key, std::string& target);
+
   /** @brief Reads a whole number between two bounds. */
   template <typename Integer>
   void Number(const char* key, Integer& target, std::uint64_t lowest, std::uint64_t highest,
@@ -52,7 +47,7 @@
   /** @brief Reads `ip:port`. */
   void AddressOf(const char* key, Address& target, bool required);
 
-  /** @brief Reads a list of texts. */
+  /** @brief Reads a list of texts, each of them once. */
   void Texts(const char* key, std::vector<std::string>& target);
 
   /** @brief Calls a function with each member of a list and its path. */
@@ -90,10 +85,4 @@
   std::vector<std::string> known_;
 };
 
-/**
- * @brief Parses JSON with comments.
- * @return The document, or empty with an error that names line and column.
- */
-[[nodiscard]] std::optional<nlohmann::json> ParseJson(std::string_view text, Errors& errors);
-
 }  // namespace laburnumledge::config::internal
--- a/src/laburnumledge/config/settings.cpp
+++ b/src/laburnumledge/config/settings.cpp
@@ -1,6 +1,8 @@
 #include "laburnumledge/config/settings.hpp"
 
-#include <fmt/ranges.h>
+#include <fmt/core.h>
+
+#include <unordered_set>
 
 #include "laburnumledge/config/reader.hpp"
 #include "laburnumledge/core/log.hpp"
@@ -14,12 +16,15 @@
 using internal::ObjectReader;
 
 constexpr std::uint64_t kMaxBytes = 1ULL << 30U;
+constexpr int kExchangesInLease = 4;
+constexpr int kHeartbeatsInTimeout = 3;
+constexpr core::Milliseconds kLongestLogPoll{1000};
 constexpr std::uint64_t kMaxCount = 1ULL << 20U;
 
 Seed ParseSeed(Errors& errors, const nlohmann::json& value, const std::string& path) {
   ObjectReader reader(errors, value, path);
   Seed seed;
-  reader.Text("name", seed.name_, true);
+  reader.Name("name", seed.name_);
   reader.AddressOf("peers", seed.peer_, true);
   reader.Finish();
   return seed;
@@ -45,17 +50,61 @@
   reader.Interval("shutdown_limit_ms", settings.shutdown_limit_, false);
 }
 
+void Compare(Errors& errors, const char* key, core::Milliseconds value, bool holds,
+             std::string_view expected) {
+  if (!holds) {
+    errors.Add(fmt::format("/{}", key),
+               fmt::format("is {} ms, expected {}", value.count(), expected));
+  }
+}
+
+void CheckIntervals(Errors& errors, const Settings& settings) {
+  Compare(errors, "lease_length_ms", settings.lease_length_,
+          settings.lease_length_ >= kExchangesInLease * settings.exchange_interval_,
+          fmt::format("at least {} times exchange_interval_ms", kExchangesInLease));
+  Compare(errors, "peer_timeout_ms", settings.peer_timeout_,
+          settings.peer_timeout_ >= kHeartbeatsInTimeout * settings.heartbeat_interval_,
+          fmt::format("at least {} times heartbeat_interval_ms", kHeartbeatsInTimeout));
+  Compare(errors, "log_poll_interval_ms", settings.log_poll_interval_,
+          settings.log_poll_interval_ <= kLongestLogPoll,
+          fmt::format("at most {}", kLongestLogPoll.count()));
+  Compare(errors, "shutdown_limit_ms", settings.shutdown_limit_,
+          settings.shutdown_limit_ >= settings.shutdown_notice_, "at least shutdown_notice_ms");
+}
+
+void CheckAddresses(Errors& errors, const Settings& settings) {
+  const auto same = [](const Address& a, const Address& b) { return a.port_ != 0 && a == b; };
+  if (same(settings.callers_, settings.peers_)) {
+    errors.Add("/peers", "is the address of callers too");
+  }
+  if (same(settings.callers_, settings.platform_) || same(settings.peers_, settings.platform_)) {
+    errors.Add("/platform", "is an address of this node");
+  }
+  std::unordered_set<std::string> names;
+  std::unordered_set<std::string> addresses;
+  for (std::size_t i = 0; i < settings.seeds_.size(); ++i) {
+    const Seed& seed = settings.seeds_[i];
+    if (!seed.name_.empty() && !names.insert(seed.name_).second) {
+      errors.Add(fmt::format("/seeds/{}/name", i), fmt::format("\"{}\" is used twice", seed.name_));
+    }
+    if (seed.peer_.port_ != 0 && !addresses.insert(ToString(seed.peer_)).second) {
+      errors.Add(fmt::format("/seeds/{}/peers", i),
+                 fmt::format("{} is used twice", ToString(seed.peer_)));
+    }
+  }
+}
+
 }  // namespace
 
 std::optional<Settings> ParseSettings(std::string_view text, std::string_view file) {
-  Errors errors{.file_ = std::string(file), .lines_ = {}};
+  Errors errors{.file_ = std::string(file), .found_ = {}, .left_out_ = 0};
   const std::optional<nlohmann::json> document = internal::ParseJson(text, errors);
   Settings settings;
   if (document.has_value()) {
     ObjectReader reader(errors, *document, "");
-    reader.Text("name", settings.name_, true);
-    reader.Text("region", settings.region_, true);
-    reader.Text("zone", settings.zone_, true);
+    reader.Name("name", settings.name_);
+    reader.Name("region", settings.region_);
+    reader.Name("zone", settings.zone_);
     reader.AddressOf("callers", settings.callers_, true);
     reader.AddressOf("peers", settings.peers_, true);
     reader.AddressOf("platform", settings.platform_, true);
@@ -69,9 +118,11 @@
     ReadLimits(reader, settings);
     ReadIntervals(reader, settings);
     reader.Finish();
+    CheckIntervals(errors, settings);
+    CheckAddresses(errors, settings);
   }
-  if (!errors.lines_.empty()) {
-    return core::Fail("{}", fmt::join(errors.lines_, "\n"));
+  if (!errors.Empty()) {
+    return core::Fail("{}", internal::DescribeErrors(errors, text));
   }
   return settings;
 }
