--- a/src/laburnumledge/operators/command_line.cpp
+++ b/src/laburnumledge/operators/command_line.cpp
@@ -2,79 +2,56 @@
 
 #include <fmt/core.h>
 
-#include <csignal>
-#include <fstream>
-#include <optional>
-#include <sstream>
-#include <string>
+#include <array>
+#include <string_view>
 
-#include "laburnumledge/config/configuration.hpp"
-#include "laburnumledge/config/settings.hpp"
-#include "laburnumledge/core/log.hpp"
-#include "laburnumledge/core/reason.hpp"
-#include "laburnumledge/loop/loop.hpp"
-#include "laburnumledge/node/node.hpp"
+#include "laburnumledge/operators/commands.hpp"
 
 namespace laburnumledge::operators {
 
 namespace {
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return core::Fail("{}: can't be read", path);
+struct Command {
+  std::string_view name_;
+  std::string_view summary_;
+  ExitCode (*run_)(const Arguments&);
+};
+
+constexpr std::array<Command, 7> kCommands = {{
+    {"serve", "run a node", &RunServe},
+    {"check", "check a configuration or settings file", &RunCheck},
+    {"publish", "put a configuration in force", &RunPublish},
+    {"zone", "take availability zones out and back", &RunZone},
+    {"status", "show what a node knows", &RunStatus},
+    {"job", "submit, show, wait for, cancel and list jobs", &RunJob},
+    {"request", "send one request to a service", &RunRequest},
+}};
+
+constexpr std::string_view kExitCodes =
+    "Exit codes: 0 done; 1 refused, or the job did not succeed; 2 wrong command line;\n"
+    "3 a file does not hold; 4 no node answered, nothing was done;\n"
+    "5 the answer was lost, the action may have taken effect; 6 the deadline passed\n";
+
+void PrintUsage(std::FILE* stream) {
+  fmt::print(stream, "usage: laburnumledge COMMAND [OPTIONS] ARGUMENTS\n\n");
+  for (const Command& command : kCommands) {
+    fmt::print(stream, "  {:<9} {}\n", command.name_, command.summary_);
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-int Exit(ExitCode code) { return static_cast<int>(code); }
-
-int Serve(const std::string& path) {
-  const std::optional<std::string> text = ReadFile(path);
-  const std::optional<config::Settings> settings =
-      text.has_value() ? config::ParseSettings(*text, path) : std::nullopt;
-  if (!settings.has_value()) {
-    fmt::print(stderr, "{}\n", core::LastReason());
-    return Exit(ExitCode::kBadInput);
-  }
-  core::SetLevel(core::ParseLevel(settings->log_level_).value_or(core::Level::kInfo));
-  std::signal(SIGPIPE, SIG_IGN);
-  loop::Loop loop;
-  node::Node node(loop, *settings);
-  if (!node.Start()) {
-    core::Error(core::Part::kNode, "{}", core::LastReason());
-    return Exit(ExitCode::kUnreachable);
-  }
-  loop.OnSignal(SIGTERM, [&node] { node.Drain(); });
-  loop.OnSignal(SIGINT, [&node] { node.Drain(); });
-  loop.Run();
-  return Exit(ExitCode::kOk);
-}
-
-int Check(const std::string& path) {
-  const std::optional<std::string> text = ReadFile(path);
-  if (!text.has_value() || !config::ParseConfiguration(*text, path).has_value()) {
-    fmt::print(stderr, "{}\n", core::LastReason());
-    return Exit(ExitCode::kBadInput);
-  }
-  fmt::print("{}: holds\n", path);
-  return Exit(ExitCode::kOk);
+  fmt::print(stream, "\nlaburnumledge COMMAND --help shows options and examples.\n{}", kExitCodes);
 }
 
 }  // namespace
 
 int RunCommandLine(int argc, char** argv) {
-  const std::string command = argc > 1 ? argv[1] : "";
-  if (command == "serve" && argc == 3) {
-    return Serve(argv[2]);
-  }
-  if (command == "check" && argc == 3) {
-    return Check(argv[2]);
+  const std::string_view name = argc > 1 ? argv[1] : "";
+  for (const Command& command : kCommands) {
+    if (command.name_ == name) {
+      return static_cast<int>(command.run_(Arguments(argv + 2, argv + argc)));
+    }
   }
-  fmt::print(stderr, "usage: laburnumledge serve SETTINGS | check CONFIGURATION\n");
-  return Exit(ExitCode::kUsage);
+  const bool help = name == "--help" || name == "help";
+  PrintUsage(help ? stdout : stderr);
+  return static_cast<int>(help ? ExitCode::kOk : ExitCode::kUsage);
 }
 
 }  // namespace laburnumledge::operators
--- a/src/laburnumledge/operators/fwd.hpp
+++ b/src/laburnumledge/operators/fwd.hpp
@@ -2,6 +2,9 @@
 
 namespace laburnumledge::operators {
 
-struct StatusView;
+enum class ExitCode : int;
+struct CommandHelp;
+struct Parsed;
+struct NodeCall;
 
 }  // namespace laburnumledge::operators
