Check submissions, wake waiting callers by job, and label metrics by organisation and class

A caller that waited for a job was polled every 50 ms, a job of an unknown organisation was accepted, a wrong number in a query counted as 0, and each observation of a metric looked its series up in the registry under whatever name the caller had sent. Waiting callers are now keyed by job and woken by the applied record; a job is checked against organisation, zones, quota and shape; every path names the methods that it takes; lists have a limit and a filter; status shows versions, term, age of the log, roles and queues of each node. Metric handles are kept, and names that the configuration does not know share the label value "other".

--- a/src/laburnumledge/caller/job.cpp
+++ b/src/laburnumledge/caller/job.cpp
@@ -94,9 +94,18 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string JobListText(const state::State& state) {
+std::string JobListText(const state::State& state, const JobFilter& filter) {
   nlohmann::json list = nlohmann::json::array();
-  for (const auto& [id, job] : state.jobs_) {
+  bool more = false;
+  for (auto entry = state.jobs_.upper_bound(filter.after_); entry != state.jobs_.end(); ++entry) {
+    const auto& [id, job] = *entry;
+    if (!filter.organisation_.empty() && job.spec_.organisation_ != filter.organisation_) {
+      continue;
+    }
+    if (list.size() == filter.limit_) {
+      more = true;
+      break;
+    }
     nlohmann::json value = {{"id", id},
                             {"organisation", job.spec_.organisation_},
                             {"phase", state::ToString(job.phase_)}};
@@ -105,8 +114,8 @@
     }
     list.push_back(std::move(value));
   }
-  return nlohmann::json{{"jobs", std::move(list)}}.dump(-1, ' ', false,
-                                                        nlohmann::json::error_handler_t::replace);
+  return nlohmann::json{{"jobs", std::move(list)}, {"more", more}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace laburnumledge::caller
--- a/src/laburnumledge/caller/job.hpp
+++ b/src/laburnumledge/caller/job.hpp
@@ -23,7 +23,18 @@
 /** @brief A job as callers see it, in JSON. */
 [[nodiscard]] std::string JobText(const state::State& state, const state::Job& job);
 
-/** @brief Every job of a state, in JSON: identifier, organisation, phase, outcome. */
-[[nodiscard]] std::string JobListText(const state::State& state);
+/** @brief Which jobs a caller wants listed. */
+struct JobFilter {
+  std::string organisation_;  ///< Empty for all.
+  std::string after_;         ///< Only identifiers behind this one, in the order of bytes.
+  std::size_t limit_{100};
+};
+
+/**
+ * @brief Jobs of a state in the order of their identifiers, in JSON.
+ *
+ * Member `more` tells whether some were left out; the next page is `after` the last identifier.
+ */
+[[nodiscard]] std::string JobListText(const state::State& state, const JobFilter& filter);
 
 }  // namespace laburnumledge::caller
--- a/src/laburnumledge/node/follow.cpp
+++ b/src/laburnumledge/node/follow.cpp
@@ -75,6 +75,7 @@
                NudgeIfOwn(jobs_appender_, applied);
                Settle(pending_jobs_, jobs_appender_, applied, replica_.jobs_.records_,
                       replica_.jobs_loads_);
+               OnJobsApplied(applied);
                if (target.at_tail_ && target.fresh_at_ == sent) {
                  platform::OnTail(jobs_appender_, sent);
                }
@@ -104,7 +105,7 @@
 void Node::OnConfigurationApplied() {
   core::Info(core::Part::kConfig, "configuration version {} is in force",
              replica_.configuration_.version_);
-  metrics_.Set("configuration_version", static_cast<double>(replica_.configuration_.version_));
+  metrics_.SetKnown(replica_.configuration_.configuration_);
   Redivide();
   requests_.Pump();
 }
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -13,7 +13,7 @@
 constexpr long kPlatformConnections = 4;
 constexpr long kWorkerConnections = 1;
 constexpr core::Milliseconds kStepInterval{100};
-constexpr core::Milliseconds kReportSweep{1000};
+constexpr core::Milliseconds kSweep{1000};
 constexpr core::Milliseconds kDrainCheckInterval{50};
 constexpr core::Milliseconds kMillisecondsPerSecond{1000};
 
@@ -27,7 +27,7 @@
       started_(loop.Now()),
       platform_client_(loop, kPlatformConnections),
       worker_client_(loop, kWorkerConnections),
-      log_(platform::MakeHttpLog(platform_client_, settings.platform_)),
+      log_(CountingLog(platform::MakeHttpLog(platform_client_, settings.platform_), metrics_)),
       replica_(MakeReplica(settings.region_)),
       requests_(loop, settings, metrics_) {
   configuration_appender_.stream_ = platform::kConfigurationStream;
@@ -40,6 +40,7 @@
   for (const config::Seed& seed : settings.seeds_) {
     peer::AddMember(membership_, seed.name_, seed.peer_);
   }
+  job_waiters_.limit_ = settings.max_queued_requests_;
   decider_.self_ = settings.name_;
   decider_.incarnation_ = incarnation_;
   decider_.anchor_time_ = started_;
@@ -77,9 +78,10 @@
   loop_.Every(settings_.heartbeat_interval_, [this] { Beat(); });
   loop_.Every(settings_.vm_list_interval_, [this] { ReadVms(); });
   loop_.Every(kStepInterval, [this] { StepRole(); });
-  loop_.Every(kReportSweep, [this] {
+  loop_.Every(kSweep, [this] {
     SendDueReports();
     PublishCosts();
+    WakeForFinishedJobs();
   });
   ReadVms();
   ReadConfiguration();
@@ -96,6 +98,7 @@
   draining_ = true;
   drain_until_ = loop_.Now() + settings_.shutdown_limit_;
   core::Info(core::Part::kNode, "shutdown has begun; requests under way are finished first");
+  WakeAll(job_waiters_);
   Beat();
   loop_.At(loop_.Now() + settings_.shutdown_notice_, [this] {
     server_->StopAccepting();
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "laburnumledge/config/settings.hpp"
@@ -11,6 +12,7 @@
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/node/decider.hpp"
 #include "laburnumledge/node/freshness.hpp"
+#include "laburnumledge/node/job_waiters.hpp"
 #include "laburnumledge/node/metrics.hpp"
 #include "laburnumledge/node/pending.hpp"
 #include "laburnumledge/node/replica.hpp"
@@ -84,16 +86,36 @@
 
   // endpoints.cpp: what callers and operators ask
   void Handle(http::Request request, http::Respond respond);
+  void HandleReport(const http::Request& request, const http::Respond& respond);
+  void HandleReady(const http::Respond& respond) const;
+
+  // job_endpoints.cpp
   void HandleJobs(const http::Request& request, const http::Respond& respond);
+  void ListJobs(const http::Request& request, const http::Respond& respond) const;
   void PutJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void SubmitJob(const state::JobSpec& spec, const http::Respond& respond);
   void GetJob(const std::string& id, const http::Request& request, const http::Respond& respond);
   void WaitForJob(const std::string& id, core::TimePoint deadline, const http::Respond& respond);
   void DeleteJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void RespondWithJob(const std::string& id, unsigned status, const std::string& reason,
+                      const http::Respond& respond) const;
   bool ForwardToHolder(const http::Request& request, const http::Respond& respond);
+  void OnJobsApplied(const std::vector<Applied>& applied);
+  void WakeForFinishedJobs();
+
+  // configuration_endpoints.cpp
   void HandleConfiguration(const http::Request& request, const http::Respond& respond);
-  void HandleZone(const http::Request& request, const http::Respond& respond);
-  void HandleStatus(const http::Respond& respond) const;
-  void HandleReady(const http::Respond& respond) const;
+  void ShowConfiguration(const http::Respond& respond) const;
+  void PublishConfiguration(const http::Request& request, const http::Respond& respond);
+  void HandleZones(const http::Request& request, const http::Respond& respond);
+  void ListZones(const http::Respond& respond) const;
+  void SetZone(const http::Request& request, const http::Respond& respond);
+  void AppendConfigurationRecord(proto::Record record, const http::Respond& respond);
+
+  // status.cpp
+  [[nodiscard]] std::string StatusText();
+  [[nodiscard]] nlohmann::json SelfJson(core::TimePoint now);
+  void RefreshMetrics();
   [[nodiscard]] bool IsReady() const;
 
   loop::Loop& loop_;
@@ -113,6 +135,7 @@
   std::unique_ptr<peer::Peers> peers_;
   Decider decider_;
   Metrics metrics_;
+  JobWaiters job_waiters_;
   RequestPath requests_;
   std::unique_ptr<http::Server> server_;
   std::vector<std::string> nodes_;       ///< Live nodes that work is divided among.
--- a/src/laburnumledge/operators/job.cpp
+++ b/src/laburnumledge/operators/job.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <thread>
 
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/operators/commands.hpp"
@@ -30,6 +31,7 @@
 
 constexpr core::Milliseconds kWaitStep{20000};
 constexpr core::Milliseconds kNoWait{0};
+constexpr core::Milliseconds kLeastStep{200};
 
 /** @brief What all job commands share. */
 struct JobCommand {
@@ -104,6 +106,7 @@
       PrintJob(command, response);
       return ExitCode::kDeadlinePassed;
     }
+    std::this_thread::sleep_until(std::min(end, now + kLeastStep));
   }
 }
 
