--- a/src/laburnumledge/operators/request.cpp
+++ b/src/laburnumledge/operators/request.cpp
@@ -60,7 +60,7 @@
     call.body_ = std::move(*body);
   }
   const core::Milliseconds left(values["deadline-ms"].as<std::uint32_t>());
-  call.method_ = TextOption(values, "method");
+  call.method_ = values["method"].as<std::string>();
   call.path_ = fmt::format("/v1/requests/{}", path);
   call.headers_ = {{"Request-Id", RequestId(values)},
                    {"Organisation", TextOption(values, "organisation")},
