--- a/src/laburnumledge/operators/request.cpp
+++ b/src/laburnumledge/operators/request.cpp
@@ -41,7 +41,7 @@
 }
 
 std::string RequestId(const cxxopts::ParseResult& values) {
-  const std::string id = TextOption(values, "id");
+  std::string id = TextOption(values, "id");
   if (!id.empty()) {
     return id;
   }
--- a/test/laburnumledge/operators/command_line.cpp
+++ b/test/laburnumledge/operators/command_line.cpp
@@ -12,6 +12,7 @@
 int Run(std::vector<std::string> arguments) {
   arguments.insert(arguments.begin(), "laburnumledge");
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size());
   for (std::string& argument : arguments) {
     pointers.push_back(argument.data());
   }
