--- a/src/laburnumledge/node/status.cpp
+++ b/src/laburnumledge/node/status.cpp
@@ -97,7 +97,6 @@
   value["region"] = settings_.region_;
   value["zone"] = settings_.zone_;
   value["ready"] = IsReady();
-  value["draining"] = draining_;
   value["configuration_version"] = configuration.version_;
   value["adopted_version"] = jobs.configuration_version_;
   value["zones_out"] = configuration.zones_out_;
