Ask for a fresh read of both streams before a start, and test the pure parts

A node whose jobs stream stood still could start an attempt that the holder had stopped already: its configuration alone was fresh. Both streams count now, read by the node itself or by a peer of its region that echoes one of its heartbeats.

--- a/src/laburnumledge/node/freshness.cpp
+++ b/src/laburnumledge/node/freshness.cpp
@@ -17,13 +17,15 @@
 /** When the peer had certainly read the log to its tail; the clock's epoch if never. */
 core::TimePoint FreshThrough(const Replica& replica, const Beats& beats,
                              const proto::Heartbeat& heartbeat) {
-  if (heartbeat.configuration_offset() > replica.configuration_.next_offset_) {
+  const bool behind = heartbeat.configuration_offset() > replica.configuration_.next_offset_ ||
+                      heartbeat.jobs_offset() > replica.jobs_.next_offset_;
+  if (behind) {
     return {};
   }
   const auto beat = std::find_if(beats.sent_.begin(), beats.sent_.end(), [&](const SentBeat& sent) {
     return sent.sequence_ == heartbeat.echo();
   });
-  const core::Milliseconds age(heartbeat.configuration_age_ms());
+  const core::Milliseconds age(std::max(heartbeat.configuration_age_ms(), heartbeat.jobs_age_ms()));
   if (beat == beats.sent_.end() || age > kStartFreshness) {
     return {};
   }
@@ -54,11 +56,11 @@
 worker::Freshness MakeFreshness(const Replica& replica, const Beats& beats,
                                 const peer::Membership& membership, core::TimePoint now) {
   core::TimePoint fresh;
-  if (replica.configuration_reader_.at_tail_) {
-    fresh = replica.configuration_reader_.fresh_at_;
+  if (replica.configuration_reader_.at_tail_ && replica.jobs_reader_.at_tail_) {
+    fresh = std::min(replica.configuration_reader_.fresh_at_, replica.jobs_reader_.fresh_at_);
   }
   for (const auto& [name, member] : membership.members_) {
-    if (peer::IsLive(membership, name, now)) {
+    if (member.region_ == membership.region_ && peer::IsLive(membership, name, now)) {
       fresh = std::max(fresh, FreshThrough(replica, beats, member.heartbeat_));
     }
   }
--- a/src/laburnumledge/node/freshness.hpp
+++ b/src/laburnumledge/node/freshness.hpp
@@ -36,7 +36,12 @@
 void FillHeartbeat(const Beats& beats, const Replica& replica, core::TimePoint now,
                    proto::Heartbeat& heartbeat);
 
-/** @brief Whether new tasks may be started, from own reads or through a peer's. */
+/**
+ * @brief Whether new tasks may be started, from own reads or through a peer's of the same region.
+ *
+ * Both streams must be fresh: the configuration for the zones that are out, the jobs so that an
+ * attempt that was stopped is not started.
+ */
 [[nodiscard]] worker::Freshness MakeFreshness(const Replica& replica, const Beats& beats,
                                               const peer::Membership& membership,
                                               core::TimePoint now);
--- a/test/laburnumledge/peer/membership.cpp
+++ b/test/laburnumledge/peer/membership.cpp
@@ -87,4 +87,21 @@
   CHECK(ConnectedAt(alone, kStart) == kStart);
 }
 
+TEST_CASE("a late message of an old process does not shut the new one out for good") {
+  Fixture fixture;
+  const auto hear = [&](std::uint64_t incarnation, core::TimePoint now) {
+    proto::PeerMessage message;
+    message.set_from("other");
+    message.set_incarnation(incarnation);
+    return AcceptSender(fixture.membership_, message, now + kTimeout, now);
+  };
+  CHECK(hear(2, kStart));
+  CHECK(hear(1, kStart));
+  CHECK_FALSE(hear(2, kStart + Milliseconds(1000)));
+  CHECK(hear(2, kStart + kTimeout));
+  CHECK_FALSE(hear(1, kStart + kTimeout));
+  CHECK(IsLive(fixture.membership_, "other", 2, kStart + kTimeout));
+  CHECK_FALSE(IsLive(fixture.membership_, "other", 1, kStart + kTimeout));
+}
+
 }  // namespace laburnumledge::peer
--- a/test/laburnumledge/platform/appender.cpp
+++ b/test/laburnumledge/platform/appender.cpp
@@ -63,4 +63,19 @@
   CHECK(batch.records(2).id() == "other");
 }
 
+TEST_CASE("after a state was loaded, what it does not know is sent again") {
+  Appender appender;
+  core::Random random = core::MakeRandom(1, "test");
+  Submit(appender, RecordOf("known"), Priority::kOther);
+  Submit(appender, RecordOf("unknown"), Priority::kOther);
+  REQUIRE(NextAppend(appender, At(0)).has_value());
+  OnAnswer(appender, {.verdict_ = core::Verdict::kRan}, At(10), random);
+  const auto seen = OnLoaded(appender, [](const std::string& id) { return id == "known"; });
+  CHECK(seen == std::vector<std::string>{"known"});
+  proto::RecordBatch batch;
+  REQUIRE(batch.ParseFromString(NextAppend(appender, At(60000)).value()));
+  REQUIRE(batch.records_size() == 1);
+  CHECK(batch.records(0).id() == "unknown");
+}
+
 }  // namespace laburnumledge::platform
