Drive the new exchanges in the cluster runs and make their freshness pure

The harness follows the shard's due exchanges, partial answers, boot numbers and reports on change. Whether a node may start and renew is one pure function now, called by the node and by the harness, as is the echo of a heartbeat.

--- a/src/laburnumledge/node/exchanges.cpp
+++ b/src/laburnumledge/node/exchanges.cpp
@@ -83,14 +83,7 @@
 }
 
 worker::Freshness Node::WorkerFreshness() const {
-  const core::TimePoint now = loop_.Now();
-  worker::Freshness freshness = MakeFreshness(replica_, beats_, membership_, now);
-  const bool behind = peer::IsBehind(membership_, replica_.configuration_.next_offset_);
-  freshness.may_start_ = freshness.may_start_ && !behind;
-  const core::TimePoint connected_at =
-      std::max(replica_.configuration_reader_.fresh_at_, peer::ConnectedAt(membership_, now));
-  freshness.may_renew_ = now < connected_at + settings_.peer_timeout_;
-  return freshness;
+  return MakeFreshness(replica_, beats_, membership_, settings_.peer_timeout_, loop_.Now());
 }
 
 void Node::PublishCosts() {
--- a/src/laburnumledge/node/freshness.cpp
+++ b/src/laburnumledge/node/freshness.cpp
@@ -14,6 +14,11 @@
   return static_cast<std::uint64_t>(age.count());
 }
 
+std::deque<SentBeat>::const_iterator FindBeat(const Beats& beats, std::uint64_t sequence) {
+  return std::find_if(beats.sent_.begin(), beats.sent_.end(),
+                      [&](const SentBeat& sent) { return sent.sequence_ == sequence; });
+}
+
 /** When the peer had certainly read the log to its tail; the clock's epoch if never. */
 core::TimePoint FreshThrough(const Replica& replica, const Beats& beats,
                              const proto::Heartbeat& heartbeat) {
@@ -22,9 +27,7 @@
   if (behind) {
     return {};
   }
-  const auto beat = std::find_if(beats.sent_.begin(), beats.sent_.end(), [&](const SentBeat& sent) {
-    return sent.sequence_ == heartbeat.echo();
-  });
+  const auto beat = FindBeat(beats, heartbeat.echo());
   const core::Milliseconds age(std::max(heartbeat.configuration_age_ms(), heartbeat.jobs_age_ms()));
   if (beat == beats.sent_.end() || age > kStartFreshness) {
     return {};
@@ -54,7 +57,8 @@
 }
 
 worker::Freshness MakeFreshness(const Replica& replica, const Beats& beats,
-                                const peer::Membership& membership, core::TimePoint now) {
+                                const peer::Membership& membership, core::Milliseconds peer_timeout,
+                                core::TimePoint now) {
   core::TimePoint fresh;
   if (replica.configuration_reader_.at_tail_ && replica.jobs_reader_.at_tail_) {
     fresh = std::min(replica.configuration_reader_.fresh_at_, replica.jobs_reader_.fresh_at_);
@@ -65,11 +69,23 @@
     }
   }
   const core::TimePoint until = fresh + kStartFreshness;
-  return {.may_start_ = replica.configuration_.version_ > 0 && until > now,
+  const bool behind = peer::IsBehind(membership, replica.configuration_.next_offset_);
+  const core::TimePoint connected =
+      std::max(replica.configuration_reader_.fresh_at_, peer::ConnectedAt(membership, now));
+  return {.may_start_ = replica.configuration_.version_ > 0 && until > now && !behind,
+          .may_renew_ = now < connected + peer_timeout,
           .fresh_until_ = until,
           .zones_out_ = replica.configuration_.zones_out_};
 }
 
+void TakeEcho(const Beats& beats, peer::Membership& membership, const std::string& peer,
+              const proto::Heartbeat& heartbeat) {
+  const auto beat = FindBeat(beats, heartbeat.echo());
+  if (beat != beats.sent_.end()) {
+    peer::ConfirmBeat(membership, peer, beat->sent_);
+  }
+}
+
 bool MayServe(const Replica& replica, const peer::Membership& membership, core::TimePoint heard_all,
               core::TimePoint now) {
   if (replica.configuration_.version_ == 0 || replica.incompatible_) {
--- a/src/laburnumledge/node/freshness.hpp
+++ b/src/laburnumledge/node/freshness.hpp
@@ -40,11 +40,16 @@
  * @brief Whether new tasks may be started, from own reads or through a peer's of the same region.
  *
  * Both streams must be fresh: the configuration for the zones that are out, the jobs so that an
- * attempt that was stopped is not started.
+ * attempt that was stopped is not started. Leases are renewed unless this node is cut off from the
+ * log and from every peer.
  */
 [[nodiscard]] worker::Freshness MakeFreshness(const Replica& replica, const Beats& beats,
                                               const peer::Membership& membership,
-                                              core::TimePoint now);
+                                              core::Milliseconds peer_timeout, core::TimePoint now);
+
+/** @brief Takes over the echo of a peer's heartbeat: the link carries messages both ways. */
+void TakeEcho(const Beats& beats, peer::Membership& membership, const std::string& peer,
+              const proto::Heartbeat& heartbeat);
 
 /**
  * @brief Whether the configuration may be served: it was read to the tail since the start, or it
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -57,12 +57,7 @@
 
 void Node::OnHeartbeat(const proto::PeerMessage& message) {
   const proto::Heartbeat& heartbeat = message.heartbeat();
-  const auto beat = std::find_if(beats_.sent_.begin(), beats_.sent_.end(), [&](const auto& sent) {
-    return sent.sequence_ == heartbeat.echo();
-  });
-  if (beat != beats_.sent_.end()) {
-    peer::ConfirmBeat(membership_, message.from(), beat->sent_);
-  }
+  TakeEcho(beats_, membership_, message.from(), heartbeat);
   if (heartbeat.configuration_offset() > replica_.configuration_.next_offset_) {
     ReadConfigurationAgain();
   }
--- a/test/laburnumledge/node/freshness.cpp
+++ b/test/laburnumledge/node/freshness.cpp
@@ -45,7 +45,7 @@
 }
 
 bool MayStart(const Scene& scene, core::TimePoint now) {
-  return MakeFreshness(scene.replica_, scene.beats_, scene.membership_, now).may_start_;
+  return MakeFreshness(scene.replica_, scene.beats_, scene.membership_, kTimeout, now).may_start_;
 }
 
 }  // namespace
@@ -62,7 +62,8 @@
   Scene scene = MakeScene();
   NextBeat(scene.beats_, kNow - std::chrono::milliseconds(600));
   Hear(scene, 5, 1, scene.beats_.sequence_);
-  const auto freshness = MakeFreshness(scene.replica_, scene.beats_, scene.membership_, kNow);
+  const auto freshness =
+      MakeFreshness(scene.replica_, scene.beats_, scene.membership_, kTimeout, kNow);
   CHECK(freshness.may_start_);
   CHECK(freshness.fresh_until_ == kNow + std::chrono::milliseconds(1300));
 }
--- a/test/randomised/cluster/cluster.cpp
+++ b/test/randomised/cluster/cluster.cpp
@@ -115,9 +115,12 @@
   }
 }
 
-void SendReports(Cluster& cluster, const NodePointer& node) {
-  proto::LeaseReports reports =
-      worker::MakeReports(node->replica_.shard_, node->replica_.jobs_, cluster.timeline_.now_);
+void SendReports(Cluster& cluster, const NodePointer& node, const std::string& worker) {
+  if (!node->replica_.shard_.owned_.contains(worker)) {
+    return;
+  }
+  proto::LeaseReports reports = worker::TakeDueReports(node->replica_.shard_, node->replica_.jobs_,
+                                                       worker, cluster.timeline_.now_);
   if (reports.reports().empty() && reports.silent_workers().empty()) {
     return;
   }
@@ -191,12 +194,13 @@
 void ExchangeWith(Cluster& cluster, const NodePointer& node, const std::string& worker) {
   const core::TimePoint sent = cluster.timeline_.now_;
   worker::Freshness freshness =
-      node::MakeFreshness(node->replica_, node->beats_, node->membership_, sent);
+      node::MakeFreshness(node->replica_, node->beats_, node->membership_, kPeerTimeout, sent);
   if (cluster.defect_ == Defect::kIgnoredZones) {
     freshness.zones_out_.clear();
   }
   const worker::ExchangeRequest request =
       worker::PlanExchange(node->replica_.shard_, node->replica_.jobs_, worker, freshness, sent);
+  worker::OnSent(node->replica_.shard_, worker, sent);
   auto answered = std::make_shared<bool>(false);
   At(cluster.timeline_, sent + kExchangeTimeout, [&cluster, node, worker, answered] {
     OnNode(cluster, node, [&cluster, node, worker, answered] {
@@ -219,12 +223,19 @@
                 return;
               }
               worker::OnReply(node->replica_.shard_, worker, reply, sent, cluster.timeline_.now_);
-              SendReports(cluster, node);
+              SendReports(cluster, node, worker);
             });
           });
      });
 }
 
+void SweepReports(Cluster& cluster, const NodePointer& node) {
+  const std::set<std::string> owned = node->replica_.shard_.owned_;
+  for (const std::string& worker : owned) {
+    SendReports(cluster, node, worker);
+  }
+}
+
 void CompareReplica(Cluster& cluster, const SimNode& node) {
   const state::State& state = node.replica_.jobs_;
   const auto expected = cluster.hashes_.find(state.next_offset_);
--- a/test/randomised/cluster/cluster.hpp
+++ b/test/randomised/cluster/cluster.hpp
@@ -62,6 +62,9 @@
 /** @brief Makes one exchange with a worker. */
 void ExchangeWith(Cluster& cluster, const NodePointer& node, const std::string& worker);
 
+/** @brief Sends the reports that are due, of every owned worker. */
+void SweepReports(Cluster& cluster, const NodePointer& node);
+
 /** @brief Compares a replica with the reference at its offset. */
 void CompareReplica(Cluster& cluster, const SimNode& node);
 
--- a/test/randomised/cluster/fake_worker.cpp
+++ b/test/randomised/cluster/fake_worker.cpp
@@ -48,6 +48,7 @@
   const bool granted = grant.expires_ > now && CellsFree(self, grant.accelerators_) &&
                        TakeFence(self, grant.accelerators_, grant.fence_offset_);
   task.lease_.state_ = granted ? LeaseState::kGranted : LeaseState::kRefused;
+  task.sequence_ = ++self.sequence_;
   self.tasks_.emplace(grant.key_, std::move(task));
   if (granted) {
     self.on_grant_(grant.key_);
@@ -65,15 +66,14 @@
   found->second.progress_at_ = now;
   lease.state_ = self.fails_everything_ ? LeaseState::kFailed : LeaseState::kRunning;
   lease.failure_ = self.fails_everything_ ? "accelerator fault" : "";
+  found->second.sequence_ = ++self.sequence_;
   self.on_start_(start.key_);
 }
 
-worker::Lease* Find(FakeWorker& self, const LeaseKey& key) {
-  const auto found = self.tasks_.find(key);
-  return found == self.tasks_.end() ? nullptr : &found->second.lease_;
-}
+/** Notes that a task's lease changed. */
+void Touch(FakeWorker& self, FakeTask& task) { task.sequence_ = ++self.sequence_; }
 
-void AdvanceTask(FakeTask& task, core::WorkerTime now) {
+void AdvanceTask(FakeWorker& self, FakeTask& task, core::WorkerTime now) {
   worker::Lease& lease = task.lease_;
   if (!worker::IsActive(lease.state_)) {
     return;
@@ -86,11 +86,85 @@
   if (lease.state_ == LeaseState::kRunning && lease.progress_ >= task.runtime_) {
     lease.state_ = LeaseState::kSucceeded;
     lease.result_ = "done";
+    Touch(self, task);
   } else if (now > lease.expires_) {
     lease.state_ = LeaseState::kLapsed;
+    Touch(self, task);
+  }
+}
+
+void RenewOne(FakeWorker& self, const LeaseKey& key, core::WorkerTime expires) {
+  const auto found = self.tasks_.find(key);
+  if (found != self.tasks_.end() && worker::IsActive(found->second.lease_.state_)) {
+    found->second.lease_.expires_ = std::max(found->second.lease_.expires_, expires);
+    Touch(self, found->second);
   }
 }
 
+/** True if every active lease was renewed at once. */
+bool Renew(FakeWorker& self, const worker::ExchangeRequest& request) {
+  if (!request.renew_all_) {
+    for (const worker::Renewal& renewal : request.renewals_) {
+      RenewOne(self, renewal.key_, renewal.expires_);
+    }
+    return false;
+  }
+  if (request.seen_ != self.sequence_) {
+    return false;
+  }
+  for (auto& [key, task] : self.tasks_) {
+    if (worker::IsActive(task.lease_.state_)) {
+      task.lease_.expires_ = std::max(task.lease_.expires_, request.renewals_.front().expires_);
+    }
+  }
+  return true;
+}
+
+void Checkpoint(FakeWorker& self, const LeaseKey& key) {
+  const auto found = self.tasks_.find(key);
+  if (found != self.tasks_.end()) {
+    found->second.lease_.checkpointed_ = found->second.lease_.progress_;
+    Touch(self, found->second);
+  }
+}
+
+void Stop(FakeWorker& self, const LeaseKey& key) {
+  FakeTask& task = self.tasks_[key];
+  worker::Lease& lease = task.lease_;
+  if (worker::IsActive(lease.state_) || lease.state_ == LeaseState::kUnknown) {
+    lease.state_ = LeaseState::kStopped;
+    Touch(self, task);
+  }
+}
+
+void Forget(FakeWorker& self, const LeaseKey& key) {
+  const auto found = self.tasks_.find(key);
+  if (found != self.tasks_.end() && !worker::IsActive(found->second.lease_.state_)) {
+    self.tasks_.erase(found);
+    self.forgotten_[key] = ++self.sequence_;
+  }
+}
+
+worker::ExchangeReply Report(const FakeWorker& self, std::uint64_t seen, bool partial,
+                             core::WorkerTime clock) {
+  worker::ExchangeReply reply;
+  reply.boot_ = self.boot_;
+  reply.sequence_ = self.sequence_;
+  reply.partial_ = partial;
+  reply.clock_ = clock;
+  for (const auto& [key, sequence] : self.forgotten_) {
+    if (sequence > seen) {
+      reply.leases_[key] = {};
+    }
+  }
+  for (const auto& [key, task] : self.tasks_) {
+    if (!partial || task.sequence_ > seen) {
+      reply.leases_[key] = task.lease_;
+    }
+  }
+  return reply;
+}
+
 }  // namespace
 
 core::WorkerTime ClockOf(const FakeWorker& worker, core::TimePoint now) {
@@ -99,7 +173,7 @@
 
 void Advance(FakeWorker& worker, core::TimePoint now) {
   for (auto& [key, task] : worker.tasks_) {
-    AdvanceTask(task, ClockOf(worker, now));
+    AdvanceTask(worker, task, ClockOf(worker, now));
   }
 }
 
@@ -107,29 +181,18 @@
                             core::TimePoint now) {
   Advance(self, now);
   const core::WorkerTime clock = ClockOf(self, now);
-  for (const worker::Renewal& renewal : request.renewals_) {
-    worker::Lease* lease = Find(self, renewal.key_);
-    if (lease != nullptr && worker::IsActive(lease->state_)) {
-      lease->expires_ = std::max(lease->expires_, renewal.expires_);
-    }
+  if (request.boot_ != self.boot_) {
+    return Report(self, 0, false, clock);
   }
+  const bool renewed = Renew(self, request);
   for (const LeaseKey& key : request.checkpoints_) {
-    worker::Lease* lease = Find(self, key);
-    if (lease != nullptr) {
-      lease->checkpointed_ = lease->progress_;
-    }
+    Checkpoint(self, key);
   }
   for (const LeaseKey& key : request.stops_) {
-    worker::Lease& lease = self.tasks_[key].lease_;
-    if (worker::IsActive(lease.state_) || lease.state_ == LeaseState::kUnknown) {
-      lease.state_ = LeaseState::kStopped;
-    }
+    Stop(self, key);
   }
   for (const LeaseKey& key : request.forgets_) {
-    const worker::Lease* lease = Find(self, key);
-    if (lease != nullptr && !worker::IsActive(lease->state_)) {
-      self.tasks_.erase(key);
-    }
+    Forget(self, key);
   }
   for (const worker::Grant& grant : request.grants_) {
     GrantOne(self, grant, clock);
@@ -137,13 +200,15 @@
   for (const worker::Start& start : request.starts_) {
     StartOne(self, start, clock);
   }
-  worker::ExchangeReply reply{.clock_ = clock, .leases_ = {}};
-  for (const auto& [key, task] : self.tasks_) {
-    reply.leases_[key] = task.lease_;
-  }
+  worker::ExchangeReply reply = Report(self, request.seen_, true, clock);
+  reply.renewed_ = renewed;
   return reply;
 }
 
-void Lose(FakeWorker& worker) { worker.tasks_.clear(); }
+void Lose(FakeWorker& worker) {
+  worker.tasks_.clear();
+  worker.forgotten_.clear();
+  ++worker.boot_;
+}
 
 }  // namespace laburnumledge::cluster
--- a/test/randomised/cluster/fake_worker.hpp
+++ b/test/randomised/cluster/fake_worker.hpp
@@ -16,6 +16,7 @@
   core::WorkerTime progress_at_;
   core::Milliseconds runtime_{};
   std::uint64_t accelerators_{};
+  std::uint64_t sequence_{};  ///< Number of its newest change.
 };
 
 /** @brief A worker that runs tasks under leases, on a clock of its own. */
@@ -23,9 +24,12 @@
   std::string name_;
   std::string zone_;
   core::Milliseconds clock_offset_{};
+  std::uint64_t boot_{1};
+  std::uint64_t sequence_{};
   std::map<worker::LeaseKey, FakeTask> tasks_;
-  std::map<unsigned, std::uint64_t> fences_;  ///< By accelerator.
-  core::TimePoint silent_until_;              ///< Answers nothing; its tasks go on.
+  std::map<worker::LeaseKey, std::uint64_t> forgotten_;  ///< By the number of that change.
+  std::map<unsigned, std::uint64_t> fences_;             ///< By accelerator.
+  core::TimePoint silent_until_;                         ///< Answers nothing; its tasks go on.
   bool fails_everything_{};
   std::function<void(const worker::LeaseKey&)> on_grant_;
   std::function<void(const worker::LeaseKey&)> on_start_;
--- a/test/randomised/cluster/sim_node.cpp
+++ b/test/randomised/cluster/sim_node.cpp
@@ -12,7 +12,7 @@
 constexpr core::Milliseconds kPollInterval{200};
 constexpr core::Milliseconds kBeatInterval{500};
 constexpr core::Milliseconds kStepInterval{100};
-constexpr core::Milliseconds kExchangeInterval{500};
+constexpr core::Milliseconds kReportSweep{1000};
 constexpr core::Milliseconds kWithdrawAfter{4000};
 constexpr core::Milliseconds kAnswerAfter{9000};
 constexpr core::Milliseconds kCallTimeout{10000};
@@ -288,14 +288,9 @@
 }
 
 void Exchange(Cluster& cluster, const NodePointer& node) {
-  const core::TimePoint now = cluster.timeline_.now_;
-  for (const std::string& name : node->replica_.shard_.owned_) {
-    worker::WorkerView& view = node->replica_.shard_.workers_[name];
-    if (!view.under_way_ && view.next_exchange_ <= now) {
-      view.under_way_ = true;
-      view.next_exchange_ = now + kExchangeInterval;
-      ExchangeWith(cluster, node, name);
-    }
+  for (const std::string& name :
+       worker::DueWorkers(node->replica_.shard_, cluster.timeline_.now_)) {
+    ExchangeWith(cluster, node, name);
   }
 }
 
@@ -375,6 +370,8 @@
   node->random_ = core::MakeRandom(seed, name);
   node->replica_ = node::MakeReplica(kRegion);
   node->replica_.shard_.limits_.lease_length_ = kLeaseLength;
+  node->replica_.shard_.limits_.hand_over_ = kPeerTimeout;
+  node->decider_.min_lease_left_ = kLeaseLength / 2;
   node->configuration_appender_.stream_ = platform::kConfigurationStream;
   node->jobs_appender_.stream_ = platform::JobsStream(kRegion);
   node->membership_.self_ = name;
@@ -398,6 +395,7 @@
   });
   Every(cluster, node, kBeatInterval, Beat);
   Every(cluster, node, kStepInterval, Step);
+  Every(cluster, node, kReportSweep, SweepReports);
 }
 
 void Receive(Cluster& cluster, const NodePointer& node, const proto::PeerMessage& message) {
@@ -407,7 +405,9 @@
   if (stale || !peer::AcceptSender(node->membership_, message, now + kPeerTimeout, now)) {
     return;
   }
-  if (message.has_lease_reports()) {
+  if (message.has_heartbeat()) {
+    node::TakeEcho(node->beats_, node->membership_, message.from(), message.heartbeat());
+  } else if (message.has_lease_reports()) {
     node::TakeReports(node->decider_, node->replica_.jobs_, message.lease_reports(), now);
   } else if (message.has_state_request()) {
     proto::PeerMessage reply;
@@ -415,7 +415,7 @@
     Reply(cluster, *node, message, std::move(reply));
   } else if (message.has_call()) {
     AnswerCall(cluster, node, message);
-  } else if (!message.has_heartbeat()) {
+  } else {
     auto call = node->calls_.extract(message.correlation());
     if (!call.empty()) {
       call.mapped()(&message);
