Stop the rest of a gang at once when a part is lost

A checkpoint of the rest is of no use then: the job goes on from the oldest checkpoint of its parts. The record that preempts says so; a preemption by the policy still checkpoints first. An exchange ends after a third of the lease, so that a silent worker is found while leases are short.

--- a/src/laburnumledge/node/decider.cpp
+++ b/src/laburnumledge/node/decider.cpp
@@ -84,6 +84,7 @@
   body.set_job(job.spec_.id_);
   body.set_attempt(job.attempt_);
   body.set_reason(reason);
+  body.set_at_once(true);
 }
 
 bool IsSilent(const Context& context, const std::string& worker) {
--- a/src/laburnumledge/node/exchanges.cpp
+++ b/src/laburnumledge/node/exchanges.cpp
@@ -37,7 +37,7 @@
                           config::ToString(replica_.shard_.workers_[worker].address_));
   call.headers_ = {{"Content-Type", "application/json"}};
   call.body_ = worker::EncodeRequest(request);
-  call.deadline_ = sent + kExchangeTimeout;
+  call.deadline_ = sent + std::min(kExchangeTimeout, settings_.lease_length_ / 3);
   exchange_bytes_ += call.body_.size();
   ++exchanges_;
   worker::OnSent(replica_.shard_, worker, sent);
--- a/src/laburnumledge/state/apply.cpp
+++ b/src/laburnumledge/state/apply.cpp
@@ -292,6 +292,7 @@
   }
   job->phase_ = Phase::kStopping;
   job->reason_ = body.reason();
+  job->stop_at_once_ = body.at_once();
   return Applied(Change::Kind::kJob, body.job());
 }
 
--- a/src/laburnumledge/state/snapshot.cpp
+++ b/src/laburnumledge/state/snapshot.cpp
@@ -35,6 +35,7 @@
   image.set_place_offset(job.place_offset_);
   image.set_place_term(job.place_term_);
   image.set_may_have_started(job.may_have_started_);
+  image.set_stop_at_once(job.stop_at_once_);
   return image;
 }
 
@@ -69,6 +70,7 @@
   job.placed_ = core::FromMs<core::StateTime>(static_cast<std::int64_t>(image.placed_ms()));
   job.started_ = core::FromMs<core::StateTime>(static_cast<std::int64_t>(image.started_ms()));
   job.may_have_started_ = image.may_have_started();
+  job.stop_at_once_ = image.stop_at_once();
   job.cancelled_ = image.cancelled();
   job.progress_ = core::Milliseconds(image.progress_ms());
   job.failures_ = image.failures();
--- a/src/laburnumledge/worker/orders.cpp
+++ b/src/laburnumledge/worker/orders.cpp
@@ -93,7 +93,7 @@
                   ExchangeRequest& request) {
   const LeaseKey key{.job_ = job.spec_.id_, .attempt_ = job.attempt_, .task_ = part.task_};
   const LeaseState lease = StateOf(view, key);
-  const bool kept = job.spec_.checkpointable_ && !job.cancelled_;
+  const bool kept = job.spec_.checkpointable_ && !job.cancelled_ && !job.stop_at_once_;
   if (lease == LeaseState::kRunning && kept && AwaitsCheckpoint(view, limits, key, now)) {
     request.checkpoints_.push_back(key);
     if (freshness.may_renew_) {
--- a/test/laburnumledge/worker/shard.cpp
+++ b/test/laburnumledge/worker/shard.cpp
@@ -148,6 +148,10 @@
     CHECK(fixture.Plan(bound - Milliseconds(1)).stops_.empty());
     CHECK(fixture.Plan(bound).stops_.size() == 1);
   }
+  SUBCASE("the rest of a gang that lost a part is stopped at once") {
+    fixture.Job().stop_at_once_ = true;
+    CHECK(fixture.Plan(kStart).stops_.size() == 1);
+  }
   SUBCASE("a cancelled job needs no checkpoint") {
     fixture.Job().cancelled_ = true;
     CHECK(fixture.Plan(kStart).stops_.size() == 1);
