Read the VM list only when it changed

Change: the read is conditional (If-None-Match), and a platform that gives no ETag is read as before; the answer is judged by a pure function. Seen: unit tests of the judgement, the whole path and the demo pass.

--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -143,6 +143,8 @@
   Beats beats_;
   std::string claim_id_;  ///< Record of this node's newest claim.
   core::TimePoint drain_until_;
+  std::string vm_list_tag_;   ///< Version of vm_list_.
+  platform::VmList vm_list_;  ///< As last read.
   bool draining_{};
   core::TimePoint next_nudge_;
   std::uint64_t exchange_bytes_{};  ///< Bodies of exchanges, both ways.
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -105,13 +105,18 @@
 }
 
 void Node::ReadVms() {
-  platform::ReadVmList(platform_client_, settings_.platform_, loop_.Now() + kVmListTimeout,
-                       [this](const std::optional<platform::VmList>& list) {
-                         if (list.has_value()) {
-                           TakeVms(*list);
-                         } else {
+  platform::ReadVmList(platform_client_, settings_.platform_, vm_list_tag_,
+                       loop_.Now() + kVmListTimeout,
+                       [this](const std::optional<platform::VmListAnswer>& answer) {
+                         if (!answer.has_value()) {
                            core::Warning(core::Part::kPlatform, "{}", core::LastReason());
+                           return;
                          }
+                         vm_list_tag_ = answer->tag_;
+                         if (answer->list_.has_value()) {
+                           vm_list_ = *answer->list_;
+                         }
+                         TakeVms(vm_list_);
                        });
 }
 
--- a/src/laburnumledge/platform/vm_list.cpp
+++ b/src/laburnumledge/platform/vm_list.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kNotModified = 304;
 
 std::optional<Vm> ParseVm(const nlohmann::json& value) {
   Vm vm;
@@ -50,18 +51,32 @@
   }
 }
 
-void ReadVmList(http::Client& client, const config::Address& platform, core::TimePoint deadline,
-                std::function<void(std::optional<VmList>)> done) {
+std::optional<VmListAnswer> JudgeVmList(const std::string& tag, const http::Response& response) {
+  if (response.status_ == kNotModified && !tag.empty()) {
+    return VmListAnswer{.tag_ = tag};
+  }
+  if (response.status_ != kOk) {
+    return core::Fail("the VM list can't be read: status {}, {}", response.status_,
+                      response.reason_);
+  }
+  std::optional<VmList> list = ParseVmList(response.body_);
+  if (!list.has_value()) {
+    return std::nullopt;
+  }
+  return VmListAnswer{.tag_ = std::string(http::Find(response.headers_, "ETag").value_or("")),
+                      .list_ = std::move(list)};
+}
+
+void ReadVmList(http::Client& client, const config::Address& platform, const std::string& tag,
+                core::TimePoint deadline, std::function<void(std::optional<VmListAnswer>)> done) {
   http::Call call;
   call.url_ = fmt::format("http://{}/v1/vms", config::ToString(platform));
   call.deadline_ = deadline;
-  client.Send(std::move(call), [done = std::move(done)](const http::Response& response) {
-    if (response.status_ != kOk) {
-      done(core::Fail("the VM list can't be read: status {}, {}", response.status_,
-                      response.reason_));
-      return;
-    }
-    done(ParseVmList(response.body_));
+  if (!tag.empty()) {
+    call.headers_ = {{"If-None-Match", tag}};
+  }
+  client.Send(std::move(call), [tag, done = std::move(done)](const http::Response& response) {
+    done(JudgeVmList(tag, response));
   });
 }
 
--- a/src/laburnumledge/platform/vm_list.hpp
+++ b/src/laburnumledge/platform/vm_list.hpp
@@ -33,8 +33,25 @@
 /** @brief Parses the platform's answer. Empty with the last reason if it is malformed. */
 [[nodiscard]] std::optional<VmList> ParseVmList(std::string_view body);
 
-/** @brief Reads the list. The function gets it, or empty with the last reason. */
-void ReadVmList(http::Client& client, const config::Address& platform, core::TimePoint deadline,
-                std::function<void(std::optional<VmList>)> done);
+/** @brief Answer to a conditional read of the list. */
+struct VmListAnswer {
+  std::string tag_;             ///< Names this version of the list; empty if the platform has none.
+  std::optional<VmList> list_;  ///< Empty if it is the version that was named.
+};
+
+/** @brief Judges the platform's response. Empty with the last reason if it holds no list. */
+[[nodiscard]] std::optional<VmListAnswer> JudgeVmList(const std::string& tag,
+                                                      const http::Response& response);
+
+/**
+ * @brief Reads the list if it changed.
+ * @param client Sends the call; must outlive it.
+ * @param platform Address of the platform.
+ * @param tag Tag of the version that the caller has; empty for none.
+ * @param deadline When the call is given up.
+ * @param done Gets the answer, or empty with the last reason.
+ */
+void ReadVmList(http::Client& client, const config::Address& platform, const std::string& tag,
+                core::TimePoint deadline, std::function<void(std::optional<VmListAnswer>)> done);
 
 }  // namespace laburnumledge::platform
--- /dev/null
+++ b/test/laburnumledge/platform/vm_list.cpp
@@ -0,0 +1,43 @@
+#include "laburnumledge/platform/vm_list.hpp"
+
+#include <doctest/doctest.h>
+
+#include "laburnumledge/core/reason.hpp"
+
+namespace laburnumledge::platform {
+
+namespace {
+
+http::Response ResponseOf(unsigned status, const std::string& body) {
+  return {.status_ = status, .headers_ = {{"ETag", "\"7\""}}, .body_ = body};
+}
+
+}  // namespace
+
+TEST_CASE("a list is read with its tag") {
+  const auto answer = JudgeVmList(
+      "", ResponseOf(200, R"({"vms":[{"name":"node-1","kind":"node","region":"iceland",)"
+                          R"("zone":"rvk-a","address":"127.0.0.1:9000","state":"leaving"}]})"));
+  REQUIRE(answer.has_value());
+  CHECK(answer->tag_ == "\"7\"");
+  REQUIRE(answer->list_.has_value());
+  REQUIRE(answer->list_->vms_.size() == 1);
+  CHECK(answer->list_->vms_[0].leaving_);
+  CHECK(answer->list_->vms_[0].kind_ == VmKind::kNode);
+}
+
+TEST_CASE("a list that did not change keeps its tag and has no body") {
+  const auto answer = JudgeVmList("\"7\"", ResponseOf(304, ""));
+  REQUIRE(answer.has_value());
+  CHECK(answer->tag_ == "\"7\"");
+  CHECK_FALSE(answer->list_.has_value());
+}
+
+TEST_CASE("not modified without a tag, errors and malformed lists are no answer") {
+  CHECK_FALSE(JudgeVmList("", ResponseOf(304, "")).has_value());
+  CHECK_FALSE(JudgeVmList("", ResponseOf(503, "")).has_value());
+  CHECK_FALSE(JudgeVmList("", ResponseOf(200, R"({"vms":[{"name":"node-1"}]})")).has_value());
+  CHECK(core::LastReason().find("malformed") != std::string::npos);
+}
+
+}  // namespace laburnumledge::platform
--- a/test/standin/platform.cpp
+++ b/test/standin/platform.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "laburnumledge/core/hash.hpp"
+
 namespace laburnumledge::standin {
 
 namespace {
@@ -40,7 +42,7 @@
   if (request.path_.starts_with("/v1/streams/")) {
     HandleStream(request, respond);
   } else if (request.path_ == "/v1/vms" && request.method_ == "GET") {
-    respond(http::JsonReply(200, VmText()));
+    ListVms(request, respond);
   } else if (request.path_ == "/v1/vms") {
     ChangeVm(request, respond);
   } else if (request.path_ == "/faults") {
@@ -138,6 +140,15 @@
   respond(http::JsonReply(200, "{}"));
 }
 
+void Platform::ListVms(const http::Request& request, const http::Respond& respond) const {
+  std::string text = VmText();
+  const std::string tag = "\"" + std::to_string(core::Hash(text)) + "\"";
+  const bool known = http::Find(request.headers_, "If-None-Match") == tag;
+  http::Reply reply = http::JsonReply(known ? 304 : 200, known ? "" : std::move(text));
+  reply.headers_.push_back({"ETag", tag});
+  respond(std::move(reply));
+}
+
 std::string Platform::VmText() const {
   json list = json::array();
   for (const auto& [name, vm] : vms_) {
--- a/test/standin/platform.hpp
+++ b/test/standin/platform.hpp
@@ -56,6 +56,7 @@
   void Answer(const http::Respond& respond, http::Reply reply);
   void SetFaults(const http::Request& request, const http::Respond& respond);
   void ChangeVm(const http::Request& request, const http::Respond& respond);
+  void ListVms(const http::Request& request, const http::Respond& respond) const;
   [[nodiscard]] std::string VmText() const;
 
   loop::Loop& loop_;
