Keep the request target as it came in and drain the backlog

libmicrohttpd hands out the path and the query decoded, so a forwarded request lost its encoding: a %0D%0A in a path became a line end in the request line sent on. Request now carries the target byte for byte.

A listener that was closed with connections in its backlog reset them. StopAccepting now takes what waits there, and can be called again until nothing comes. CloseAfterAnswers ends keep-alive connections with an answer that says so, in place of a reset.

The client ends a connection whose bytes are not acknowledged within 3 s, uses none that was idle for 10 s, sends HEAD without waiting for a body, and tells malformed answers from broken connections.

--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -1,6 +1,9 @@
 #include "laburnumledge/http/client.hpp"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <unordered_map>
@@ -15,6 +18,8 @@
 constexpr long kConnectTimeoutMs = 2000;
 constexpr long kKeepAliveIdleSeconds = 5;
 constexpr long kKeepAliveIntervalSeconds = 2;
+constexpr long kMaxIdleSeconds = 10;
+constexpr unsigned kUserTimeoutMs = 3000;
 
 struct Transfer {
   CallId id_{};
@@ -65,6 +70,18 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/** Ends a connection whose sent bytes are not acknowledged in time. */
+int OnNewSocket(void* /*context*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  const unsigned timeout = kUserTimeoutMs;
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  return CURL_SOCKOPT_OK;
+}
+
+bool IsMalformed(const Transfer& transfer, CURLcode code) noexcept {
+  return transfer.too_large_ || code == CURLE_PARTIAL_FILE || code == CURLE_WEIRD_SERVER_REPLY ||
+         code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_BAD_CONTENT_ENCODING;
+}
+
 bool NeverSent(const Transfer& transfer, CURLcode code) noexcept {
   return !transfer.sent_ || code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
 }
@@ -149,6 +166,7 @@
   } else {
     response.status_ = 0;
     response.timed_out_ = code == CURLE_OPERATION_TIMEDOUT;
+    response.malformed_ = IsMalformed(*transfer, code);
     response.reason_ = transfer->too_large_ ? "answer is too large" : curl_easy_strerror(code);
     response.verdict_ =
         NeverSent(*transfer, code) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
@@ -187,6 +205,9 @@
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnNewSocket);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.fresh_connection_ ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.close_after_ ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
@@ -196,7 +217,9 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnPrerequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
-  if (call.method_ != "GET") {
+  if (call.method_ == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (call.method_ != "GET" || !call.body_.empty()) {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body_.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.data());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_.c_str());
@@ -248,6 +271,10 @@
   implementation_->transfers_.erase(found);
 }
 
+void Client::LimitConnections(long connections_per_host) noexcept {
+  curl_multi_setopt(implementation_->multi_, CURLMOPT_MAX_HOST_CONNECTIONS, connections_per_host);
+}
+
 std::size_t Client::InFlight() const noexcept { return implementation_->transfers_.size(); }
 
 }  // namespace laburnumledge::http
--- a/src/laburnumledge/http/client.hpp
+++ b/src/laburnumledge/http/client.hpp
@@ -38,6 +38,9 @@
   /** @brief Drops a call; its function is not called any more. Unknown identifiers are ignored. */
   void Cancel(CallId call) noexcept;
 
+  /** @brief Changes the most open connections to one address; 0 for no limit. */
+  void LimitConnections(long connections_per_host) noexcept;
+
   /** @brief Calls that have not ended. */
   [[nodiscard]] std::size_t InFlight() const noexcept;
 
--- a/src/laburnumledge/http/message.cpp
+++ b/src/laburnumledge/http/message.cpp
@@ -6,10 +6,14 @@
 
 namespace laburnumledge::http {
 
+bool IsNamed(const Field& field, std::string_view name) noexcept {
+  return field.name_.size() == name.size() &&
+         strncasecmp(field.name_.data(), name.data(), name.size()) == 0;
+}
+
 std::optional<std::string_view> Find(const Fields& fields, std::string_view name) noexcept {
   for (const Field& field : fields) {
-    if (field.name_.size() == name.size() &&
-        strncasecmp(field.name_.data(), name.data(), name.size()) == 0) {
+    if (IsNamed(field, name)) {
       return field.value_;
     }
   }
--- a/src/laburnumledge/http/message.hpp
+++ b/src/laburnumledge/http/message.hpp
@@ -19,6 +19,9 @@
 /** @brief Fields in the order of their arrival; names compare without regard to case. */
 using Fields = std::vector<Field>;
 
+/** @brief Whether a field has a name, without regard to case. */
+[[nodiscard]] bool IsNamed(const Field& field, std::string_view name) noexcept;
+
 /** @brief Value of the first field of a name, or empty. */
 [[nodiscard]] std::optional<std::string_view> Find(const Fields& fields,
                                                    std::string_view name) noexcept;
@@ -27,6 +30,7 @@
 struct Request {
   std::string method_;
   std::string path_;
+  std::string target_;  ///< Path and query as they came in, not decoded; empty from a peer.
   Fields query_;
   Fields headers_;
   std::string body_;
@@ -58,6 +62,7 @@
   std::string body_;
   core::Verdict verdict_{core::Verdict::kMayHaveRun};  ///< kRan for a whole answer.
   bool timed_out_{};
+  bool malformed_{};    ///< What came was no HTTP, was cut short or was too large.
   std::string reason_;  ///< Why there was no whole answer.
 };
 
--- a/src/laburnumledge/http/server.cpp
+++ b/src/laburnumledge/http/server.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -48,12 +49,15 @@
   return MHD_YES;
 }
 
-MHD_Result Queue(MHD_Connection* connection, const Reply& reply) {
+MHD_Result Queue(MHD_Connection* connection, const Reply& reply, bool close_after) {
   MHD_Response* response = MHD_create_response_from_buffer(
       reply.body_.size(), const_cast<char*>(reply.body_.data()), MHD_RESPMEM_MUST_COPY);
   for (const Field& field : reply.headers_) {
     MHD_add_response_header(response, field.name_.c_str(), field.value_.c_str());
   }
+  if (close_after) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   const MHD_Result result = MHD_queue_response(connection, reply.status_, response);
   MHD_destroy_response(response);
   return result;
@@ -71,6 +75,7 @@
   std::uint64_t next_exchange_{1};
   std::unordered_map<std::uint64_t, Exchange*> exchanges_;
   bool pending_run_{};
+  bool close_after_answers_{};
   int quiesced_socket_{-1};
   std::shared_ptr<Implementation*> alive_{std::make_shared<Implementation*>(this)};
 
@@ -78,9 +83,11 @@
 
   MHD_Result Receive(MHD_Connection* connection, const char* url, const char* method,
                      const char* upload, size_t* upload_size, void** context);
-  Exchange* Begin(MHD_Connection* connection, const char* url, const char* method);
+  static void* OnTarget(void* closure, const char* target, MHD_Connection* connection);
+  void Begin(Exchange& exchange, MHD_Connection* connection, const char* url, const char* method);
   void HandOver(Exchange& exchange);
   void Finish(std::uint64_t id, Reply reply);
+  void TakeBacklog() noexcept;
   void RunSoon();
   void RunNow();
   void ScheduleTimeout();
@@ -91,27 +98,32 @@
                           MHD_RequestTerminationCode code);
 };
 
-Exchange* Server::Implementation::Begin(MHD_Connection* connection, const char* url,
-                                        const char* method) {
+void* Server::Implementation::OnTarget(void* /*closure*/, const char* target,
+                                       MHD_Connection* /*connection*/) {
   auto* exchange = new Exchange;
-  exchange->id_ = next_exchange_++;
-  exchange->connection_ = connection;
-  exchange->request_.method_ = method;
-  exchange->request_.path_ = url;
-  MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader, exchange);
-  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectQuery, exchange);
-  exchanges_.emplace(exchange->id_, exchange);
+  exchange->request_.target_ = target;
   return exchange;
 }
 
+void Server::Implementation::Begin(Exchange& exchange, MHD_Connection* connection, const char* url,
+                                   const char* method) {
+  exchange.id_ = next_exchange_++;
+  exchange.connection_ = connection;
+  exchange.request_.method_ = method;
+  exchange.request_.path_ = url;
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader, &exchange);
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectQuery, &exchange);
+  exchanges_.emplace(exchange.id_, &exchange);
+}
+
 MHD_Result Server::Implementation::Receive(MHD_Connection* connection, const char* url,
                                            const char* method, const char* upload,
                                            size_t* upload_size, void** context) {
-  if (*context == nullptr) {
-    *context = Begin(connection, url, method);
+  auto* exchange = static_cast<Exchange*>(*context);
+  if (exchange->id_ == 0) {
+    Begin(*exchange, connection, url, method);
     return MHD_YES;
   }
-  auto* exchange = static_cast<Exchange*>(*context);
   if (*upload_size > 0) {
     const std::size_t size = exchange->request_.body_.size() + *upload_size;
     exchange->body_too_large_ = exchange->body_too_large_ || size > limits_.max_body_bytes_;
@@ -125,7 +137,7 @@
     HandOver(*exchange);
   }
   if (exchange->reply_.has_value()) {
-    return Queue(connection, *exchange->reply_);
+    return Queue(connection, *exchange->reply_, close_after_answers_);
   }
   exchange->suspended_ = true;
   MHD_suspend_connection(connection);
@@ -168,6 +180,21 @@
   }
 }
 
+void Server::Implementation::TakeBacklog() noexcept {
+  pollfd listening{.fd = quiesced_socket_, .events = POLLIN, .revents = 0};
+  while (poll(&listening, 1, 0) == 1) {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    const int accepted = accept4(quiesced_socket_, generic, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    MHD_add_connection(daemon_, accepted, generic, length);
+    RunSoon();
+  }
+}
+
 void Server::Implementation::RunSoon() {
   if (pending_run_) {
     return;
@@ -238,8 +265,9 @@
   implementation->daemon_ = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, address.port_, nullptr, nullptr,
       &Implementation::OnRequest, implementation.get(), MHD_OPTION_SOCK_ADDR, &socket,
-      MHD_OPTION_CONNECTION_LIMIT, limits.max_connections_, MHD_OPTION_CONNECTION_TIMEOUT,
-      kIdleTimeoutSeconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      MHD_OPTION_URI_LOG_CALLBACK, &Implementation::OnTarget, nullptr, MHD_OPTION_CONNECTION_LIMIT,
+      limits.max_connections_, MHD_OPTION_CONNECTION_TIMEOUT, kIdleTimeoutSeconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       std::max<size_t>(32U << 10U, 4 * limits.max_header_bytes_), MHD_OPTION_NOTIFY_COMPLETED,
       &Implementation::OnCompleted, implementation.get(), MHD_OPTION_END);
   if (implementation->daemon_ == nullptr) {
@@ -278,10 +306,19 @@
 
 std::size_t Server::InFlight() const noexcept { return implementation_->exchanges_.size(); }
 
+unsigned Server::Connections() const noexcept {
+  return MHD_get_daemon_info(implementation_->daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
+      ->num_connections;
+}
+
+void Server::CloseAfterAnswers() noexcept { implementation_->close_after_answers_ = true; }
+
 void Server::StopAccepting() noexcept {
-  if (implementation_->quiesced_socket_ < 0) {
-    implementation_->quiesced_socket_ = MHD_quiesce_daemon(implementation_->daemon_);
+  Implementation& self = *implementation_;
+  if (self.quiesced_socket_ < 0) {
+    self.quiesced_socket_ = MHD_quiesce_daemon(self.daemon_);
   }
+  self.TakeBacklog();
 }
 
 }  // namespace laburnumledge::http
--- a/src/laburnumledge/http/server.hpp
+++ b/src/laburnumledge/http/server.hpp
@@ -52,7 +52,17 @@
   /** @brief Requests received and not answered to the last byte. */
   [[nodiscard]] std::size_t InFlight() const noexcept;
 
-  /** @brief Stops accepting connections; those that are open are served on. */
+  /** @brief Open connections, idle ones among them. */
+  [[nodiscard]] unsigned Connections() const noexcept;
+
+  /** @brief Closes each connection after its next answer, which says so. */
+  void CloseAfterAnswers() noexcept;
+
+  /**
+   * @brief Takes the connections that wait in the backlog and accepts no more by itself.
+   *
+   * Open connections are served on. Call it again to take what has come in since.
+   */
   void StopAccepting() noexcept;
 
  private:
