Split the router and send non-repeatable requests at most once

The router was one queue for all, and only one node knew that a request had been sent: a caller that repeated a Request-Id at another node ran it twice.

An identifier is now noted at two of three nodes, chosen by rendezvous hashing over two zones, before the request goes out. Two rounds meet in at least one node. Both notes travel at once, so the cost is one round trip; a late noter is replaced by the third after 50 ms, and a request that too few nodes can remember is refused as not run. A repeat joins the request under way, gets the kept small answer, or is told that the request may have run. A request that truly did not run is forgotten, so that it can be repeated. Notes are handed over when the nodes change.

routing/ now has one file for each decision: queue (weighted fair, interactive nine to one before batch, earliest deadline first, early refusal), slots (owned, quarantined for the peer timeout when newly won, lent, borrowed), choice (work ahead, failures, slow start, bounded ejection), retry (one place, with a budget) and ids. Configure does nothing when neither configuration, zones nor nodes changed. A draining node keeps its slots, which the others hold back for the peer timeout. A node is ready when its slots are out of quarantine.

Answers must carry their own identifier alone and state their length.

--- a/src/laburnumledge/caller/fwd.hpp
+++ b/src/laburnumledge/caller/fwd.hpp
@@ -3,5 +3,7 @@
 namespace laburnumledge::caller {
 
 struct Incoming;
+struct TakenRequest;
+struct AnswerBook;
 
 }  // namespace laburnumledge::caller
--- a/src/laburnumledge/caller/request.cpp
+++ b/src/laburnumledge/caller/request.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/caller/request.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -65,32 +66,49 @@
   return true;
 }
 
-std::string QueryText(const http::Fields& query) {
-  std::string text;
-  for (const http::Field& field : query) {
-    text += text.empty() ? '?' : '&';
-    text += field.name_;
-    if (!field.value_.empty()) {
-      text += '=';
-      text += field.value_;
-    }
+bool IsMethod(std::string_view method) noexcept {
+  constexpr std::array<std::string_view, 6> kMethods = {"GET", "HEAD",  "POST",
+                                                        "PUT", "PATCH", "DELETE"};
+  return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
+}
+
+/** A target is forwarded byte for byte, so it may hold only bytes that a request line may hold. */
+bool IsSafeTarget(std::string_view target) noexcept {
+  return std::all_of(target.begin(), target.end(), [](char byte) {
+    return byte > ' ' && byte < '\x7f' && byte != '#' && byte != '"' && byte != '<' && byte != '>';
+  });
+}
+
+bool HasOneId(const http::Fields& headers) {
+  const auto count = std::count_if(headers.begin(), headers.end(), [](const http::Field& field) {
+    return http::IsNamed(field, "Request-Id");
+  });
+  if (count > 1) {
+    core::SetLastReason("header Request-Id must be given once");
   }
-  return text;
+  return count <= 1;
 }
 
 }  // namespace
 
 std::optional<Incoming> ParseIncoming(http::Request request, core::Milliseconds longest,
                                       core::TimePoint now) {
-  const std::string_view path = request.path_;
-  const std::string_view rest = path.substr(kRequestsPath.size());
-  const std::size_t slash = rest.find('/');
+  const std::string_view target = request.target_;
+  if (!IsMethod(request.method_)) {
+    return core::Fail("requests are GET, HEAD, POST, PUT, PATCH or DELETE");
+  }
+  if (!target.starts_with(kRequestsPath) || !IsSafeTarget(target)) {
+    return core::Fail("the path must be {}SERVICE/PATH, with other bytes encoded", kRequestsPath);
+  }
+  const std::string_view rest = target.substr(kRequestsPath.size());
+  const std::size_t end = rest.find_first_of("/?");
   Incoming incoming;
-  incoming.request_.service_ = rest.substr(0, slash);
+  incoming.request_.service_ = rest.substr(0, end);
   if (!IsName(incoming.request_.service_)) {
     return core::Fail("the path must be {}SERVICE/PATH", kRequestsPath);
   }
-  const bool read = ReadName(request.headers_, "Request-Id", incoming.request_.id_) &&
+  const bool read = HasOneId(request.headers_) &&
+                    ReadName(request.headers_, "Request-Id", incoming.request_.id_) &&
                     ReadName(request.headers_, "Organisation", incoming.request_.organisation_) &&
                     ReadName(request.headers_, "Request-Class", incoming.request_.class_) &&
                     ReadRepeatable(request.headers_, incoming.request_.repeatable_) &&
@@ -103,10 +121,11 @@
   forward.organisation_ = incoming.request_.organisation_;
   forward.class_ = incoming.request_.class_;
   forward.method_ = request.method_;
-  forward.path_ = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
-  forward.path_ += QueryText(request.query_);
+  const std::string_view tail = end == std::string_view::npos ? "" : rest.substr(end);
+  forward.path_ = tail.starts_with('/') ? std::string(tail) : "/" + std::string(tail);
   forward.content_type_ = http::Find(request.headers_, "Content-Type").value_or("");
   forward.body_ = std::move(request.body_);
+  incoming.request_.body_bytes_ = forward.body_.size();
   forward.deadline_ = incoming.request_.deadline_;
   return incoming;
 }
--- a/src/laburnumledge/node/endpoints.cpp
+++ b/src/laburnumledge/node/endpoints.cpp
@@ -53,7 +53,7 @@
 }
 
 bool Node::IsReady() const {
-  return !draining_ &&
+  return !draining_ && requests_.IsReady() &&
          MayServe(replica_, membership_, started_ + settings_.peer_timeout_, loop_.Now());
 }
 
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -15,6 +15,7 @@
 constexpr core::Milliseconds kStepInterval{100};
 constexpr core::Milliseconds kSweep{1000};
 constexpr core::Milliseconds kDrainCheckInterval{50};
+constexpr core::Milliseconds kIdleConnectionLimit{1000};
 constexpr core::Milliseconds kMillisecondsPerSecond{1000};
 
 }  // namespace
@@ -29,7 +30,7 @@
       worker_client_(loop, kWorkerConnections),
       log_(CountingLog(platform::MakeHttpLog(platform_client_, settings.platform_), metrics_)),
       replica_(MakeReplica(settings.region_)),
-      requests_(loop, settings, metrics_) {
+      requests_(loop, settings, metrics_, incarnation_) {
   configuration_appender_.stream_ = platform::kConfigurationStream;
   jobs_appender_.stream_ = platform::JobsStream(settings.region_);
   const core::Milliseconds spacing = kMillisecondsPerSecond / settings.appends_per_second_;
@@ -61,6 +62,18 @@
   if (peers_ == nullptr) {
     return false;
   }
+  requests_.SetPorts(
+      {.call_ =
+           [this](const std::string& node, proto::PeerMessage message, core::TimePoint deadline,
+                  NoteReply reply) {
+             peers_->Call(node, std::move(message), deadline, std::move(reply));
+           },
+       .send_ = [this](const std::string& node,
+                       proto::PeerMessage message) { peers_->Send(node, std::move(message)); },
+       .is_live_ =
+           [this](const std::string& node) {
+             return peer::IsLive(membership_, node, loop_.Now());
+           }});
   const http::ServerLimits limits{.max_body_bytes_ = settings_.max_body_bytes_,
                                   .max_header_bytes_ = settings_.max_header_bytes_,
                                   .max_connections_ = settings_.max_connections_};
@@ -99,18 +112,25 @@
   drain_until_ = loop_.Now() + settings_.shutdown_limit_;
   core::Info(core::Part::kNode, "shutdown has begun; requests under way are finished first");
   WakeAll(job_waiters_);
+  requests_.Drain();
+  server_->CloseAfterAnswers();
   Beat();
-  loop_.At(loop_.Now() + settings_.shutdown_notice_, [this] {
-    server_->StopAccepting();
-    loop_.Every(kDrainCheckInterval, [this] {
-      const bool idle = server_->InFlight() == 0 && !HoldsTerm(decider_, replica_.jobs_);
-      if (idle || loop_.Now() >= drain_until_) {
-        core::Info(core::Part::kNode, "shutdown ends with {} requests under way",
-                   server_->InFlight());
-        loop_.Stop();
-      }
-    });
+  const core::TimePoint notice_ends = loop_.Now() + settings_.shutdown_notice_;
+  loop_.At(notice_ends, [this, notice_ends] {
+    loop_.Every(kDrainCheckInterval, [this, notice_ends] { StopIfDrained(notice_ends); });
   });
 }
 
+void Node::StopIfDrained(core::TimePoint notice_ends) {
+  server_->StopAccepting();
+  const core::TimePoint now = loop_.Now();
+  const bool unanswered = server_->InFlight() > 0 || requests_.InFlight() > 0;
+  const bool connected = server_->Connections() > 0 && now < notice_ends + kIdleConnectionLimit;
+  const bool idle = !unanswered && !connected && !HoldsTerm(decider_, replica_.jobs_);
+  if (idle || now >= drain_until_) {
+    core::Info(core::Part::kNode, "shutdown ends with {} requests under way", server_->InFlight());
+    loop_.Stop();
+  }
+}
+
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -45,6 +45,8 @@
   void Drain();
 
  private:
+  void StopIfDrained(core::TimePoint notice_ends);
+
   // follow.cpp: reading and writing the log
   void ReadConfiguration();
   void ReadJobs();
@@ -83,6 +85,7 @@
   void SendDueReports();
   [[nodiscard]] worker::Freshness WorkerFreshness() const;
   void PublishCosts();
+  [[nodiscard]] std::vector<routing::NodeInZone> NodesInZones() const;
 
   // endpoints.cpp: what callers and operators ask
   void Handle(http::Request request, http::Respond respond);
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -31,6 +31,8 @@
   heartbeat.set_draining(draining_);
   NextBeat(beats_, now);
   FillHeartbeat(beats_, replica_, now, heartbeat);
+  heartbeat.set_queued_requests(
+      static_cast<std::uint32_t>(routing::QueuedRequests(requests_.Router())));
   heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
   for (auto& [name, member] : membership_.members_) {
     const bool far = !member.region_.empty() && member.region_ != settings_.region_;
@@ -77,6 +79,10 @@
     AnswerStateRequest(message);
   } else if (message.has_call()) {
     OnCall(message);
+  } else {
+    requests_.OnMessage(message, [this, message](proto::PeerMessage answer) {
+      peers_->Reply(message, std::move(answer));
+    });
   }
 }
 
@@ -141,8 +147,19 @@
   candidates_ =
       Candidates(membership_, settings_.zone_, draining_, replica_.configuration_.zones_out_, now);
   worker::Divide(replica_.shard_, settings_.name_, candidates_, now);
-  routing::Configure(requests_.Router(), replica_.configuration_.configuration_,
-                     replica_.configuration_.zones_out_, settings_.name_, nodes_);
+  requests_.Configure(replica_.configuration_.configuration_, replica_.configuration_.version_,
+                      replica_.configuration_.zones_out_, NodesInZones(),
+                      membership_.members_.size() + 1);
+}
+
+std::vector<routing::NodeInZone> Node::NodesInZones() const {
+  std::vector<routing::NodeInZone> nodes;
+  for (const std::string& name : nodes_) {
+    const auto member = membership_.members_.find(name);
+    const bool self = member == membership_.members_.end();
+    nodes.push_back({.name_ = name, .zone_ = self ? settings_.zone_ : member->second.zone_});
+  }
+  return nodes;
 }
 
 TermView Node::ViewOfTerm() const {
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -4,157 +4,239 @@
 #include <utility>
 
 #include "laburnumledge/core/assert.hpp"
-#include "laburnumledge/core/hash.hpp"
+#include "laburnumledge/routing/slots.hpp"
 
 namespace laburnumledge::routing {
 
 namespace {
 
-constexpr core::Milliseconds kRetryAdvice{500};
-constexpr core::Milliseconds kAvoidFor{2000};
-constexpr std::uint32_t kMaxAttempts = 3;
+constexpr core::Milliseconds kKeepFreeFor{5000};
+constexpr core::Milliseconds kUnknownAdvice{1000};
 
-/** Slots of an instance that rendezvous hashing gives to a node. */
-std::uint32_t SlotShare(const config::Instance& instance, std::string_view self,
-                        const std::vector<std::string>& nodes) {
-  std::uint32_t share = 0;
-  for (std::uint32_t slot = 0; slot < instance.slots_; ++slot) {
-    const std::string key = instance.name_ + "/" + std::to_string(slot);
-    const std::size_t owner = core::RendezvousOwner(key, nodes);
-    share += owner != core::kNoOwner && nodes[owner] == self ? 1 : 0;
-  }
-  return share;
+const config::Service* FindService(const config::Rules& rules, const std::string& name) {
+  const auto found =
+      std::find_if(rules.services_.begin(), rules.services_.end(),
+                   [&](const config::Service& service) { return service.name_ == name; });
+  return found == rules.services_.end() ? nullptr : &*found;
 }
 
-bool Available(const Target& target, core::TimePoint now) {
-  return target.listed_ && !target.leaving_ && !target.zone_out_ && target.avoid_until_ <= now &&
-         target.outstanding_ < target.limit_;
+void TakeInstances(Router& router, const Division& division) {
+  std::map<std::string, Target> targets;
+  const auto& out = division.zones_out_;
+  for (const config::Instance& instance : division.configuration_.inventory_.instances_) {
+    auto old = router.targets_.extract(instance.name_);
+    const bool same = !old.empty() && old.mapped().spec_.address_ == instance.address_;
+    Target target = same ? std::move(old.mapped()) : Target{};
+    target.spec_ = instance;
+    target.zone_out_ = std::find(out.begin(), out.end(), instance.zone_) != out.end();
+    TakeSlots(target, OwnedSlotNumbers(instance, division.self_, division.nodes_),
+              division.new_slots_usable_at_);
+    targets.emplace(instance.name_, std::move(target));
+  }
+  router.targets_ = std::move(targets);
 }
 
-Target* LeastLoaded(Router& router, const std::string& service, core::TimePoint now) {
-  Target* best = nullptr;
+void TakeServices(Router& router, const Division& division) {
+  for (auto& [name, service] : router.services_) {
+    service.targets_.clear();
+  }
   for (auto& [name, target] : router.targets_) {
-    if (target.spec_.service_ != service || !Available(target, now)) {
-      continue;
-    }
-    if (best == nullptr || target.outstanding_ < best->outstanding_) {
-      best = &target;
-    }
+    router.services_[target.spec_.service_].targets_.push_back(&target);
   }
-  return best;
+  for (auto& [name, service] : router.services_) {
+    service.queue_.max_count_ = router.max_queued_;
+    const config::Rules& rules = division.configuration_.rules_;
+    ConfigureQueue(service.queue_, rules, FindService(rules, name));
+  }
+  std::erase_if(router.services_, [](const auto& entry) {
+    return entry.second.targets_.empty() && entry.second.queue_.count_ == 0;
+  });
 }
 
-bool KnownService(const Router& router, const std::string& service) {
-  return std::any_of(router.targets_.begin(), router.targets_.end(),
-                     [&](const auto& entry) { return entry.second.spec_.service_ == service; });
+std::size_t ServiceSlots(const ServiceState& service, core::TimePoint now) noexcept {
+  std::size_t slots = 0;
+  for (const Target* target : service.targets_) {
+    slots += IsMember(*target) ? UsableSlots(*target, now) : 0;
+  }
+  return slots;
 }
 
-void Blame(Target& target, Ending ending, core::TimePoint now) {
-  if (ending == Ending::kLeaving) {
-    target.leaving_ = true;
-  } else if (ending != Ending::kAnswered) {
-    target.avoid_until_ = now + kAvoidFor;
+/** While interactive work comes in, a quarter of the slots is kept free of batch work. */
+bool BatchMayGo(const ServiceState& service, core::TimePoint now) noexcept {
+  if (service.interactive_until_ <= now) {
+    return true;
   }
+  const std::size_t slots = ServiceSlots(service, now);
+  return service.batch_outstanding_ < std::max<std::size_t>(1, slots * 3 / 4);
+}
+
+Dispatch Send(Router& router, ServiceState& service, Waiting waiting, Target& target,
+              core::TimePoint now) {
+  LABURNUMLEDGE_ASSERT(core::MayRetry(waiting.verdict_, waiting.request_.repeatable_),
+                       "a request that is not repeatable runs at most once");
+  LABURNUMLEDGE_ASSERT(target.outstanding_ < UsableSlots(target, now),
+                       "an instance never gets more requests than this node's slots");
+  LABURNUMLEDGE_ASSERT(!target.zone_out_, "an instance in a zone that is out gets no request");
+  const bool repeatable = waiting.request_.repeatable_;
+  const core::TimePoint deadline = waiting.request_.deadline_;
+  const bool fresh = !repeatable || waiting.fresh_connection_ || target.fresh_until_ > now;
+  const core::TimePoint progress = repeatable ? ProgressDeadline(target, now) : deadline;
+  Dispatch dispatch{.ticket_ = waiting.ticket_,
+                    .instance_ = target.spec_.name_,
+                    .address_ = target.spec_.address_,
+                    .fresh_connection_ = fresh,
+                    .progress_by_ = std::min(deadline, progress)};
+  ++target.outstanding_;
+  ++waiting.attempts_;
+  waiting.sent_at_ = now;
+  service.batch_outstanding_ += waiting.interactive_ ? 0 : 1;
+  router.sent_.emplace(waiting.ticket_, std::move(waiting));
+  return dispatch;
+}
+
+void Release(Router& router, ServiceState* service, const Dispatch& dispatch, Ending ending,
+             const Waiting& waiting, core::TimePoint now) {
+  const auto taken = std::chrono::duration_cast<core::Milliseconds>(now - waiting.sent_at_);
+  const auto target = router.targets_.find(dispatch.instance_);
+  if (target != router.targets_.end() && target->second.spec_.address_ == dispatch.address_) {
+    target->second.outstanding_ -= target->second.outstanding_ > 0 ? 1 : 0;
+    LearnFromEnding(target->second, ending, !dispatch.fresh_connection_, taken, now);
+  }
+  if (service == nullptr) {
+    return;
+  }
+  service->batch_outstanding_ -= !waiting.interactive_ && service->batch_outstanding_ > 0 ? 1 : 0;
+  if (ending == Ending::kAnswered) {
+    LearnCost(service->queue_, waiting.request_, taken);
+  }
+}
+
+ServiceState* FindState(Router& router, const std::string& name) {
+  const auto found = router.services_.find(name);
+  return found == router.services_.end() ? nullptr : &found->second;
 }
 
 }  // namespace
 
-void Configure(Router& router, const config::Configuration& configuration,
-               const std::vector<std::string>& zones_out, std::string_view self,
-               const std::vector<std::string>& nodes) {
-  std::map<std::string, Target> targets;
-  for (const config::Instance& instance : configuration.inventory_.instances_) {
-    const auto old = router.targets_.find(instance.name_);
-    Target target = old == router.targets_.end() ? Target{} : std::move(old->second);
-    target.spec_ = instance;
-    target.limit_ = SlotShare(instance, self, nodes);
-    target.zone_out_ =
-        std::find(zones_out.begin(), zones_out.end(), instance.zone_) != zones_out.end();
-    targets.emplace(instance.name_, std::move(target));
+void Configure(Router& router, const Division& division) {
+  const bool same = division.version_ == router.version_ &&
+                    division.zones_out_ == router.zones_out_ && division.nodes_ == router.nodes_;
+  if (same) {
+    return;
   }
-  router.targets_ = std::move(targets);
+  TakeInstances(router, division);
+  TakeServices(router, division);
+  router.version_ = division.version_;
+  router.zones_out_ = division.zones_out_;
+  router.nodes_ = division.nodes_;
 }
 
 void ObserveVmList(Router& router, const std::vector<std::string>& live,
-                   const std::vector<std::string>& leaving, core::TimePoint /*now*/) {
+                   const std::vector<std::string>& leaving, core::TimePoint now) {
   for (auto& [name, target] : router.targets_) {
     const bool is_live = std::find(live.begin(), live.end(), name) != live.end();
     const bool is_leaving = std::find(leaving.begin(), leaving.end(), name) != leaving.end();
-    target.listed_ = is_live || is_leaving;
-    target.leaving_ = is_leaving || (target.leaving_ && !is_live);
+    LearnFromList(target, is_live, is_leaving, now);
+  }
+}
+
+bool MayAdmit(Router& router, const Request& request, core::TimePoint now, Refusal& refusal) {
+  refusal.retry_at_ = now + kUnknownAdvice;
+  ServiceState* service = FindState(router, request.service_);
+  if (service == nullptr) {
+    refusal.reason_ = "service is not known";
+    refusal.unknown_name_ = router.version_ > 0;
+    return false;
   }
+  const Flow* flow = FindFlow(service->queue_, request);
+  if (flow == nullptr) {
+    refusal.reason_ = "no rule names this organisation and class for the service";
+    refusal.unknown_name_ = true;
+    return false;
+  }
+  return MayEnter(service->queue_, *flow, request, ServiceSlots(*service, now), now, refusal);
 }
 
 std::optional<Ticket> Admit(Router& router, Request request, core::TimePoint now,
                             Refusal& refusal) {
-  refusal.retry_at_ = now + kRetryAdvice;
-  if (!KnownService(router, request.service_)) {
-    refusal.reason_ = "service is not known";
+  if (!MayAdmit(router, request, now, refusal)) {
     return std::nullopt;
   }
-  if (router.queue_.size() >= router.max_queued_) {
-    refusal.reason_ = "queue is full";
-    return std::nullopt;
+  ServiceState& service = *FindState(router, request.service_);
+  Flow& flow = *FindFlow(service.queue_, request);
+  if (flow.interactive_) {
+    service.interactive_until_ = now + kKeepFreeFor;
   }
   const Ticket ticket = router.next_ticket_++;
-  router.queue_.push_back({.ticket_ = ticket, .request_ = std::move(request), .attempts_ = 0});
+  EarnRetry(router.budget_);
+  Push(service.queue_, flow, {.ticket_ = ticket, .request_ = std::move(request)});
   return ticket;
 }
 
 std::optional<Dispatch> NextDispatch(Router& router, core::TimePoint now) {
-  for (auto waiting = router.queue_.begin(); waiting != router.queue_.end(); ++waiting) {
-    Target* target = LeastLoaded(router, waiting->request_.service_, now);
-    if (target == nullptr || waiting->request_.deadline_ <= now) {
+  for (auto& [name, service] : router.services_) {
+    if (service.queue_.count_ == 0) {
       continue;
     }
-    LABURNUMLEDGE_ASSERT(core::MayRetry(waiting->verdict_, waiting->request_.repeatable_),
-                         "a request that is not repeatable runs at most once");
-    Dispatch dispatch{.ticket_ = waiting->ticket_,
-                      .instance_ = target->spec_.name_,
-                      .address_ = target->spec_.address_,
-                      .fresh_connection_ = !waiting->request_.repeatable_};
-    ++target->outstanding_;
-    ++waiting->attempts_;
-    router.sent_.emplace(waiting->ticket_, std::move(*waiting));
-    router.queue_.erase(waiting);
-    return dispatch;
+    const std::vector<Target*> free = FreeTargets(service.targets_, now);
+    if (free.empty()) {
+      continue;
+    }
+    std::optional<Waiting> due = Pop(service.queue_, BatchMayGo(service, now));
+    if (due.has_value()) {
+      Target* target = router.choose_(free, router.random_);
+      return Send(router, service, std::move(*due), *target, now);
+    }
   }
   return std::nullopt;
 }
 
 Next Finish(Router& router, const Dispatch& dispatch, Ending ending, core::Verdict verdict,
             core::TimePoint now) {
-  const auto target = router.targets_.find(dispatch.instance_);
-  if (target != router.targets_.end()) {
-    target->second.outstanding_ -= target->second.outstanding_ > 0 ? 1 : 0;
-    Blame(target->second, ending, now);
-  }
   const auto found = router.sent_.find(dispatch.ticket_);
   LABURNUMLEDGE_ASSERT(found != router.sent_.end(), "an attempt ends once");
   Waiting waiting = std::move(found->second);
   router.sent_.erase(found);
+  ServiceState* service = FindState(router, waiting.request_.service_);
+  Release(router, service, dispatch, ending, waiting, now);
   waiting.verdict_ = std::max(waiting.verdict_, verdict);
-  const bool retry = ending != Ending::kAnswered && waiting.attempts_ < kMaxAttempts &&
-                     core::MayRetry(waiting.verdict_, waiting.request_.repeatable_) &&
-                     waiting.request_.deadline_ > now;
-  if (!retry) {
+  waiting.fresh_connection_ = waiting.fresh_connection_ || ending == Ending::kSilent;
+  Flow* flow = service == nullptr ? nullptr : FindFlow(service->queue_, waiting.request_);
+  if (flow == nullptr || !MayRetryRequest(router.budget_, waiting, ending, now)) {
     return Next::kDone;
   }
-  router.queue_.push_front(std::move(waiting));
+  Push(service->queue_, *flow, std::move(waiting));
   return Next::kRetry;
 }
 
+core::Verdict VerdictSoFar(const Router& router, Ticket ticket) noexcept {
+  const auto found = router.sent_.find(ticket);
+  return found == router.sent_.end() ? core::Verdict::kNotRun : found->second.verdict_;
+}
+
 std::vector<Waiting> Expire(Router& router, core::TimePoint now) {
   std::vector<Waiting> expired;
-  for (auto waiting = router.queue_.begin(); waiting != router.queue_.end();) {
-    if (waiting->request_.deadline_ > now) {
-      ++waiting;
-      continue;
-    }
-    expired.push_back(std::move(*waiting));
-    waiting = router.queue_.erase(waiting);
+  for (auto& [name, service] : router.services_) {
+    std::vector<Waiting> more = TakeExpired(service.queue_, now);
+    std::move(more.begin(), more.end(), std::back_inserter(expired));
   }
   return expired;
 }
 
+std::size_t QueuedRequests(const Router& router) noexcept {
+  std::size_t count = 0;
+  for (const auto& [name, service] : router.services_) {
+    count += service.queue_.count_;
+  }
+  return count;
+}
+
+bool HasQuarantinedSlots(const Router& router, core::TimePoint now) noexcept {
+  return std::any_of(router.targets_.begin(), router.targets_.end(), [&](const auto& entry) {
+    const auto& slots = entry.second.slots_;
+    return std::any_of(slots.begin(), slots.end(),
+                       [&](const OwnedSlot& slot) { return slot.usable_at_ > now; });
+  });
+}
+
 }  // namespace laburnumledge::routing
--- a/src/laburnumledge/routing/router.hpp
+++ b/src/laburnumledge/routing/router.hpp
@@ -1,107 +1,71 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "laburnumledge/config/configuration.hpp"
-#include "laburnumledge/core/time.hpp"
-#include "laburnumledge/core/verdict.hpp"
+#include "laburnumledge/core/random.hpp"
+#include "laburnumledge/routing/choice.hpp"
+#include "laburnumledge/routing/queue.hpp"
+#include "laburnumledge/routing/request.hpp"
+#include "laburnumledge/routing/retry.hpp"
+#include "laburnumledge/routing/target.hpp"
 
 namespace laburnumledge::routing {
 
-/** @brief Number of an admitted request within this process. */
-using Ticket = std::uint64_t;
-
-/** @brief What the router needs to know of a request. */
-struct Request {
-  std::string id_;
-  std::string organisation_;
-  std::string class_;
-  std::string service_;
-  bool repeatable_{};
-  core::TimePoint deadline_;
+/** @brief Queue and instances of one service. */
+struct ServiceState {
+  Queue queue_;
+  std::vector<Target*> targets_;  ///< Into Router::targets_.
+  std::uint32_t batch_outstanding_{};
+  core::TimePoint interactive_until_;  ///< Slots are kept free for interactive work until then.
 };
 
-/** @brief Why a request was refused. Always means "not run". */
-struct Refusal {
-  std::string reason_;
-  core::TimePoint retry_at_;
-};
-
-/** @brief An order to send a request to an instance. */
-struct Dispatch {
-  Ticket ticket_{};
-  std::string instance_;
-  config::Address address_;
-  bool fresh_connection_{};  ///< Must not use a connection that was idle.
-};
-
-/** @brief How one attempt at an instance ended. */
-enum class Ending : unsigned char {
-  kAnswered,   ///< Whole answer of its own.
-  kRefused,    ///< Connection refused, or the instance said that it did not run it.
-  kLeaving,    ///< The instance said that it is leaving and did not run it.
-  kBadAnswer,  ///< Crossed, short, oversized or garbled answer.
-  kSilent,     ///< No progress before the deadline.
-  kBroken,     ///< Connection broken after the request was sent.
-};
-
-/** @brief What the router says after an attempt has ended. */
-enum class Next : unsigned char {
-  kDone,   ///< Answer the caller with the attempt's verdict.
-  kRetry,  ///< The request waits in its queue again.
-};
-
-/** @brief Instance as the router sees it. */
-struct Target {
-  config::Instance spec_;
-  std::uint32_t outstanding_{};
-  std::uint32_t limit_{};  ///< This node's share of the slots.
-  bool listed_{true};
-  bool leaving_{};
-  bool zone_out_{};
-  core::TimePoint avoid_until_;
-};
-
-/** @brief Request that waits. */
-struct Waiting {
-  Ticket ticket_{};
-  Request request_;
-  std::uint32_t attempts_{};
-  core::Verdict verdict_{core::Verdict::kNotRun};  ///< Of all attempts so far.
-};
-
-/** @brief Queues, slots and instances of one node. Pure: driven by its caller, with time passed in.
- */
+/** @brief Queues, slots and instances of one node. Pure: driven by its caller, time passed in. */
 struct Router {
   std::map<std::string, Target> targets_;
-  std::deque<Waiting> queue_;
-  std::map<Ticket, Waiting> sent_;
+  std::map<std::string, ServiceState> services_;
+  std::unordered_map<Ticket, Waiting> sent_;
+  RetryBudget budget_;
+  Choose choose_{&ChooseLeastWork};
+  core::Random random_;
   Ticket next_ticket_{1};
   std::size_t max_queued_{4096};
+  std::uint64_t version_{};             ///< Configuration that was taken over.
+  std::vector<std::string> zones_out_;  ///< Taken over with it.
+  std::vector<std::string> nodes_;      ///< Nodes that the slots are divided among.
+};
+
+/** @brief What a router takes over at once. */
+struct Division {
+  const config::Configuration& configuration_;
+  std::uint64_t version_{};
+  const std::vector<std::string>& zones_out_;
+  std::string_view self_;                  ///< This node's name.
+  const std::vector<std::string>& nodes_;  ///< Names of all live nodes, this one among them.
+  core::TimePoint new_slots_usable_at_;    ///< Until then a slot's last owner may use it.
 };
 
 /**
  * @brief Takes over instances and rules, and this node's share of each instance's slots.
- * @param router The router.
- * @param configuration Configuration in force.
- * @param zones_out Zones that are out.
- * @param self This node's name.
- * @param nodes Names of all live nodes, this one among them.
+ *
+ * Does nothing if neither the version, nor the zones, nor the nodes have changed.
  */
-void Configure(Router& router, const config::Configuration& configuration,
-               const std::vector<std::string>& zones_out, std::string_view self,
-               const std::vector<std::string>& nodes);
+void Configure(Router& router, const Division& division);
 
 /** @brief Takes over the VM list: instances that are live and instances that are leaving. */
 void ObserveVmList(Router& router, const std::vector<std::string>& live,
                    const std::vector<std::string>& leaving, core::TimePoint now);
 
+/** @brief Whether Admit would queue a request now; else the refusal is filled. */
+[[nodiscard]] bool MayAdmit(Router& router, const Request& request, core::TimePoint now,
+                            Refusal& refusal);
+
 /**
  * @brief Queues a request.
  * @return Its ticket, or empty with the refusal filled.
@@ -124,7 +88,16 @@
 [[nodiscard]] Next Finish(Router& router, const Dispatch& dispatch, Ending ending,
                           core::Verdict verdict, core::TimePoint now);
 
-/** @brief Removes queued requests whose deadline can't be met, each with its verdict. */
+/** @brief Verdict over all attempts of a request that is under way; kNotRun before the first. */
+[[nodiscard]] core::Verdict VerdictSoFar(const Router& router, Ticket ticket) noexcept;
+
+/** @brief Removes queued requests whose deadline has passed, each with its verdict. */
 [[nodiscard]] std::vector<Waiting> Expire(Router& router, core::TimePoint now);
 
+/** @brief Requests that wait, over all services. */
+[[nodiscard]] std::size_t QueuedRequests(const Router& router) noexcept;
+
+/** @brief Whether owned slots are still kept back for their last owner's sake. */
+[[nodiscard]] bool HasQuarantinedSlots(const Router& router, core::TimePoint now) noexcept;
+
 }  // namespace laburnumledge::routing
--- a/src/laburnumledge/upstream/client.cpp
+++ b/src/laburnumledge/upstream/client.cpp
@@ -16,12 +16,37 @@
     answer.ending_ = routing::Ending::kRefused;
   } else if (response.timed_out_) {
     answer.ending_ = routing::Ending::kSilent;
+  } else if (response.malformed_) {
+    answer.ending_ = routing::Ending::kBadAnswer;
   } else {
     answer.ending_ = routing::Ending::kBroken;
   }
   return answer;
 }
 
+/** An answer that ends with its connection can't be told from one that was cut. */
+bool StatesItsLength(const http::Response& response) noexcept {
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  const bool has_no_body = response.status_ == kNoContent || response.status_ == kNotModified;
+  return has_no_body || http::Find(response.headers_, "Content-Length").has_value() ||
+         http::Find(response.headers_, "Transfer-Encoding").has_value();
+}
+
+/** Whether the response carries back this identifier and no other. */
+bool IsOwn(const http::Response& response, const std::string& request_id) noexcept {
+  bool found = false;
+  for (const http::Field& field : response.headers_) {
+    if (http::IsNamed(field, "Request-Id")) {
+      if (field.value_ != request_id) {
+        return false;
+      }
+      found = true;
+    }
+  }
+  return found;
+}
+
 bool SaysNotRun(const http::Response& response) {
   const auto verdict = http::Find(response.headers_, "Verdict");
   return response.status_ == kUnavailable && verdict.has_value() &&
@@ -35,12 +60,16 @@
     return FailedAnswer(std::move(response));
   }
   Answer answer;
-  const auto echoed = http::Find(response.headers_, "Request-Id");
-  if (!echoed.has_value() || *echoed != request_id) {
+  if (!IsOwn(response, request_id)) {
     answer.ending_ = routing::Ending::kBadAnswer;
     answer.reason_ = "the instance answered another request";
     return answer;
   }
+  if (!StatesItsLength(response)) {
+    answer.ending_ = routing::Ending::kBadAnswer;
+    answer.reason_ = "the answer does not state its length";
+    return answer;
+  }
   if (SaysNotRun(response)) {
     const auto leaving = http::Find(response.headers_, "Leaving");
     answer.ending_ = leaving.has_value() ? routing::Ending::kLeaving : routing::Ending::kRefused;
@@ -68,7 +97,7 @@
     call.headers_.push_back({"Content-Type", forward.content_type_});
   }
   call.body_ = forward.body_;
-  call.deadline_ = forward.deadline_;
+  call.deadline_ = dispatch.progress_by_;
   call.fresh_connection_ = dispatch.fresh_connection_;
   return client.Send(std::move(call),
                      [id = forward.id_, done = std::move(done)](http::Response response) {
