--- a/src/laburnumledge/caller/answer_book.cpp
+++ b/src/laburnumledge/caller/answer_book.cpp
@@ -62,6 +62,18 @@
   book.by_end_.emplace(forget_at, key);
 }
 
+void WaitForOwner(AnswerBook& book, const routing::IdKey& key) {
+  const auto found = book.taken_.find(key);
+  if (found != book.taken_.end()) {
+    found->second.waits_for_owner_ = true;
+  }
+}
+
+bool WaitsForOwner(const AnswerBook& book, const routing::IdKey& key) {
+  const auto found = book.taken_.find(key);
+  return found != book.taken_.end() && found->second.under_way_ && found->second.waits_for_owner_;
+}
+
 void EndRequest(AnswerBook& book, const routing::IdKey& key, bool not_run,
                 const http::Reply& reply) {
   const auto found = book.taken_.find(key);
--- a/src/laburnumledge/caller/answer_book.hpp
+++ b/src/laburnumledge/caller/answer_book.hpp
@@ -19,6 +19,7 @@
   std::uint64_t fingerprint_{};
   std::uint64_t token_{};
   bool under_way_{true};
+  bool waits_for_owner_{};  ///< Another node has the request and is asked for the answer.
   std::vector<http::Respond> waiting_;  ///< Callers that repeated it while it was under way.
   std::optional<http::Reply> reply_;    ///< Kept if it is small.
   core::TimePoint forget_at_;
@@ -52,6 +53,12 @@
 void TakeRequest(AnswerBook& book, const routing::IdKey& key, std::uint64_t fingerprint,
                  std::uint64_t token, core::TimePoint forget_at);
 
+/** @brief Notes that another node has the request and is asked for its answer. */
+void WaitForOwner(AnswerBook& book, const routing::IdKey& key);
+
+/** @brief Whether this node itself waits for another one's answer. */
+[[nodiscard]] bool WaitsForOwner(const AnswerBook& book, const routing::IdKey& key);
+
 /**
  * @brief Notes how a taken request ended and answers its repeats.
  * @param book The book.
--- a/src/laburnumledge/node/id_notes.cpp
+++ b/src/laburnumledge/node/id_notes.cpp
@@ -9,6 +9,7 @@
 
 constexpr core::Milliseconds kLateAfter{50};
 constexpr core::Milliseconds kReplyWithin{500};
+constexpr core::Milliseconds kAskAgainAfter{10};
 constexpr std::size_t kNotesNeeded = 2;
 constexpr std::size_t kEnoughNodes = 3;
 constexpr int kMaxNotesPerMessage = 2000;
@@ -25,6 +26,8 @@
   NoteOrder order_;
   routing::NoteRound round_;
   NoteDone done_;
+  std::vector<std::string> owners_;  ///< By noter, as far as it knows one.
+  bool asking_again_{};
 };
 
 IdNotes::IdNotes(loop::Loop& loop, std::string self) : loop_(loop), self_(std::move(self)) {}
@@ -70,12 +73,15 @@
   round->round_ =
       routing::BeginRound(routing::Noters(key, nodes_), std::max<std::size_t>(1, needed));
   round->done_ = std::move(done);
+  round->owners_.resize(round->round_.noters_.size());
   OnState(round, 0, routing::NoteState::kNotAsked, "");
 }
 
 void IdNotes::Ask(const RoundPointer& round) {
   for (const std::size_t noter : routing::TakeNotersToAsk(round->round_)) {
-    AskOne(round, noter);
+    if (round->done_) {
+      AskOne(round, noter);
+    }
   }
 }
 
@@ -117,16 +123,14 @@
   if (!round->done_) {
     return;
   }
-  if (noter < round->round_.states_.size() && state != routing::NoteState::kNotAsked) {
-    if (state == routing::NoteState::kLate &&
-        round->round_.states_[noter] != routing::NoteState::kAsked) {
-      return;
-    }
+  if (state != routing::NoteState::kNotAsked) {
+    round->owners_[noter] = owner.empty() ? round->owners_[noter] : owner;
     routing::OnNoteState(round->round_, noter, state);
   }
   const routing::RoundResult result = routing::ResultOf(round->round_);
   if (result == routing::RoundResult::kOpen) {
     Ask(round);
+    AskContested(round);
     return;
   }
   const NoteDone done = std::move(round->done_);
@@ -134,7 +138,23 @@
   if (result != routing::RoundResult::kFresh) {
     Withdraw(round->order_);
   }
-  done(result, owner);
+  const auto& states = round->round_.states_;
+  const auto seen = std::find(states.begin(), states.end(), routing::NoteState::kSeen);
+  const bool has_owner = seen != states.end();
+  done(result, has_owner ? round->owners_[static_cast<std::size_t>(seen - states.begin())] : "");
+}
+
+void IdNotes::AskContested(const RoundPointer& round) {
+  const std::optional<std::size_t> noter = routing::ContestedNoter(round->round_);
+  if (!round->done_ || round->asking_again_ || !noter.has_value()) {
+    return;
+  }
+  ++round->round_.asked_again_;
+  round->asking_again_ = true;
+  loop_.At(loop_.Now() + kAskAgainAfter, [this, round, noter] {
+    round->asking_again_ = false;
+    AskOne(round, *noter);
+  });
 }
 
 void IdNotes::Withdraw(const NoteOrder& order) {
--- a/src/laburnumledge/node/id_notes.hpp
+++ b/src/laburnumledge/node/id_notes.hpp
@@ -80,6 +80,7 @@
 
   void Ask(const RoundPointer& round);
   void AskOne(const RoundPointer& round, std::size_t noter);
+  void AskContested(const RoundPointer& round);
   void OnState(const RoundPointer& round, std::size_t noter, routing::NoteState state,
                const std::string& owner);
   void HandOver(const std::vector<routing::NodeInZone>& after);
--- a/src/laburnumledge/node/request_path.cpp
+++ b/src/laburnumledge/node/request_path.cpp
@@ -93,9 +93,7 @@
   Pump();
 }
 
-bool RequestPath::IsReady() const noexcept {
-  return !routing::HasQuarantinedSlots(router_, loop_.Now());
-}
+bool RequestPath::IsReady() const noexcept { return routing::HasUsableSlots(router_, loop_.Now()); }
 
 void RequestPath::Handle(http::Request request, http::Respond respond) {
   const core::TimePoint now = loop_.Now();
@@ -170,6 +168,8 @@
     return;
   }
   const core::TimePoint deadline = std::min(pending.request_.deadline_, now + kAskTimeout);
+  caller::WaitForOwner(answers_,
+                       routing::MakeIdKey(pending.request_.organisation_, pending.request_.id_));
   proto::PeerMessage message;
   proto::AnswerRequest& ask = *message.mutable_answer_request();
   ask.set_request_id(pending.request_.id_);
@@ -278,7 +278,9 @@
     const proto::AnswerRequest& ask = message.answer_request();
     const routing::IdKey key = routing::MakeIdKey(ask.organisation(), ask.request_id());
     const http::Respond respond = [reply](const http::Reply& answer) { reply(ToMessage(answer)); };
-    if (!caller::AnswerRepeat(answers_, key, ask.fingerprint(), respond, loop_.Now())) {
+    const bool waits_too = caller::WaitsForOwner(answers_, key);
+    if (waits_too ||
+        !caller::AnswerRepeat(answers_, key, ask.fingerprint(), respond, loop_.Now())) {
       respond(caller::RepeatRefusal("this request was sent before"));
     }
   } else {
--- a/src/laburnumledge/node/request_path.hpp
+++ b/src/laburnumledge/node/request_path.hpp
@@ -53,7 +53,7 @@
   /** @brief Keeps the slots that this node has: it drains and gets no new division. */
   void Drain() noexcept { draining_ = true; }
 
-  /** @brief Whether every owned slot may be used. */
+  /** @brief Whether requests can be sent on. */
   [[nodiscard]] bool IsReady() const noexcept;
 
   /** @brief Requests that are not answered. */
--- a/src/laburnumledge/routing/ids.cpp
+++ b/src/laburnumledge/routing/ids.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kMaxNoters = 3;
 constexpr std::size_t kNotesKept = 2;
+constexpr std::size_t kMaxAskedAgain = 5;
 constexpr std::uint64_t kSecondSeed = 1;
 
 void ForgetEnded(IdBook& book, core::TimePoint now) {
@@ -23,6 +24,14 @@
   return static_cast<std::size_t>(std::count(round.states_.begin(), round.states_.end(), state));
 }
 
+std::optional<std::size_t> FirstIn(const NoteRound& round, NoteState state) noexcept {
+  const auto found = std::find(round.states_.begin(), round.states_.end(), state);
+  if (found == round.states_.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - round.states_.begin());
+}
+
 }  // namespace
 
 IdKey MakeIdKey(std::string_view organisation, std::string_view id) {
@@ -87,7 +96,8 @@
 }
 
 std::vector<std::size_t> TakeNotersToAsk(NoteRound& round) {
-  std::size_t hopeful = CountOf(round, NoteState::kAsked) + CountOf(round, NoteState::kFresh);
+  std::size_t hopeful = CountOf(round, NoteState::kAsked) + CountOf(round, NoteState::kFresh) +
+                        CountOf(round, NoteState::kSeen);
   std::vector<std::size_t> ask;
   for (std::size_t i = 0; i < round.states_.size() && hopeful < round.needed_; ++i) {
     if (round.states_[i] == NoteState::kNotAsked) {
@@ -101,15 +111,28 @@
 
 void OnNoteState(NoteRound& round, std::size_t noter, NoteState state) noexcept {
   NoteState& current = round.states_[noter];
-  const bool open = current == NoteState::kAsked || current == NoteState::kLate;
-  if (open) {
+  const bool asked = current == NoteState::kAsked;
+  const bool late = current == NoteState::kLate && state != NoteState::kLate;
+  const bool taken_back = current == NoteState::kSeen && state == NoteState::kFresh;
+  if (asked || late || taken_back) {
     current = state;
   }
 }
 
+std::optional<std::size_t> ContestedNoter(const NoteRound& round) noexcept {
+  const std::optional<std::size_t> seen = FirstIn(round, NoteState::kSeen);
+  const std::optional<std::size_t> fresh = FirstIn(round, NoteState::kFresh);
+  return seen.has_value() && fresh.has_value() && *fresh < *seen ? seen : std::nullopt;
+}
+
 RoundResult ResultOf(const NoteRound& round) noexcept {
-  if (CountOf(round, NoteState::kSeen) > 0) {
-    return RoundResult::kSeen;
+  const std::optional<std::size_t> seen = FirstIn(round, NoteState::kSeen);
+  if (seen.has_value()) {
+    const bool contested = ContestedNoter(round).has_value();
+    const std::optional<std::size_t> asked = FirstIn(round, NoteState::kAsked);
+    const bool may_win = contested && round.asked_again_ < kMaxAskedAgain;
+    const bool undecided = asked.has_value() && *asked < *seen;
+    return may_win || undecided ? RoundResult::kOpen : RoundResult::kSeen;
   }
   if (CountOf(round, NoteState::kFresh) >= round.needed_) {
     return RoundResult::kFresh;
--- a/src/laburnumledge/routing/ids.hpp
+++ b/src/laburnumledge/routing/ids.hpp
@@ -96,6 +96,7 @@
   std::vector<std::string> noters_;
   std::vector<NoteState> states_;
   std::size_t needed_{};
+  std::size_t asked_again_{};  ///< Times that a contested noter was asked again.
 };
 
 /** @brief Starts a round. With fewer noters than needed it has failed. */
@@ -107,7 +108,13 @@
 /** @brief Takes over what a noter said, or that it is late (kLate) or will not reply (kLost). */
 void OnNoteState(NoteRound& round, std::size_t noter, NoteState state) noexcept;
 
-/** @brief What the round has come to. */
+/**
+ * @brief Noter that knows the identifier for another owner, although one before it in order is
+ * fresh: the other owner has lost there and takes its note back, so it is worth asking again.
+ */
+[[nodiscard]] std::optional<std::size_t> ContestedNoter(const NoteRound& round) noexcept;
+
+/** @brief What the round has come to. The first noter in order decides between two owners. */
 [[nodiscard]] RoundResult ResultOf(const NoteRound& round) noexcept;
 
 /** @brief Notes that another node must take over after a change of the nodes. */
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -231,12 +231,11 @@
   return count;
 }
 
-bool HasQuarantinedSlots(const Router& router, core::TimePoint now) noexcept {
-  return std::any_of(router.targets_.begin(), router.targets_.end(), [&](const auto& entry) {
-    const auto& slots = entry.second.slots_;
-    return std::any_of(slots.begin(), slots.end(),
-                       [&](const OwnedSlot& slot) { return slot.usable_at_ > now; });
-  });
+bool HasUsableSlots(const Router& router, core::TimePoint now) noexcept {
+  const auto& targets = router.targets_;
+  return targets.empty() || std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
+           return UsableSlots(entry.second, now) > 0;
+         });
 }
 
 }  // namespace laburnumledge::routing
--- a/test/standin/instance.cpp
+++ b/test/standin/instance.cpp
@@ -77,10 +77,6 @@
   if (faults_.crossed_ > 0) {
     --faults_.crossed_;
     reply = EchoReply("someone-else", "done someone-else\n");
-  } else if (faults_.truncated_ > 0) {
-    --faults_.truncated_;
-    unanswered_.push_back(execution.respond_);
-    return;
   } else if (faults_.late_ > 0) {
     --faults_.late_;
     loop_.At(loop_.Now() + faults_.late_by_,
@@ -100,15 +96,22 @@
   faults_.silent_ = body.value("silent", faults_.silent_);
   faults_.leaving_ = body.value("leaving", faults_.leaving_);
   faults_.crossed_ = body.value("crossed", faults_.crossed_);
-  faults_.truncated_ = body.value("truncated", faults_.truncated_);
+  FrontFaults& bytes = front_->Faults();
+  bytes.truncated_ = body.value("truncated", bytes.truncated_);
+  bytes.garbled_ = body.value("garbled", bytes.garbled_);
+  if (body.value("silence_connections", false)) {
+    front_->SilenceOpenConnections();
+  }
   faults_.late_ = body.value("late", faults_.late_);
   faults_.late_by_ = core::Milliseconds(body.value("late_by_ms", faults_.late_by_.count()));
   respond(http::JsonReply(200, "{}"));
 }
 
 std::string StandinInstance::CountsText() const {
-  return json{
-      {"executions", executions_}, {"most_busy", most_busy_}, {"most_waiting", most_waiting_}}
+  return json{{"executions", executions_},
+              {"most_busy", most_busy_},
+              {"most_waiting", most_waiting_},
+              {"most_connections", front_->MostConnections()}}
       .dump();
 }
 
--- a/test/standin/instance.hpp
+++ b/test/standin/instance.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "front.hpp"
 #include "laburnumledge/config/configuration.hpp"
 #include "laburnumledge/http/server.hpp"
 #include "laburnumledge/loop/loop.hpp"
@@ -17,7 +18,6 @@
   bool silent_{};              ///< Takes requests and never answers.
   bool leaving_{};             ///< Refuses everything as not run and leaving.
   std::uint32_t crossed_{};    ///< Answers that carry another request's identifier.
-  std::uint32_t truncated_{};  ///< Answers that are cut short.
   std::uint32_t late_{};       ///< Answers that come after the execution by late_by_.
   core::Milliseconds late_by_{};
 };
@@ -30,6 +30,9 @@
   /** @brief Answers a request. */
   void Handle(http::Request request, http::Respond respond);
 
+  /** @brief Sets where the faults in the bytes are brought about. */
+  void SetFront(Front* front) noexcept { front_ = front; }
+
  private:
   struct Execution {
     http::Request request_;
@@ -44,6 +47,7 @@
   loop::Loop& loop_;
   config::Instance spec_;
   InstanceFaults faults_;
+  Front* front_{};
   std::deque<Execution> queue_;
   std::uint32_t busy_{};
   std::uint32_t most_busy_{};
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -27,6 +27,7 @@
   std::vector<std::unique_ptr<StandinWorker>> workers_;
   std::vector<std::unique_ptr<StandinInstance>> instances_;
   std::vector<std::unique_ptr<http::Server>> servers_;
+  std::vector<std::unique_ptr<Front>> fronts_;
 };
 
 template <typename Target>
@@ -69,8 +70,15 @@
   }
   for (const config::Instance& instance : configuration.inventory_.instances_) {
     world.instances_.push_back(std::make_unique<StandinInstance>(loop, instance));
-    if (!Listen(loop, world, instance.address_, instance.connections_,
-                world.instances_.back().get())) {
+    const config::Address inner{.ip_ = "127.0.0.1", .port_ = 0};
+    if (!Listen(loop, world, inner, kPlenty, world.instances_.back().get())) {
+      return false;
+    }
+    const config::Address server{.ip_ = inner.ip_, .port_ = world.servers_.back()->Port()};
+    world.fronts_.push_back(std::make_unique<Front>(loop, instance.address_, server));
+    world.instances_.back()->SetFront(world.fronts_.back().get());
+    if (!world.fronts_.back()->IsOpen()) {
+      fmt::print(stderr, "can't listen on {}\n", config::ToString(instance.address_));
       return false;
     }
   }
