--- a/src/laburnumledge/node/id_notes.cpp
+++ b/src/laburnumledge/node/id_notes.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/node/id_notes.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace laburnumledge::node {
--- a/src/laburnumledge/node/id_notes.hpp
+++ b/src/laburnumledge/node/id_notes.hpp
@@ -1,29 +1,16 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "laburnumledge/loop/loop.hpp"
+#include "laburnumledge/node/peer_ports.hpp"
 #include "laburnumledge/routing/ids.hpp"
-#include "peer.pb.h"
 
 namespace laburnumledge::node {
 
-/** @brief Receives the reply of a peer; null if none came before the deadline. */
-using NoteReply = std::function<void(const proto::PeerMessage*)>;
-
-/** @brief How notes reach the other nodes. */
-struct NotePorts {
-  std::function<void(const std::string& node, proto::PeerMessage message, core::TimePoint deadline,
-                     NoteReply reply)>
-      call_;
-  std::function<void(const std::string& node, proto::PeerMessage message)> send_;
-  std::function<bool(const std::string& node)> is_live_;
-};
-
 /** @brief Identifier of a non-repeatable request, with who wants to send it. */
 struct NoteOrder {
   std::string organisation_;
@@ -46,7 +33,7 @@
   IdNotes(loop::Loop& loop, std::string self);
 
   /** @brief Sets how the other nodes are reached. @pre Called before any note. */
-  void SetPorts(NotePorts ports) { ports_ = std::move(ports); }
+  void SetPorts(PeerPorts ports) { ports_ = std::move(ports); }
 
   /**
    * @brief Takes over the live nodes and hands notes over to new noters.
@@ -87,7 +74,7 @@
 
   loop::Loop& loop_;
   std::string self_;
-  NotePorts ports_;
+  PeerPorts ports_;
   routing::IdBook book_;
   std::vector<routing::NodeInZone> nodes_;
   std::size_t listed_{1};
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -65,7 +65,7 @@
   requests_.SetPorts(
       {.call_ =
            [this](const std::string& node, proto::PeerMessage message, core::TimePoint deadline,
-                  NoteReply reply) {
+                  PeerReply reply) {
              peers_->Call(node, std::move(message), deadline, std::move(reply));
            },
        .send_ = [this](const std::string& node,
--- a/src/laburnumledge/node/request_path.cpp
+++ b/src/laburnumledge/node/request_path.cpp
@@ -66,14 +66,16 @@
       metrics_(metrics),
       client_(loop, kConnectionsPerInstance),
       notes_(loop, settings.name_),
+      loans_(loop, router_, settings.name_, settings.request_timeout_, [this] { Pump(); }),
       next_token_(incarnation) {
   router_.max_queued_ = settings.max_queued_requests_;
   router_.random_ = core::MakeRandom(incarnation, "routing");
   loop_.Every(kExpiryInterval, [this] { ExpireQueued(); });
 }
 
-void RequestPath::SetPorts(NotePorts ports) {
+void RequestPath::SetPorts(PeerPorts ports) {
   ports_ = ports;
+  loans_.SetPorts(ports);
   notes_.SetPorts(std::move(ports));
 }
 
@@ -214,6 +216,7 @@
                      OnAnswer(dispatch, answer);
                    });
   }
+  loans_.Borrow();
 }
 
 void RequestPath::OnAnswer(const routing::Dispatch& dispatch, const upstream::Answer& answer) {
@@ -263,6 +266,7 @@
     answer.reason_ = "no instance had a free slot before the deadline";
     Answer(waiting.ticket_, answer);
   }
+  loans_.ReturnEnded();
   Pump();
 }
 
@@ -274,6 +278,10 @@
     notes_.OnForget(message.forget_request_id());
   } else if (message.has_noted_request_ids()) {
     notes_.OnHandover(message.noted_request_ids());
+  } else if (message.has_borrow_slot()) {
+    reply(loans_.OnBorrow(message.borrow_slot()));
+  } else if (message.has_return_slot()) {
+    loans_.OnReturn(message.return_slot());
   } else if (message.has_answer_request()) {
     const proto::AnswerRequest& ask = message.answer_request();
     const routing::IdKey key = routing::MakeIdKey(ask.organisation(), ask.request_id());
--- a/src/laburnumledge/node/request_path.hpp
+++ b/src/laburnumledge/node/request_path.hpp
@@ -14,6 +14,7 @@
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/node/id_notes.hpp"
 #include "laburnumledge/node/metrics.hpp"
+#include "laburnumledge/node/slot_loans.hpp"
 #include "laburnumledge/routing/router.hpp"
 
 namespace laburnumledge::node {
@@ -30,7 +31,7 @@
               std::uint64_t incarnation);
 
   /** @brief Sets how the other nodes are reached. @pre Called before the first request. */
-  void SetPorts(NotePorts ports);
+  void SetPorts(PeerPorts ports);
 
   /**
    * @brief Takes over configuration and nodes; cheap if nothing has changed.
@@ -92,7 +93,8 @@
   http::Client client_;
   routing::Router router_;
   IdNotes notes_;
-  NotePorts ports_;
+  SlotLoans loans_;
+  PeerPorts ports_;
   caller::AnswerBook answers_;
   std::unordered_map<routing::Ticket, Pending> pending_;
   std::uint64_t next_token_{};
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -223,6 +223,41 @@
   return expired;
 }
 
+std::vector<std::string> ServicesInNeed(Router& router, core::TimePoint now) {
+  std::vector<std::string> names;
+  for (const auto& [name, service] : router.services_) {
+    if (service.queue_.count_ > 0 && FreeTargets(service.targets_, now).empty()) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::optional<std::string> LendSlotOf(Router& router, const std::string& service_name,
+                                      core::TimePoint until, core::TimePoint now) {
+  const ServiceState* service = FindState(router, service_name);
+  if (service == nullptr || service->queue_.count_ > 0) {
+    return std::nullopt;
+  }
+  std::size_t busy = 0;
+  Target* idlest = nullptr;
+  for (Target* target : FreeTargets(service->targets_, now)) {
+    const bool lends = !target->on_trial_ && target->borrowed_until_.empty();
+    if (lends && (idlest == nullptr || target->outstanding_ < idlest->outstanding_)) {
+      idlest = target;
+    }
+  }
+  for (const Target* target : service->targets_) {
+    busy += target->outstanding_;
+  }
+  const std::size_t slots = ServiceSlots(*service, now);
+  const bool has_spare = 4 * busy < 3 * slots;
+  if (idlest == nullptr || !has_spare || !LendSlot(*idlest, until, now)) {
+    return std::nullopt;
+  }
+  return idlest->spec_.name_;
+}
+
 std::size_t QueuedRequests(const Router& router) noexcept {
   std::size_t count = 0;
   for (const auto& [name, service] : router.services_) {
--- a/src/laburnumledge/routing/router.hpp
+++ b/src/laburnumledge/routing/router.hpp
@@ -94,6 +94,16 @@
 /** @brief Removes queued requests whose deadline has passed, each with its verdict. */
 [[nodiscard]] std::vector<Waiting> Expire(Router& router, core::TimePoint now);
 
+/** @brief Services in which requests wait and no instance has a slot for them. */
+[[nodiscard]] std::vector<std::string> ServicesInNeed(Router& router, core::TimePoint now);
+
+/**
+ * @brief Lends a slot of a service to a peer.
+ * @return The instance, or empty: work waits here, or less than a quarter of the slots is free.
+ */
+[[nodiscard]] std::optional<std::string> LendSlotOf(Router& router, const std::string& service,
+                                                    core::TimePoint until, core::TimePoint now);
+
 /** @brief Requests that wait, over all services. */
 [[nodiscard]] std::size_t QueuedRequests(const Router& router) noexcept;
 
--- a/src/laburnumledge/routing/slots.cpp
+++ b/src/laburnumledge/routing/slots.cpp
@@ -42,7 +42,7 @@
 
 bool LendSlot(Target& target, core::TimePoint until, core::TimePoint now) {
   ForgetOldLoans(target, now);
-  if (!target.borrowed_until_.empty() || target.outstanding_ + 1 >= UsableSlots(target, now)) {
+  if (!target.borrowed_until_.empty() || target.outstanding_ >= UsableSlots(target, now)) {
     return false;
   }
   target.lent_until_.push_back(until);
--- a/src/laburnumledge/routing/slots.hpp
+++ b/src/laburnumledge/routing/slots.hpp
@@ -29,7 +29,7 @@
 
 /**
  * @brief Lends a free slot of an instance to a peer.
- * @return False if none is free: at least one is kept for this node's own next request.
+ * @return False if none is free. A borrowed slot is never lent on.
  */
 [[nodiscard]] bool LendSlot(Target& target, core::TimePoint until, core::TimePoint now);
 
