Try each instance at most once while others are left for a retry

With answers crossed, cut or garbled at nine of twelve instances at once, two of 168 repeatable requests met five faulty instances in a row and ended as may-have-run. A retry now goes to an instance at which the request has not failed while there is one, and up to sixteen attempts are allowed: the retry budget and the deadline bound the work.

The load tool starts its Request-Ids with a prefix for each run: without it, a second run repeated the first one's identifiers and got the kept answers.

--- a/src/laburnumledge/node/slot_loans.cpp
+++ b/src/laburnumledge/node/slot_loans.cpp
@@ -53,8 +53,7 @@
     ask_again_at_ = now + kAskAgainAfter;
     return;
   }
-  const core::TimePoint until =
-      now + core::Milliseconds(reply->borrow_slot_reply().remaining_ms());
+  const core::TimePoint until = now + core::Milliseconds(reply->borrow_slot_reply().remaining_ms());
   loans_.push_back({.lender_ = lender, .instance_ = instance, .until_ = until});
   const auto target = router_.targets_.find(instance);
   if (target != router_.targets_.end()) {
--- a/src/laburnumledge/routing/request.hpp
+++ b/src/laburnumledge/routing/request.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "laburnumledge/config/settings.hpp"
 #include "laburnumledge/core/time.hpp"
@@ -37,6 +38,7 @@
   bool interactive_{};
   bool fresh_connection_{};  ///< An earlier attempt met a connection that was silent.
   std::uint32_t attempts_{};
+  std::vector<std::string> failed_at_;             ///< Instances of earlier attempts.
   core::Verdict verdict_{core::Verdict::kNotRun};  ///< Of all attempts so far.
   core::TimePoint sent_at_;                        ///< Start of the newest attempt.
 };
--- a/src/laburnumledge/routing/retry.cpp
+++ b/src/laburnumledge/routing/retry.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxAttempts = 5;
+constexpr std::uint32_t kMaxAttempts = 16;
 
 bool CostsWork(Ending ending) noexcept {
   return ending != Ending::kRefused && ending != Ending::kLeaving;
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -70,6 +70,16 @@
   return service.batch_outstanding_ < std::max<std::size_t>(1, slots * 3 / 4);
 }
 
+/** Prefers an instance at which no earlier attempt of the request has failed. */
+Target* ChooseFor(Router& router, const Waiting& waiting, const std::vector<Target*>& free) {
+  std::vector<Target*> untried = free;
+  std::erase_if(untried, [&](const Target* target) {
+    const auto& tried = waiting.failed_at_;
+    return std::find(tried.begin(), tried.end(), target->spec_.name_) != tried.end();
+  });
+  return router.choose_(untried.empty() ? free : untried, router.random_);
+}
+
 Dispatch Send(Router& router, ServiceState& service, Waiting waiting, Target& target,
               core::TimePoint now) {
   LABURNUMLEDGE_ASSERT(core::MayRetry(waiting.verdict_, waiting.request_.repeatable_),
@@ -184,7 +194,7 @@
     }
     std::optional<Waiting> due = Pop(service.queue_, BatchMayGo(service, now));
     if (due.has_value()) {
-      Target* target = router.choose_(free, router.random_);
+      Target* target = ChooseFor(router, *due, free);
       return Send(router, service, std::move(*due), *target, now);
     }
   }
@@ -200,6 +210,7 @@
   ServiceState* service = FindState(router, waiting.request_.service_);
   Release(router, service, dispatch, ending, waiting, now);
   waiting.verdict_ = std::max(waiting.verdict_, verdict);
+  waiting.failed_at_.push_back(dispatch.instance_);
   waiting.fresh_connection_ = waiting.fresh_connection_ || ending == Ending::kSilent;
   Flow* flow = service == nullptr ? nullptr : FindFlow(service->queue_, waiting.request_);
   if (flow == nullptr || !MayRetryRequest(router.budget_, waiting, ending, now)) {
--- a/test/measure/load.cpp
+++ b/test/measure/load.cpp
@@ -91,13 +91,14 @@
 class Load {
  public:
   Load(loop::Loop& loop, std::vector<Entry> entries, std::vector<Stream> streams, bool direct,
-       double repeats, std::uint64_t seed)
+       double repeats, std::string prefix, std::uint64_t seed)
       : loop_(loop),
         client_(loop, 0),
         entries_(std::move(entries)),
         streams_(std::move(streams)),
         direct_(direct),
         repeats_(repeats),
+        prefix_(std::move(prefix)),
         random_(core::MakeRandom(seed, "load")) {}
 
   void Run(core::Milliseconds length) {
@@ -140,7 +141,7 @@
   }
 
   void Begin(std::size_t stream, core::TimePoint due) {
-    const std::string id = fmt::format("{}-{}", streams_[stream].class_, next_id_++);
+    const std::string id = fmt::format("{}{}-{}", prefix_, streams_[stream].class_, next_id_++);
     outcomes_[id] = {.stream_ = stream};
     worst_lateness_ms_ = std::max(
         worst_lateness_ms_, std::chrono::duration<double, std::milli>(loop_.Now() - due).count());
@@ -225,6 +226,7 @@
   std::vector<Stream> streams_;
   bool direct_{};
   double repeats_{};
+  std::string prefix_;
   core::Random random_;
   core::TimePoint end_;
   std::vector<core::TimePoint> next_;
@@ -349,7 +351,8 @@
   const bool direct = options["direct"].as<bool>();
   loop::Loop loop;
   Load load(loop, ParseEntries(options["entries"].as<std::string>()), std::move(streams), direct,
-            options["repeats"].as<double>(), options["seed"].as<std::uint64_t>());
+            options["repeats"].as<double>(), options["prefix"].as<std::string>(),
+            options["seed"].as<std::uint64_t>());
   load.Run(core::Milliseconds(options["seconds"].as<int>() * 1000));
   json report;
   for (std::size_t i = 0; i < load.Streams().size(); ++i) {
@@ -389,6 +392,7 @@
                                      cxxopts::value<int>()->default_value("5"))(
       "repeats", "part of the non-repeatable requests that is repeated at another node",
       cxxopts::value<double>()->default_value("0"))(
+      "prefix", "begin of every Request-Id", cxxopts::value<std::string>()->default_value(""))(
       "seed", "seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "direct", "call instances without a node", cxxopts::value<bool>()->default_value("false"));
   std::signal(SIGPIPE, SIG_IGN);
--- a/test/process/requests.sh
+++ b/test/process/requests.sh
@@ -1,6 +1,7 @@
 # Functions for the tests of requests: a cluster with instances, load, faults, history checks.
 source "$(dirname "${BASH_SOURCE[0]}")/library.sh"
 
+runs=0
 load_tool=$(dirname "$LABURNUMLEDGE_STANDIN")/measure_load
 
 # start_cluster NODES INSTANCES: starts stand-ins and nodes, and waits until all are ready.
@@ -35,8 +36,9 @@
 start_load() {
   local seconds=$1 streams=$2
   shift 2
+  runs=$((runs + 1))
   "$load_tool" --entries "$(entries)" --instances "$(instances)" --seconds "$seconds" \
-    --streams "$streams" "$@" > "$work/report.json" &
+    --streams "$streams" --prefix "run$runs-" "$@" > "$work/report.json" &
   load_pid=$!
   pids+=("$load_pid")
 }
