Compare an instance's times with its class's mean

The choice weighed instances by their mean time in milliseconds. An instance that happened to get the shorter class looked faster and got all idle traffic: one that was leaving saw no request for 2 s at 120 requests a second over eight instances, so nobody learned that it left. Times now count as a ratio to the mean of their organisation and class, and ratios under 1.5 count as equal. The deadline for progress follows the class's mean as well, and doubles with each attempt.

--- a/src/laburnumledge/routing/choice.cpp
+++ b/src/laburnumledge/routing/choice.cpp
@@ -1,7 +1,6 @@
 #include "laburnumledge/routing/choice.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 #include "laburnumledge/routing/slots.hpp"
 
@@ -10,10 +9,8 @@
 namespace {
 
 constexpr double kMemory = 0.1;
-constexpr double kInitialMs = 10;
 constexpr double kSlowFactor = 2;
-constexpr double kDeviations = 8;
-constexpr core::Milliseconds kShortestProgress{1000};
+constexpr double kNoticeableSlowness = 1.5;
 constexpr core::Milliseconds kShortestEjection{500};
 constexpr core::Milliseconds kLongestEjection{30000};
 constexpr std::uint32_t kMostDoublings = 6;
@@ -21,23 +18,26 @@
 constexpr core::Milliseconds kSlowStart{5000};
 constexpr core::Milliseconds kLeavingHold{30000};
 
+/** Small differences are noise: they would send every request to one instance. */
+double Slowness(const Target& target) noexcept {
+  return target.slowness_ < kNoticeableSlowness ? 1 : target.slowness_;
+}
+
 double WorkAhead(const Target& target) noexcept {
-  const double mean = target.mean_ms_ > 0 ? target.mean_ms_ : kInitialMs;
-  return (target.outstanding_ + 1) * mean * (1 + target.failures_);
+  return (target.outstanding_ + 1) * Slowness(target) * (1 + target.failures_);
 }
 
-double TypicalMs(const std::vector<Target*>& targets) {
-  std::vector<double> means;
+double TypicalSlowness(const std::vector<Target*>& targets) {
+  std::vector<double> values;
+  values.reserve(targets.size());
   for (const Target* target : targets) {
-    if (target->mean_ms_ > 0) {
-      means.push_back(target->mean_ms_);
-    }
+    values.push_back(target->slowness_);
   }
-  if (means.empty()) {
-    return 0;
+  if (values.empty()) {
+    return 1;
   }
-  const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
-  std::nth_element(means.begin(), middle, means.end());
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
   return *middle;
 }
 
@@ -48,16 +48,6 @@
   target.on_trial_ = true;
 }
 
-void LearnTime(Target& target, double ms) noexcept {
-  if (target.mean_ms_ <= 0) {
-    target.mean_ms_ = std::max(ms, 1.0);
-    target.deviation_ms_ = ms / 2;
-    return;
-  }
-  target.deviation_ms_ += kMemory * (std::abs(ms - target.mean_ms_) - target.deviation_ms_);
-  target.mean_ms_ = std::max(1.0, target.mean_ms_ + kMemory * (ms - target.mean_ms_));
-}
-
 void Return(Target& target, core::TimePoint now) noexcept {
   target.on_trial_ = true;
   target.failures_ = 0;
@@ -87,7 +77,7 @@
   return !vanished && !target.list_says_leaving_ && !target.said_leaving_ && !target.zone_out_;
 }
 
-std::uint32_t CurrentLimit(const Target& target, double typical_ms, core::TimePoint now) noexcept {
+std::uint32_t CurrentLimit(const Target& target, double typical, core::TimePoint now) noexcept {
   const std::uint32_t usable = UsableSlots(target, now);
   if (usable == 0) {
     return 0;
@@ -96,8 +86,8 @@
     return 1;
   }
   double limit = usable;
-  if (typical_ms > 0 && target.mean_ms_ > kSlowFactor * typical_ms) {
-    limit *= kSlowFactor * typical_ms / target.mean_ms_;
+  if (target.slowness_ > kSlowFactor * typical) {
+    limit *= kSlowFactor * typical / target.slowness_;
   }
   if (target.slow_start_until_ > now) {
     const std::chrono::duration<double> left = target.slow_start_until_ - now;
@@ -107,7 +97,7 @@
 }
 
 std::vector<Target*> FreeTargets(const std::vector<Target*>& targets, core::TimePoint now) {
-  const double typical = TypicalMs(targets);
+  const double typical = TypicalSlowness(targets);
   std::vector<Target*> members;
   std::vector<Target*> ejected;
   for (Target* target : targets) {
@@ -128,10 +118,10 @@
   return members;
 }
 
-void LearnFromEnding(Target& target, Ending ending, bool used_idle, core::Milliseconds taken,
-                     core::TimePoint now) {
+void LearnFromEnding(Target& target, const Lesson& lesson, core::TimePoint now) {
+  const Ending ending = lesson.ending_;
   if (ending == Ending::kAnswered) {
-    LearnTime(target, static_cast<double>(taken.count()));
+    target.slowness_ += kMemory * (lesson.time_ratio_ - target.slowness_);
     target.failures_ = 0;
     if (target.on_trial_) {
       target.on_trial_ = false;
@@ -140,7 +130,7 @@
   } else if (ending == Ending::kLeaving) {
     target.said_leaving_ = true;
     target.said_leaving_at_ = now;
-  } else if (used_idle && (ending == Ending::kSilent || ending == Ending::kBroken)) {
+  } else if (lesson.used_idle_ && (ending == Ending::kSilent || ending == Ending::kBroken)) {
     target.fresh_until_ = now + kDistrustIdleFor;
   } else {
     Eject(target, now);
@@ -148,11 +138,6 @@
   }
 }
 
-core::TimePoint ProgressDeadline(const Target& target, core::TimePoint now) noexcept {
-  const double ms = 2 * target.mean_ms_ + kDeviations * target.deviation_ms_;
-  return now + std::max(kShortestProgress, core::Milliseconds(static_cast<std::int64_t>(ms)));
-}
-
 void LearnFromList(Target& target, bool live, bool leaving, core::TimePoint now) noexcept {
   const bool was_out = target.list_says_leaving_ || (target.ever_listed_ && !target.listed_);
   target.listed_ = live || leaving;
--- a/src/laburnumledge/routing/choice.hpp
+++ b/src/laburnumledge/routing/choice.hpp
@@ -18,7 +18,7 @@
 [[nodiscard]] bool IsMember(const Target& target) noexcept;
 
 /** @brief Requests that an instance may have from this node at once now. */
-[[nodiscard]] std::uint32_t CurrentLimit(const Target& target, double typical_ms,
+[[nodiscard]] std::uint32_t CurrentLimit(const Target& target, double typical,
                                          core::TimePoint now) noexcept;
 
 /**
@@ -31,12 +31,15 @@
 [[nodiscard]] std::vector<Target*> FreeTargets(const std::vector<Target*>& targets,
                                                core::TimePoint now);
 
-/** @brief Learns from an attempt that ended. `used_idle` says that it reused a connection. */
-void LearnFromEnding(Target& target, Ending ending, bool used_idle, core::Milliseconds taken,
-                     core::TimePoint now);
+/** @brief What an attempt that ended tells of its instance. */
+struct Lesson {
+  Ending ending_{};
+  bool used_idle_{};      ///< It may have used a connection that was idle.
+  double time_ratio_{1};  ///< Time taken against the mean of its organisation and class.
+};
 
-/** @brief Deadline for the first answer of an attempt that may be repeated. */
-[[nodiscard]] core::TimePoint ProgressDeadline(const Target& target, core::TimePoint now) noexcept;
+/** @brief Learns from an attempt that ended. */
+void LearnFromEnding(Target& target, const Lesson& lesson, core::TimePoint now);
 
 /** @brief Takes over what the newest VM list says of an instance. */
 void LearnFromList(Target& target, bool live, bool leaving, core::TimePoint now) noexcept;
--- a/src/laburnumledge/routing/queue.cpp
+++ b/src/laburnumledge/routing/queue.cpp
@@ -8,6 +8,9 @@
 
 constexpr double kMemory = 0.05;
 constexpr double kMinCostMs = 1;
+constexpr double kPatience = 10;
+constexpr std::uint32_t kMostDoublings = 8;
+constexpr core::Milliseconds kShortestProgress{1000};
 constexpr core::Milliseconds kShortestBound{20};
 constexpr core::Milliseconds kCrowdedFor{500};
 constexpr core::Milliseconds kShortestAdvice{100};
@@ -203,12 +206,27 @@
   return Remove(queue, *due, due->waiting_.begin());
 }
 
-void LearnCost(Queue& queue, const Request& request, core::Milliseconds taken) {
-  Flow* flow = FindFlow(queue, request);
-  if (flow != nullptr) {
-    const auto ms = static_cast<double>(taken.count());
-    flow->cost_ms_ = std::max(kMinCostMs, flow->cost_ms_ + kMemory * (ms - flow->cost_ms_));
+void LearnCost(Flow& flow, core::Milliseconds taken) noexcept {
+  const auto ms = static_cast<double>(taken.count());
+  const double mean = flow.learned_ ? flow.cost_ms_ + kMemory * (ms - flow.cost_ms_) : ms;
+  flow.cost_ms_ = std::max(kMinCostMs, mean);
+  flow.learned_ = true;
+}
+
+double TimeRatio(const Flow& flow, core::Milliseconds taken) noexcept {
+  const double ms = std::max(kMinCostMs, static_cast<double>(taken.count()));
+  return flow.learned_ ? ms / flow.cost_ms_ : 1;
+}
+
+core::TimePoint ProgressDeadline(const Flow& flow, const Waiting& waiting,
+                                 core::TimePoint now) noexcept {
+  const core::TimePoint deadline = waiting.request_.deadline_;
+  if (!waiting.request_.repeatable_ || !flow.learned_) {
+    return deadline;
   }
+  const std::uint32_t doublings = std::min(waiting.attempts_, kMostDoublings);
+  const core::Milliseconds usual(static_cast<std::int64_t>(kPatience * flow.cost_ms_));
+  return std::min(deadline, now + std::max(kShortestProgress, usual) * (1 << doublings));
 }
 
 std::vector<Waiting> TakeExpired(Queue& queue, core::TimePoint now) {
--- a/src/laburnumledge/routing/queue.hpp
+++ b/src/laburnumledge/routing/queue.hpp
@@ -18,6 +18,7 @@
   bool interactive_{};
   double weight_{1};
   double cost_ms_{10};  ///< Moving mean of the time that one request holds a slot.
+  bool learned_{};      ///< Whether cost_ms_ comes from answers.
   double start_{};      ///< Virtual time at which its next request is due.
   std::map<std::pair<core::TimePoint, Ticket>, Waiting> waiting_;
 };
@@ -84,7 +85,18 @@
 [[nodiscard]] std::optional<Waiting> Pop(Queue& queue, bool batch_may_go);
 
 /** @brief Learns how long a request of a flow held its slot. */
-void LearnCost(Queue& queue, const Request& request, core::Milliseconds taken);
+void LearnCost(Flow& flow, core::Milliseconds taken) noexcept;
+
+/** @brief Time taken against the mean of the flow; 1 before the first answer. */
+[[nodiscard]] double TimeRatio(const Flow& flow, core::Milliseconds taken) noexcept;
+
+/**
+ * @brief When an attempt of a request that may be repeated is given up without an answer.
+ *
+ * Each further attempt is given twice as long.
+ */
+[[nodiscard]] core::TimePoint ProgressDeadline(const Flow& flow, const Waiting& waiting,
+                                               core::TimePoint now) noexcept;
 
 /** @brief Takes every request whose deadline has passed. */
 [[nodiscard]] std::vector<Waiting> TakeExpired(Queue& queue, core::TimePoint now);
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -87,15 +87,17 @@
   LABURNUMLEDGE_ASSERT(target.outstanding_ < UsableSlots(target, now),
                        "an instance never gets more requests than this node's slots");
   LABURNUMLEDGE_ASSERT(!target.zone_out_, "an instance in a zone that is out gets no request");
-  const bool repeatable = waiting.request_.repeatable_;
+  const Flow* flow = FindFlow(service.queue_, waiting.request_);
   const core::TimePoint deadline = waiting.request_.deadline_;
-  const bool fresh = !repeatable || waiting.fresh_connection_ || target.fresh_until_ > now;
-  const core::TimePoint progress = repeatable ? ProgressDeadline(target, now) : deadline;
+  const bool fresh =
+      !waiting.request_.repeatable_ || waiting.fresh_connection_ || target.fresh_until_ > now;
+  const core::TimePoint progress =
+      flow == nullptr ? deadline : ProgressDeadline(*flow, waiting, now);
   Dispatch dispatch{.ticket_ = waiting.ticket_,
                     .instance_ = target.spec_.name_,
                     .address_ = target.spec_.address_,
                     .fresh_connection_ = fresh,
-                    .progress_by_ = std::min(deadline, progress)};
+                    .progress_by_ = progress};
   ++target.outstanding_;
   ++waiting.attempts_;
   waiting.sent_at_ = now;
@@ -107,17 +109,20 @@
 void Release(Router& router, ServiceState* service, const Dispatch& dispatch, Ending ending,
              const Waiting& waiting, core::TimePoint now) {
   const auto taken = std::chrono::duration_cast<core::Milliseconds>(now - waiting.sent_at_);
+  Flow* flow = service == nullptr ? nullptr : FindFlow(service->queue_, waiting.request_);
   const auto target = router.targets_.find(dispatch.instance_);
   if (target != router.targets_.end() && target->second.spec_.address_ == dispatch.address_) {
     target->second.outstanding_ -= target->second.outstanding_ > 0 ? 1 : 0;
-    LearnFromEnding(target->second, ending, !dispatch.fresh_connection_, taken, now);
+    const Lesson lesson{.ending_ = ending,
+                        .used_idle_ = !dispatch.fresh_connection_,
+                        .time_ratio_ = flow == nullptr ? 1 : TimeRatio(*flow, taken)};
+    LearnFromEnding(target->second, lesson, now);
   }
-  if (service == nullptr) {
-    return;
+  if (service != nullptr && !waiting.interactive_ && service->batch_outstanding_ > 0) {
+    --service->batch_outstanding_;
   }
-  service->batch_outstanding_ -= !waiting.interactive_ && service->batch_outstanding_ > 0 ? 1 : 0;
-  if (ending == Ending::kAnswered) {
-    LearnCost(service->queue_, waiting.request_, taken);
+  if (flow != nullptr && ending == Ending::kAnswered) {
+    LearnCost(*flow, taken);
   }
 }
 
--- a/src/laburnumledge/routing/target.hpp
+++ b/src/laburnumledge/routing/target.hpp
@@ -21,8 +21,7 @@
   std::vector<core::TimePoint> lent_until_;      ///< One for each slot that a peer borrowed.
   std::vector<core::TimePoint> borrowed_until_;  ///< One for each slot borrowed from a peer.
   std::uint32_t outstanding_{};
-  double mean_ms_{};          ///< Moving mean of the time of whole answers; 0 before the first.
-  double deviation_ms_{};     ///< Moving mean deviation of the same.
+  double slowness_{1};        ///< Moving mean of an answer's time against its class's mean.
   std::uint32_t failures_{};  ///< Failed attempts since the last whole answer.
   bool on_trial_{};           ///< One request at a time until a whole answer comes.
   bool ever_listed_{};        ///< Was in the VM list once.
