Take no answer that ends within its headers

libcurl calls an answer whole when the connection ends in the middle of its headers: a 200 without a body. The client now asks for the empty line that ends them. Found by a test that sends answers byte by byte; the others (cut bodies, cut chunks, garbled first lines, too many bytes, no answer) were caught already, each with the verdict may-have-run.

--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -29,6 +29,7 @@
   Response response_;
   Received received_;
   bool too_large_{};
+  bool headers_ended_{};
   bool sent_{};
 };
 
@@ -57,6 +58,9 @@
   const size_t colon = line.find(':');
   if (line.substr(0, 5) == "HTTP/") {
     transfer->response_.headers_.clear();
+    transfer->headers_ended_ = false;
+  } else if (line == "\r\n" || line == "\n") {
+    transfer->headers_ended_ = true;
   } else if (colon != std::string_view::npos) {
     transfer->response_.headers_.push_back(
         {std::string(Trim(line.substr(0, colon))), std::string(Trim(line.substr(colon + 1)))});
@@ -158,7 +162,10 @@
   Transfer* transfer = nullptr;
   curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
   Response response = std::move(transfer->response_);
-  if (code == CURLE_OK) {
+  if (code == CURLE_OK && !transfer->headers_ended_) {
+    response.malformed_ = true;
+    response.reason_ = "the answer ended within its headers";
+  } else if (code == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     response.status_ = static_cast<unsigned>(status);
--- /dev/null
+++ b/test/laburnumledge/http/client.cpp
@@ -0,0 +1,101 @@
+#include "laburnumledge/http/client.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include "raw_socket.hpp"
+
+namespace laburnumledge::http {
+
+namespace {
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/** @brief Sends one call and runs the loop until it has ended. */
+Response Exchange(loop::Loop& loop, Client& client, Call call) {
+  std::optional<Response> received;
+  call.deadline_ = loop.Now() + core::Milliseconds(5000);
+  client.Send(std::move(call), [&](Response response) { received = std::move(response); });
+  REQUIRE(RunUntil(loop, [&] { return received.has_value(); }));
+  return *received;
+}
+
+Response AnswerTo(const std::string& bytes, std::size_t max_bytes = 1000) {
+  loop::Loop loop;
+  RawServer server(
+      loop, [&](int) { return bytes; }, true);
+  Client client(loop, 4);
+  Call call;
+  call.method_ = "POST";
+  call.url_ = server.Url();
+  call.body_ = "x";
+  call.max_answer_bytes_ = max_bytes;
+  call.fresh_connection_ = true;
+  const Response response = Exchange(loop, client, call);
+  CHECK(server.Requests() == 1);
+  return response;
+}
+
+}  // namespace
+
+TEST_CASE("Only a whole answer counts as one") {
+  const Response whole = AnswerTo(kWhole);
+  CHECK(whole.verdict_ == core::Verdict::kRan);
+  CHECK(whole.body_ == "ok");
+  const std::vector<std::string> bad = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+      "#### 200 OK\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x'),
+      ""};
+  for (const std::string& bytes : bad) {
+    const Response response = AnswerTo(bytes);
+    CAPTURE(bytes.substr(0, 60));
+    CHECK(response.verdict_ == core::Verdict::kMayHaveRun);
+    CHECK(response.status_ == 0);
+  }
+}
+
+TEST_CASE("A call on a fresh connection is sent once, also when a pooled connection has died") {
+  loop::Loop loop;
+  RawServer server(
+      loop, [](int number) { return number == 1 ? kWhole : ""; }, false);
+  Client client(loop, 4);
+  Call call;
+  call.method_ = "POST";
+  call.url_ = server.Url();
+  call.body_ = "x";
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
+  call.fresh_connection_ = true;
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kMayHaveRun);
+  CHECK(server.Requests() == 2);
+}
+
+TEST_CASE("A refused connection means not run") {
+  loop::Loop loop;
+  std::string url;
+  {
+    RawServer server(
+        loop, [](int) { return kWhole; }, true);
+    url = server.Url();
+  }
+  Client client(loop, 4);
+  Call call;
+  call.url_ = url;
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kNotRun);
+}
+
+TEST_CASE("HEAD ends without a body") {
+  loop::Loop loop;
+  RawServer server(
+      loop, [](int) { return std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"); }, false);
+  Client client(loop, 4);
+  Call call;
+  call.method_ = "HEAD";
+  call.url_ = server.Url();
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
+}
+
+}  // namespace laburnumledge::http
