Keep slots free for interactive work by how much it varies

In randomised runs of four nodes at twice the load (interactive work a quarter of the capacity, batch work seven quarters), 1374 of 23999 interactive requests took more than twice their time: a fixed quarter of the slots was too little on nodes that saw more than their part. Two deviations of the interactive work's own count now stay free, and a tenth of the slots is batch work's own.

The randomised runs drive four routers in virtual time through arrivals, failures, changes of nodes, zones and the VM list, and check that each request ends once, that not-run is true, that non-repeatable requests run at most once and that no instance gets more than its slots in steady state.

--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/routing/router.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "laburnumledge/core/assert.hpp"
@@ -12,6 +13,8 @@
 
 constexpr core::Milliseconds kKeepFreeFor{5000};
 constexpr core::Milliseconds kUnknownAdvice{1000};
+constexpr std::size_t kBatchPart = 10;
+constexpr double kMeanMemory = 0.02;
 
 const config::Service* FindService(const config::Rules& rules, const std::string& name) {
   const auto found =
@@ -61,13 +64,36 @@
   return slots;
 }
 
-/** While interactive work comes in, a quarter of the slots is kept free of batch work. */
+/**
+ * While interactive work comes in, as many slots stay free as it varies by (two deviations of a
+ * Poisson count); a tenth of all slots is batch work's own.
+ */
 bool BatchMayGo(const ServiceState& service, core::TimePoint now) noexcept {
   if (service.interactive_until_ <= now) {
     return true;
   }
   const std::size_t slots = ServiceSlots(service, now);
-  return service.batch_outstanding_ < std::max<std::size_t>(1, slots * 3 / 4);
+  const std::size_t own = std::max<std::size_t>(1, slots / kBatchPart);
+  const double kept = std::max(1.0, 2 * std::sqrt(service.interactive_mean_));
+  const std::size_t busy = service.batch_outstanding_ + service.interactive_outstanding_;
+  const bool leaves_enough = static_cast<double>(busy) + 1 + kept <= static_cast<double>(slots);
+  return service.batch_outstanding_ < own || leaves_enough;
+}
+
+void CountSent(ServiceState& service, bool interactive) noexcept {
+  if (!interactive) {
+    ++service.batch_outstanding_;
+    return;
+  }
+  ++service.interactive_outstanding_;
+  service.interactive_mean_ +=
+      kMeanMemory * (service.interactive_outstanding_ - service.interactive_mean_);
+}
+
+void CountEnded(ServiceState& service, bool interactive) noexcept {
+  std::uint32_t& count =
+      interactive ? service.interactive_outstanding_ : service.batch_outstanding_;
+  count -= count > 0 ? 1 : 0;
 }
 
 /** Prefers an instance at which no earlier attempt of the request has failed. */
@@ -101,7 +127,7 @@
   ++target.outstanding_;
   ++waiting.attempts_;
   waiting.sent_at_ = now;
-  service.batch_outstanding_ += waiting.interactive_ ? 0 : 1;
+  CountSent(service, waiting.interactive_);
   router.sent_.emplace(waiting.ticket_, std::move(waiting));
   return dispatch;
 }
@@ -118,8 +144,8 @@
                         .time_ratio_ = flow == nullptr ? 1 : TimeRatio(*flow, taken)};
     LearnFromEnding(target->second, lesson, now);
   }
-  if (service != nullptr && !waiting.interactive_ && service->batch_outstanding_ > 0) {
-    --service->batch_outstanding_;
+  if (service != nullptr) {
+    CountEnded(*service, waiting.interactive_);
   }
   if (flow != nullptr && ending == Ending::kAnswered) {
     LearnCost(*flow, taken);
--- a/src/laburnumledge/routing/router.hpp
+++ b/src/laburnumledge/routing/router.hpp
@@ -23,6 +23,8 @@
   Queue queue_;
   std::vector<Target*> targets_;  ///< Into Router::targets_.
   std::uint32_t batch_outstanding_{};
+  std::uint32_t interactive_outstanding_{};
+  double interactive_mean_{};          ///< Moving mean of interactive_outstanding_.
   core::TimePoint interactive_until_;  ///< Slots are kept free for interactive work until then.
 };
 
