--- a/src/laburnumledge/node/request_path.hpp
+++ b/src/laburnumledge/node/request_path.hpp
@@ -62,7 +62,7 @@
 
   /** @brief Answers a message of another node about requests; false if it is about others. */
   bool OnMessage(const proto::PeerMessage& message,
-                               const std::function<void(proto::PeerMessage)>& reply);
+                 const std::function<void(proto::PeerMessage)>& reply);
 
   /** @brief Queues and slots. */
   [[nodiscard]] routing::Router& Router() noexcept { return router_; }
--- a/src/laburnumledge/node/status.cpp
+++ b/src/laburnumledge/node/status.cpp
@@ -56,8 +56,6 @@
   return list;
 }
 
-std::size_t QueuedRequests(const routing::Router& router) { return router.queue_.size(); }
-
 std::size_t SentRequests(const routing::Router& router) { return router.sent_.size(); }
 
 std::string_view RoleOf(bool holder, bool draining) noexcept {
@@ -110,7 +108,7 @@
     value["jobs_by_phase"][state::ToString(static_cast<state::Phase>(i))] = counts[i];
   }
   value["waiting_callers"] = job_waiters_.count_;
-  value["queued_requests"] = QueuedRequests(requests_.Router());
+  value["queued_requests"] = routing::QueuedRequests(requests_.Router());
   value["sent_requests"] = SentRequests(requests_.Router());
   value["workers_owned"] = replica_.shard_.owned_.size();
   value["workers"] = {{"listed", configuration.configuration_.inventory_.workers_.size()},
@@ -143,7 +141,7 @@
       {"configuration_version", replica_.configuration_.version_},
       {"term", replica_.jobs_.term_.number_},
       {"jobs_log_age_ms", reader.at_tail_ ? nlohmann::json(AgeMs(reader.fresh_at_, now)) : nullptr},
-      {"queued_requests", QueuedRequests(requests_.Router())}};
+      {"queued_requests", routing::QueuedRequests(requests_.Router())}};
 }
 
 void Node::RefreshMetrics() {
@@ -162,7 +160,7 @@
                  static_cast<double>(counts[i]));
   }
   metrics_.Set("waiting_callers", static_cast<double>(job_waiters_.count_));
-  metrics_.Set("queued_requests", static_cast<double>(QueuedRequests(requests_.Router())));
+  metrics_.Set("queued_requests", static_cast<double>(routing::QueuedRequests(requests_.Router())));
   metrics_.Set("sent_requests", static_cast<double>(SentRequests(requests_.Router())));
   metrics_.Set("workers_owned", static_cast<double>(replica_.shard_.owned_.size()));
   metrics_.Set("workers_not_healthy", static_cast<double>(jobs.health_.size()));
--- a/src/laburnumledge/routing/queue.cpp
+++ b/src/laburnumledge/routing/queue.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint32_t kMostDoublings = 8;
 constexpr core::Milliseconds kShortestProgress{1000};
 constexpr core::Milliseconds kShortestBound{20};
-constexpr core::Milliseconds kCrowdedFor{500};
+constexpr core::Milliseconds kCrowdedFor{100};
 constexpr core::Milliseconds kShortestAdvice{100};
 
 double FlowWeight(const config::Service& service, const config::Organisation& organisation,
--- a/src/laburnumledge/state/job.hpp
+++ b/src/laburnumledge/state/job.hpp
@@ -57,7 +57,7 @@
   core::StateTime started_;
   bool may_have_started_{};  ///< Some task of any attempt may have been started.
   bool cancelled_{};
-  bool stop_at_once_{};  ///< While stopping: no part waits for a checkpoint.
+  bool stop_at_once_{};            ///< While stopping: no part waits for a checkpoint.
   core::Milliseconds progress_{};  ///< Kept by the newest checkpoint.
   std::uint32_t failures_{};
   std::vector<std::string> failed_on_;  ///< Distinct workers blamed for failures.
