Count the bytes of HTTP that coordination costs

Cause: only bodies of exchanges and messages between nodes were counted, while most of a small exchange is its headers and the log and the VM list were not counted at all. Change: the HTTP client counts what its ended calls sent and received; four gauges show it for the platform and for the workers. Ruled out: reading libcurl's request size alone, which holds a body only below 64 KiB (651 bytes seen by a raw socket and reported for a body of 500; 200,154 seen and 154 reported for one of 200,000). Seen: a unit test against the own server at 500, 60,000 and 200,000 bytes.

--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -21,6 +21,8 @@
 constexpr long kMaxIdleSeconds = 10;
 constexpr unsigned kUserTimeoutMs = 3000;
 
+constexpr curl_off_t kBodyCountedAsRequest = 64 << 10;  ///< Larger bodies are not in the size.
+
 struct Transfer {
   CallId id_{};
   CURL* easy_{};
@@ -98,6 +100,8 @@
   loop::Handle timer_{};
   CallId next_call_{1};
   std::unordered_map<curl_socket_t, loop::Handle> watches_;
+  std::uint64_t bytes_sent_{};
+  std::uint64_t bytes_received_{};
   std::unordered_map<CallId, std::unique_ptr<Transfer>> transfers_;
 
   explicit Implementation(loop::Loop& loop) : loop_(loop) {}
@@ -105,6 +109,7 @@
   void Prepare(Transfer& transfer) const;
   void Act(curl_socket_t socket, int mask);
   void CollectEnded();
+  void CountBytes(CURL* easy);
   void End(CURL* easy, CURLcode code);
   void Discard(Transfer& transfer) const noexcept;
   static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* closure, void* context);
@@ -158,7 +163,22 @@
   }
 }
 
+void Client::Implementation::CountBytes(CURL* easy) {
+  long request = 0;
+  long headers = 0;
+  curl_off_t upload = 0;
+  curl_off_t download = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &headers);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &upload);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &download);
+  const bool body_counted = upload < kBodyCountedAsRequest;
+  bytes_sent_ += static_cast<std::uint64_t>(request + (body_counted ? 0 : upload));
+  bytes_received_ += static_cast<std::uint64_t>(headers + download);
+}
+
 void Client::Implementation::End(CURL* easy, CURLcode code) {
+  CountBytes(easy);
   Transfer* transfer = nullptr;
   curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
   Response response = std::move(transfer->response_);
@@ -284,4 +304,8 @@
 
 std::size_t Client::InFlight() const noexcept { return implementation_->transfers_.size(); }
 
+std::uint64_t Client::BytesSent() const noexcept { return implementation_->bytes_sent_; }
+
+std::uint64_t Client::BytesReceived() const noexcept { return implementation_->bytes_received_; }
+
 }  // namespace laburnumledge::http
--- a/src/laburnumledge/http/client.hpp
+++ b/src/laburnumledge/http/client.hpp
@@ -44,6 +44,12 @@
   /** @brief Calls that have not ended. */
   [[nodiscard]] std::size_t InFlight() const noexcept;
 
+  /** @brief Bytes of HTTP sent by calls that have ended, headers included. */
+  [[nodiscard]] std::uint64_t BytesSent() const noexcept;
+
+  /** @brief Bytes of HTTP received by calls that have ended, headers included. */
+  [[nodiscard]] std::uint64_t BytesReceived() const noexcept;
+
  private:
   struct Implementation;
   std::unique_ptr<Implementation> implementation_;
--- a/src/laburnumledge/node/exchanges.cpp
+++ b/src/laburnumledge/node/exchanges.cpp
@@ -90,6 +90,10 @@
   metrics_.Set("peer_bytes_sent", static_cast<double>(peers_->BytesSent()));
   metrics_.Set("peer_bytes_received", static_cast<double>(peers_->BytesReceived()));
   metrics_.Set("peer_links_reopened", static_cast<double>(peers_->LinksReopened()));
+  metrics_.Set("platform_bytes_sent", static_cast<double>(platform_client_.BytesSent()));
+  metrics_.Set("platform_bytes_received", static_cast<double>(platform_client_.BytesReceived()));
+  metrics_.Set("worker_bytes_sent", static_cast<double>(worker_client_.BytesSent()));
+  metrics_.Set("worker_bytes_received", static_cast<double>(worker_client_.BytesReceived()));
   metrics_.Set("exchanges", static_cast<double>(exchanges_));
   metrics_.Set("exchange_bytes", static_cast<double>(exchange_bytes_));
   metrics_.Set("workers_owned", static_cast<double>(replica_.shard_.owned_.size()));
--- a/test/laburnumledge/http/client.cpp
+++ b/test/laburnumledge/http/client.cpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "laburnumledge/http/server.hpp"
 #include "raw_socket.hpp"
 
 namespace laburnumledge::http {
@@ -98,4 +99,27 @@
   CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
 }
 
+TEST_CASE("Bytes are counted once, with their headers, for small and for large bodies") {
+  loop::Loop loop;
+  const auto server = Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
+                                    [](const Request& request, const Respond& respond) {
+                                      respond(JsonReply(200, request.body_));
+                                    });
+  REQUIRE(server != nullptr);
+  Client client(loop, 4);
+  for (const std::size_t body : {std::size_t{500}, std::size_t{60000}, std::size_t{200000}}) {
+    const std::uint64_t sent = client.BytesSent();
+    const std::uint64_t received = client.BytesReceived();
+    Call call;
+    call.method_ = "POST";
+    call.url_ = fmt::format("http://127.0.0.1:{}/", server->Port());
+    call.body_ = std::string(body, 'a');
+    REQUIRE(Exchange(loop, client, std::move(call)).body_.size() == body);
+    CHECK(client.BytesSent() - sent > body);
+    CHECK(client.BytesSent() - sent < body + 400);
+    CHECK(client.BytesReceived() - received > body);
+    CHECK(client.BytesReceived() - received < body + 400);
+  }
+}
+
 }  // namespace laburnumledge::http
