--- a/test/process/library.sh
+++ b/test/process/library.sh
@@ -103,9 +103,13 @@
   wait_until 10 curl -sf -o /dev/null "http://127.0.0.1:$platform/v1/vms"
 }
 
-# make_nodes COUNT: writes settings of node-1.. and sets caller_port[i].
+# make_nodes COUNT: writes settings of node-1.. and sets caller_port[i]. Intervals are short, unless
+# settings_defaults is set.
 make_nodes() {
-  local count=$1 ports i seeds='' comma=''
+  local count=$1 ports i seeds='' comma='' intervals
+  intervals=",\"peer_timeout_ms\":2000,\"exchange_interval_ms\":200,\"lease_length_ms\":${lease_ms:-8000},
+ \"shutdown_notice_ms\":300,\"shutdown_limit_ms\":10000"
+  [ -z "${settings_defaults:-}" ] || intervals=''
   mapfile -t ports < <(free_ports $((2 * count)))
   caller_port=()
   for ((i = 1; i <= count; ++i)); do
@@ -117,9 +121,7 @@
     cat > "$work/node-$i.json" <<S
 {"name":"node-$i","region":"region-1","zone":"zone-$(((i - 1) % 2 + 1))",
  "callers":"127.0.0.1:${caller_port[i]}","peers":"127.0.0.1:${ports[$((2 * i - 1))]}",
- "platform":"127.0.0.1:$platform","seeds":[$seeds],"log_level":"debug",
- "peer_timeout_ms":2000,"exchange_interval_ms":200,"lease_length_ms":${lease_ms:-8000},
- "shutdown_notice_ms":300,"shutdown_limit_ms":10000}
+ "platform":"127.0.0.1:$platform","seeds":[$seeds],"log_level":"debug"$intervals}
 S
   done
 }
