--- a/src/laburnumledge/peer/membership.cpp
+++ b/src/laburnumledge/peer/membership.cpp
@@ -98,7 +98,7 @@
 
 bool IsStuck(const Membership& membership, const Member& member, core::TimePoint opened_at,
              core::Milliseconds timeout, core::TimePoint now) noexcept {
-  const bool far = member.region_ != membership.region_;
+  const bool far = !member.region_.empty() && member.region_ != membership.region_;
   const core::Milliseconds bound = far ? timeout * kFarTimeoutFactor : timeout;
   return now > std::max(member.confirmed_at_, opened_at) + bound;
 }
