Read the log twice a second where nothing wakes a node

A node that appends wakes its peers, so the regular read only finds what an operator's own tools or a lost wake-up brought. It was most of an idle node's traffic.

--- a/src/laburnumledge/config/settings.hpp
+++ b/src/laburnumledge/config/settings.hpp
@@ -47,7 +47,7 @@
   std::uint32_t max_connections_{4096};
   std::uint32_t max_queued_requests_{4096};
   std::uint32_t appends_per_second_{40};
-  core::Milliseconds log_poll_interval_{200};
+  core::Milliseconds log_poll_interval_{500};
   core::Milliseconds vm_list_interval_{1000};
   core::Milliseconds heartbeat_interval_{500};
   core::Milliseconds peer_timeout_{3000};
