--- a/test/laburnumledge/http/client.cpp
+++ b/test/laburnumledge/http/client.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/http/client.hpp"
 
 #include <doctest/doctest.h>
+#include <fmt/core.h>
 
 #include <optional>
 
