--- a/src/laburnumledge/node/job_endpoints.cpp
+++ b/src/laburnumledge/node/job_endpoints.cpp
@@ -16,6 +16,7 @@
 constexpr core::Milliseconds kRetryAfter{1000};
 constexpr std::uint64_t kDefaultListed = 100;
 constexpr std::uint64_t kMostListed = 1000;
+constexpr std::size_t kMostJobs = 50000;
 
 http::Reply TryLater(std::string_view reason) {
   return http::ProblemReply(kUnavailable, core::Verdict::kNotRun, reason, kRetryAfter);
@@ -113,6 +114,10 @@
     respond(TryLater("no configuration has been read yet"));
     return;
   }
+  if (replica_.jobs_.jobs_.size() >= kMostJobs) {
+    respond(TryLater("too many jobs are kept; finished ones are forgotten after a while"));
+    return;
+  }
   const std::string refusal =
       caller::WhyNotAdmitted(replica_.configuration_.configuration_, settings_.region_, *spec);
   if (!refusal.empty()) {
