Observe queue and upstream time of requests and count their retries

The histograms were there and nothing filled them. The request path notes when an attempt starts and ends; waiting and sent requests are counted from what it holds, so that status, metrics and heartbeats need not know the router's queues.

--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -116,8 +116,8 @@
   void AppendConfigurationRecord(proto::Record record, const http::Respond& respond);
 
   // status.cpp
-  [[nodiscard]] std::string StatusText();
-  [[nodiscard]] nlohmann::json SelfJson(core::TimePoint now);
+  [[nodiscard]] std::string StatusText() const;
+  [[nodiscard]] nlohmann::json SelfJson(core::TimePoint now) const;
   void RefreshMetrics();
   [[nodiscard]] bool IsReady() const;
 
--- a/src/laburnumledge/node/request_path.cpp
+++ b/src/laburnumledge/node/request_path.cpp
@@ -211,6 +211,7 @@
              routing::NextDispatch(router_, loop_.Now())) {
     const auto pending = pending_.find(dispatch->ticket_);
     LABURNUMLEDGE_ASSERT(pending != pending_.end(), "a dispatched request waits for its answer");
+    ObserveStart(pending->second);
     upstream::Send(client_, pending->second.forward_, *dispatch,
                    [this, dispatch = *dispatch](const upstream::Answer& answer) {
                      OnAnswer(dispatch, answer);
@@ -219,7 +220,29 @@
   loans_.Borrow();
 }
 
+void RequestPath::ObserveStart(Pending& pending) {
+  const core::TimePoint now = loop_.Now();
+  const routing::Request& request = pending.request_;
+  if (pending.sent_at_ == core::TimePoint()) {
+    metrics_.ObserveQueue(request.organisation_, request.class_, now - pending.arrived_);
+  } else {
+    metrics_.CountRetry(request.organisation_, request.class_);
+  }
+  pending.sent_at_ = now;
+}
+
+void RequestPath::ObserveEnd(routing::Ticket ticket) {
+  const auto pending = pending_.find(ticket);
+  if (pending == pending_.end()) {
+    return;
+  }
+  const routing::Request& request = pending->second.request_;
+  metrics_.ObserveUpstream(request.organisation_, request.class_,
+                           loop_.Now() - pending->second.sent_at_);
+}
+
 void RequestPath::OnAnswer(const routing::Dispatch& dispatch, const upstream::Answer& answer) {
+  ObserveEnd(dispatch.ticket_);
   if (answer.ending_ != routing::Ending::kAnswered) {
     core::Info(core::Part::kUpstream, "attempt at instance {} ended: {}", dispatch.instance_,
                answer.reason_);
--- a/src/laburnumledge/node/request_path.hpp
+++ b/src/laburnumledge/node/request_path.hpp
@@ -67,9 +67,16 @@
   /** @brief Queues and slots. */
   [[nodiscard]] routing::Router& Router() noexcept { return router_; }
 
+  /** @brief Requests that are at an instance. */
+  [[nodiscard]] std::size_t Sent() const noexcept { return router_.sent_.size(); }
+
+  /** @brief Requests that wait for a slot. */
+  [[nodiscard]] std::size_t Queued() const { return routing::QueuedRequests(router_); }
+
  private:
   struct Pending {
     upstream::Forward forward_;
+    core::TimePoint sent_at_;  ///< Start of the newest attempt; the epoch before the first.
     routing::Request request_;
     http::Respond respond_;
     core::TimePoint arrived_;
@@ -83,6 +90,8 @@
   void AdmitPending(Pending pending);
   void Refuse(const Pending& pending, const routing::Refusal& refusal);
   void OnAnswer(const routing::Dispatch& dispatch, const upstream::Answer& answer);
+  void ObserveStart(Pending& pending);
+  void ObserveEnd(routing::Ticket ticket);
   void Answer(routing::Ticket ticket, const upstream::Answer& answer);
   void Reply(const Pending& pending, core::Verdict verdict, http::Reply reply);
   void ExpireQueued();
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -29,6 +29,7 @@
   heartbeat.set_region(settings_.region_);
   heartbeat.set_zone(settings_.zone_);
   heartbeat.set_draining(draining_);
+  heartbeat.set_queued_requests(static_cast<std::uint32_t>(requests_.Queued()));
   NextBeat(beats_, now);
   FillHeartbeat(beats_, replica_, now, heartbeat);
   heartbeat.set_queued_requests(
--- a/src/laburnumledge/node/status.cpp
+++ b/src/laburnumledge/node/status.cpp
@@ -56,8 +56,6 @@
   return list;
 }
 
-std::size_t SentRequests(const routing::Router& router) { return router.sent_.size(); }
-
 std::string_view RoleOf(bool holder, bool draining) noexcept {
   if (draining) {
     return "draining";
@@ -86,7 +84,7 @@
 
 }  // namespace
 
-std::string Node::StatusText() {
+std::string Node::StatusText() const {
   const core::TimePoint now = loop_.Now();
   const state::State& jobs = replica_.jobs_;
   const state::ConfigurationState& configuration = replica_.configuration_;
@@ -108,8 +106,8 @@
     value["jobs_by_phase"][state::ToString(static_cast<state::Phase>(i))] = counts[i];
   }
   value["waiting_callers"] = job_waiters_.count_;
-  value["queued_requests"] = routing::QueuedRequests(requests_.Router());
-  value["sent_requests"] = SentRequests(requests_.Router());
+  value["queued_requests"] = requests_.Queued();
+  value["sent_requests"] = requests_.Sent();
   value["workers_owned"] = replica_.shard_.owned_.size();
   value["workers"] = {{"listed", configuration.configuration_.inventory_.workers_.size()},
                       {"owned", replica_.shard_.owned_.size()},
@@ -131,7 +129,7 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-nlohmann::json Node::SelfJson(core::TimePoint now) {
+nlohmann::json Node::SelfJson(core::TimePoint now) const {
   const platform::Reader& reader = replica_.jobs_reader_;
   return {
       {"name", settings_.name_},
@@ -141,7 +139,7 @@
       {"configuration_version", replica_.configuration_.version_},
       {"term", replica_.jobs_.term_.number_},
       {"jobs_log_age_ms", reader.at_tail_ ? nlohmann::json(AgeMs(reader.fresh_at_, now)) : nullptr},
-      {"queued_requests", routing::QueuedRequests(requests_.Router())}};
+      {"queued_requests", requests_.Queued()}};
 }
 
 void Node::RefreshMetrics() {
@@ -160,8 +158,8 @@
                  static_cast<double>(counts[i]));
   }
   metrics_.Set("waiting_callers", static_cast<double>(job_waiters_.count_));
-  metrics_.Set("queued_requests", static_cast<double>(routing::QueuedRequests(requests_.Router())));
-  metrics_.Set("sent_requests", static_cast<double>(SentRequests(requests_.Router())));
+  metrics_.Set("queued_requests", static_cast<double>(requests_.Queued()));
+  metrics_.Set("sent_requests", static_cast<double>(requests_.Sent()));
   metrics_.Set("workers_owned", static_cast<double>(replica_.shard_.owned_.size()));
   metrics_.Set("workers_not_healthy", static_cast<double>(jobs.health_.size()));
   metrics_.Set("nodes_live", static_cast<double>(nodes_.size()));
