--- a/test/randomised/input/parsers.cpp
+++ b/test/randomised/input/parsers.cpp
@@ -75,6 +75,10 @@
   }
 }
 
+std::string ReasonFor(const std::string& text) {
+  return config::ParseConfiguration(text, "site.json").has_value() ? "" : core::LastReason();
+}
+
 /** Every line of a refusal names the file and a line of it. */
 void CheckReason(const std::string& file) {
   const std::string& reason = core::LastReason();
