--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -32,8 +32,6 @@
   heartbeat.set_queued_requests(static_cast<std::uint32_t>(requests_.Queued()));
   NextBeat(beats_, now);
   FillHeartbeat(beats_, replica_, now, heartbeat);
-  heartbeat.set_queued_requests(
-      static_cast<std::uint32_t>(routing::QueuedRequests(requests_.Router())));
   heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
   for (auto& [name, member] : membership_.members_) {
     const bool far = !member.region_.empty() && member.region_ != settings_.region_;
