Call a node without slots ready

In a cluster of one or two instances rendezvous hashing leaves some nodes without a slot. They were never ready, so eight process tests of jobs failed. A node is unready only while every slot that it owns is held back; one that owns none borrows.

--- a/src/laburnumledge/node/request_path.cpp
+++ b/src/laburnumledge/node/request_path.cpp
@@ -95,7 +95,9 @@
   Pump();
 }
 
-bool RequestPath::IsReady() const noexcept { return routing::HasUsableSlots(router_, loop_.Now()); }
+bool RequestPath::IsReady() const noexcept {
+  return !routing::HoldsBackAllSlots(router_, loop_.Now());
+}
 
 void RequestPath::Handle(http::Request request, http::Respond respond) {
   const core::TimePoint now = loop_.Now();
--- a/src/laburnumledge/routing/router.cpp
+++ b/src/laburnumledge/routing/router.cpp
@@ -308,11 +308,14 @@
   return count;
 }
 
-bool HasUsableSlots(const Router& router, core::TimePoint now) noexcept {
-  const auto& targets = router.targets_;
-  return targets.empty() || std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
-           return UsableSlots(entry.second, now) > 0;
-         });
+bool HoldsBackAllSlots(const Router& router, core::TimePoint now) noexcept {
+  std::size_t owned = 0;
+  std::size_t usable = 0;
+  for (const auto& [name, target] : router.targets_) {
+    owned += target.slots_.size();
+    usable += UsableSlots(target, now);
+  }
+  return owned > 0 && usable == 0;
 }
 
 }  // namespace laburnumledge::routing
--- a/src/laburnumledge/routing/router.hpp
+++ b/src/laburnumledge/routing/router.hpp
@@ -109,7 +109,7 @@
 /** @brief Requests that wait, over all services. */
 [[nodiscard]] std::size_t QueuedRequests(const Router& router) noexcept;
 
-/** @brief Whether requests can be sent: some slot may be used, or there are no instances. */
-[[nodiscard]] bool HasUsableSlots(const Router& router, core::TimePoint now) noexcept;
+/** @brief Whether this node owns slots and every one is held back for its last owner's sake. */
+[[nodiscard]] bool HoldsBackAllSlots(const Router& router, core::TimePoint now) noexcept;
 
 }  // namespace laburnumledge::routing
