--- a/test/randomised/cluster/cluster.cpp
+++ b/test/randomised/cluster/cluster.cpp
@@ -84,6 +84,7 @@
             ? state::ApplyConfiguration(cluster.reference_configuration_, record, entry.offset_)
             : state::Apply(cluster.reference_, record, entry.offset_);
     NoteRecord(cluster, record, result);
+    cluster.stale_records_ += result.code_ == state::ApplyCode::kStaleTerm ? 1 : 0;
     Spoil(cluster, cluster.reference_);
     if (result.code_ == state::ApplyCode::kApplied) {
       CheckReclaimable(cluster, record);
--- a/test/randomised/cluster/cluster.hpp
+++ b/test/randomised/cluster/cluster.hpp
@@ -46,7 +46,8 @@
   state::State reference_;  ///< Every record applied as it landed.
   state::ConfigurationState reference_configuration_;
   std::map<std::uint64_t, std::uint64_t> hashes_;  ///< Of the reference by offset.
-  std::uint64_t records_{};
+  std::uint64_t records_{};                        ///< Applied.
+  std::uint64_t stale_records_{};                  ///< Of an earlier term.
   std::uint64_t next_seed_{};
 };
 
@@ -83,6 +84,12 @@
 /** @brief One whole run: faults, healing, checks. */
 [[nodiscard]] History RunOnce(std::uint64_t seed, Defect defect);
 
+/** @brief Publishes the first configuration until it is in the log. */
+void PublishUntilThere(Cluster& cluster);
+
+/** @brief A caller submits a job with that number. */
+void Submit(Cluster& cluster, std::uint32_t number);
+
 /** @brief Schedules faults, callers and operators up to a time. */
 void ScheduleRun(Cluster& cluster, core::TimePoint end);
 
--- a/test/randomised/cluster/run.cpp
+++ b/test/randomised/cluster/run.cpp
@@ -166,26 +166,6 @@
   }
 }
 
-void Submit(Cluster& cluster, std::uint32_t number) {
-  core::Random& random = cluster.random_;
-  proto::JobSpec spec;
-  spec.set_id(fmt::format("job-{}", number));
-  spec.set_kind(spec.id());
-  spec.set_organisation(Chance(random, 50) ? "stofn" : "lefka");
-  spec.set_tasks(1 + Below(random, 4));
-  spec.mutable_shape()->set_accelerators(1U << Below(random, 3));
-  spec.mutable_shape()->set_cores(2);
-  spec.mutable_shape()->set_memory_mb(1024);
-  spec.set_adjacency(static_cast<proto::Adjacency>(Below(random, 4)));
-  spec.set_repeatable(Chance(random, 50));
-  spec.set_checkpointable(Chance(random, 50));
-  spec.set_command(fmt::format("{}", 200 + Below(random, 8000)));
-  if (spec.adjacency() == proto::ADJACENCY_WORKER) {
-    spec.set_tasks(1 + Below(random, 2));
-  }
-  SubmitOne(cluster, spec, Chance(random, 30) ? 1 + Below(random, 2) : 0);
-}
-
 void CancelWave(Cluster& cluster) {
   std::vector<std::string> jobs;
   for (const auto& [id, job] : cluster.reference_.jobs_) {
@@ -241,17 +221,6 @@
   }
 }
 
-void PublishUntilThere(Cluster& cluster) {
-  if (cluster.reference_configuration_.version_ > 0) {
-    return;
-  }
-  proto::Record change;
-  change.mutable_publish_configuration()->set_text(ConfigurationText(0));
-  Change(cluster, change, {});
-  At(cluster.timeline_, cluster.timeline_.now_ + core::Milliseconds(5000),
-     [&cluster] { PublishUntilThere(cluster); });
-}
-
 void BringZonesBack(Cluster& cluster) {
   for (const std::string& zone : cluster.reference_configuration_.zones_out_) {
     proto::Record change;
@@ -312,6 +281,37 @@
 
 }  // namespace
 
+void Submit(Cluster& cluster, std::uint32_t number) {
+  core::Random& random = cluster.random_;
+  proto::JobSpec spec;
+  spec.set_id(fmt::format("job-{}", number));
+  spec.set_kind(spec.id());
+  spec.set_organisation(Chance(random, 50) ? "stofn" : "lefka");
+  spec.set_tasks(1 + Below(random, 4));
+  spec.mutable_shape()->set_accelerators(1U << Below(random, 3));
+  spec.mutable_shape()->set_cores(2);
+  spec.mutable_shape()->set_memory_mb(1024);
+  spec.set_adjacency(static_cast<proto::Adjacency>(Below(random, 4)));
+  spec.set_repeatable(Chance(random, 50));
+  spec.set_checkpointable(Chance(random, 50));
+  spec.set_command(fmt::format("{}", 200 + Below(random, 8000)));
+  if (spec.adjacency() == proto::ADJACENCY_WORKER) {
+    spec.set_tasks(1 + Below(random, 2));
+  }
+  SubmitOne(cluster, spec, Chance(random, 30) ? 1 + Below(random, 2) : 0);
+}
+
+void PublishUntilThere(Cluster& cluster) {
+  if (cluster.reference_configuration_.version_ > 0) {
+    return;
+  }
+  proto::Record change;
+  change.mutable_publish_configuration()->set_text(ConfigurationText(0));
+  Change(cluster, change, {});
+  At(cluster.timeline_, cluster.timeline_.now_ + core::Milliseconds(5000),
+     [&cluster] { PublishUntilThere(cluster); });
+}
+
 void ScheduleRun(Cluster& cluster, core::TimePoint end) {
   core::Random& random = cluster.random_;
   const core::TimePoint begin = cluster.timeline_.now_;
--- a/test/randomised/cluster/sim_node.cpp
+++ b/test/randomised/cluster/sim_node.cpp
@@ -16,6 +16,7 @@
 constexpr core::Milliseconds kWithdrawAfter{4000};
 constexpr core::Milliseconds kAnswerAfter{9000};
 constexpr core::Milliseconds kCallTimeout{10000};
+constexpr core::Milliseconds kStateTimeout{5000};
 constexpr core::Milliseconds kSnapshotInterval{12000};
 constexpr core::Milliseconds kLeaseLength{10000};
 
@@ -121,11 +122,11 @@
 }
 
 void Call(Cluster& cluster, const NodePointer& node, const std::string& to,
-          proto::PeerMessage message, OnPeerReply done) {
+          core::Milliseconds timeout, proto::PeerMessage message, OnPeerReply done) {
   const std::uint64_t correlation = node->next_call_++;
   message.set_correlation(correlation);
   node->calls_[correlation] = std::move(done);
-  At(cluster.timeline_, cluster.timeline_.now_ + kCallTimeout, [&cluster, node, correlation] {
+  At(cluster.timeline_, cluster.timeline_.now_ + timeout, [&cluster, node, correlation] {
     OnNode(cluster, node, [node, correlation] {
       auto call = node->calls_.extract(correlation);
       if (!call.empty()) {
@@ -150,7 +151,7 @@
   }
   proto::PeerMessage message;
   *message.mutable_state_request() = wish->request_;
-  Call(cluster, node, wish->peer_, std::move(message),
+  Call(cluster, node, wish->peer_, kStateTimeout, std::move(message),
        [&cluster, node](const proto::PeerMessage* reply) {
          node->asking_ = false;
          if (reply != nullptr && !node::TakeStateReply(node->replica_, reply->state_reply())) {
@@ -351,10 +352,11 @@
   proto::PeerMessage message;
   message.mutable_call()->set_path(path);
   message.mutable_call()->set_body(body);
-  Call(cluster, node, holder, std::move(message), [done](const proto::PeerMessage* reply) {
-    done(reply == nullptr ? core::Verdict::kMayHaveRun
-                          : static_cast<core::Verdict>(reply->call_reply().status()));
-  });
+  Call(cluster, node, holder, kCallTimeout, std::move(message),
+       [done](const proto::PeerMessage* reply) {
+         done(reply == nullptr ? core::Verdict::kMayHaveRun
+                               : static_cast<core::Verdict>(reply->call_reply().status()));
+       });
   return true;
 }
 
