--- a/test/measure/fleet.hpp
+++ b/test/measure/fleet.hpp
@@ -121,6 +121,7 @@
   record.set_format_major(state::kFormatMajor);
   record.set_term(replica.jobs_.term_.number_);
   record.set_at_ms(replica.jobs_.next_offset_);
+  record.set_base_offset(replica.jobs_.next_offset_);
   return record;
 }
 
