--- a/src/laburnumledge/node/decider.cpp
+++ b/src/laburnumledge/node/decider.cpp
@@ -16,6 +16,7 @@
 
 constexpr core::Milliseconds kFirstSnapshot{2000};
 constexpr std::size_t kChunkBytes = 128U << 10U;
+constexpr core::Milliseconds kPruneInterval{5000};
 constexpr int kForgetAtOnce = 1000;
 
 using state::Job;
@@ -243,16 +244,39 @@
   }
 }
 
-void StepGangs(Context& context) {
-  for (const std::string& id : context.index_.active_) {
-    StepGang(context, context.state_.jobs_.at(id));
+/** Drops what is known of jobs that hold no cells any more. */
+void PruneGangs(Context& context) {
+  Decider& decider = context.decider_;
+  if (context.now_ < decider.next_prune_) {
+    return;
   }
-  std::erase_if(context.decider_.gangs_, [&](const auto& entry) {
+  decider.next_prune_ = context.now_ + kPruneInterval;
+  std::erase_if(decider.gangs_, [&](const auto& entry) {
     const auto job = context.state_.jobs_.find(entry.first);
     return job == context.state_.jobs_.end() || !state::HoldsCells(job->second.phase_);
   });
 }
 
+void StepJobs(Context& context, const std::set<std::string>& jobs) {
+  for (const std::string& id : jobs) {
+    StepGang(context, context.state_.jobs_.at(id));
+  }
+}
+
+/** Started jobs need nothing until one of their tasks is reported or a worker is silent. */
+void StepGangs(Context& context) {
+  Decider& decider = context.decider_;
+  const JobIndex& index = context.index_;
+  std::erase_if(decider.silent_until_,
+                [&](const auto& entry) { return entry.second <= context.now_; });
+  std::erase_if(decider.reported_, [&](const std::string& id) {
+    return !index.started_.contains(id) && !index.moving_.contains(id);
+  });
+  StepJobs(context, index.moving_);
+  StepJobs(context, decider.silent_until_.empty() ? decider.reported_ : index.started_);
+  PruneGangs(context);
+}
+
 void FillDecision(const state::State& state, const policy::Decision& decision,
                   proto::Record& record) {
   switch (decision.action_) {
@@ -365,6 +389,7 @@
     return;
   }
   for (const proto::LeaseReport& report : reports.reports()) {
+    decider.reported_.insert(report.job());
     GangView& gang = decider.gangs_[report.job()];
     if (report.attempt() > gang.attempt_) {
       gang = {.attempt_ = report.attempt(), .reports_ = {}};
@@ -406,6 +431,7 @@
   }
   decider.outstanding_.clear();
   decider.gangs_.clear();
+  decider.reported_.clear();
 }
 
 std::optional<Outgoing> StepConfigurationSnapshot(Decider& decider,
--- a/src/laburnumledge/node/decider.hpp
+++ b/src/laburnumledge/node/decider.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   std::string self_;
   std::uint64_t incarnation_{};
   std::map<std::string, GangView> gangs_;                ///< By job.
+  std::set<std::string> reported_;                       ///< Jobs with reports to look at.
+  core::TimePoint next_prune_;                           ///< When ended jobs are dropped above.
   std::map<std::string, core::TimePoint> silent_until_;  ///< Workers reported as silent.
   std::map<std::string, std::string> outstanding_;       ///< Subject to identifier of its record.
   std::string snapshot_record_;                          ///< Newest chunk of a snapshot.
--- a/src/laburnumledge/node/job_index.cpp
+++ b/src/laburnumledge/node/job_index.cpp
@@ -4,12 +4,18 @@
 
 namespace {
 
-void Add(JobIndex& index, const state::Job& job) {
-  if (state::HoldsCells(job.phase_)) {
-    index.active_.insert(job.spec_.id_);
+void Keep(std::set<std::string>& jobs, const std::string& job, bool kept) {
+  if (kept) {
+    jobs.insert(job);
   } else {
-    index.active_.erase(job.spec_.id_);
+    jobs.erase(job);
   }
+}
+
+void Add(JobIndex& index, const state::Job& job) {
+  const bool started = job.phase_ == state::Phase::kStarted;
+  Keep(index.started_, job.spec_.id_, started);
+  Keep(index.moving_, job.spec_.id_, state::HoldsCells(job.phase_) && !started);
   if (job.phase_ == state::Phase::kFinished) {
     index.finished_.emplace(job.finished_, job.spec_.id_);
   }
--- a/src/laburnumledge/node/job_index.hpp
+++ b/src/laburnumledge/node/job_index.hpp
@@ -12,7 +12,8 @@
 
 /** @brief Jobs by what the holder has to do with them: found without a search over all jobs. */
 struct JobIndex {
-  std::set<std::string> active_;                                ///< Jobs that hold cells.
+  std::set<std::string> started_;  ///< Jobs whose tasks may run.
+  std::set<std::string> moving_;   ///< Jobs that hold cells and wait for grants or stops.
   std::set<std::pair<core::StateTime, std::string>> finished_;  ///< By the time of their end.
 };
 
