--- a/src/laburnumledge/node/decider.cpp
+++ b/src/laburnumledge/node/decider.cpp
@@ -263,6 +263,14 @@
   }
 }
 
+void StepReported(Context& context) {
+  for (const std::string& id : context.decider_.reported_) {
+    if (context.index_.started_.contains(id)) {
+      StepGang(context, context.state_.jobs_.at(id));
+    }
+  }
+}
+
 /** Started jobs need nothing until one of their tasks is reported or a worker is silent. */
 void StepGangs(Context& context) {
   Decider& decider = context.decider_;
@@ -273,7 +281,11 @@
     return !index.started_.contains(id) && !index.moving_.contains(id);
   });
   StepJobs(context, index.moving_);
-  StepJobs(context, decider.silent_until_.empty() ? decider.reported_ : index.started_);
+  if (!decider.silent_until_.empty()) {
+    StepJobs(context, index.started_);
+  } else {
+    StepReported(context);
+  }
   PruneGangs(context);
 }
 
