--- a/src/laburnumledge/node/pending.cpp
+++ b/src/laburnumledge/node/pending.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-void Answer(PendingRecords& pending, const std::string& id, RecordOutcome outcome) {
+void Answer(PendingRecords& pending, const std::string& id, const RecordOutcome& outcome) {
   const auto found = pending.records_.find(id);
   if (found == pending.records_.end()) {
     return;
--- a/test/laburnumledge/node/decider.cpp
+++ b/test/laburnumledge/node/decider.cpp
@@ -8,7 +8,12 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::ApplyNext;
+using fixture::kRegion;
+using fixture::MakeState;
+using fixture::NewRecord;
+using fixture::PlaceRecord;
+using fixture::SubmitRecord;
 
 namespace {
 
--- a/test/laburnumledge/node/freshness.cpp
+++ b/test/laburnumledge/node/freshness.cpp
@@ -6,7 +6,7 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::kRegion;
 
 namespace {
 
--- a/test/laburnumledge/node/pending.cpp
+++ b/test/laburnumledge/node/pending.cpp
@@ -8,7 +8,8 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::NewRecord;
+using fixture::SubmitRecord;
 
 namespace {
 
--- a/test/laburnumledge/node/recovery.cpp
+++ b/test/laburnumledge/node/recovery.cpp
@@ -6,7 +6,10 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::ConfigurationText;
+using fixture::kRegion;
+using fixture::MakeState;
+using fixture::NewRecord;
 
 namespace {
 
--- a/test/laburnumledge/node/replica.cpp
+++ b/test/laburnumledge/node/replica.cpp
@@ -7,7 +7,11 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::EntryOf;
+using fixture::kRegion;
+using fixture::MakeState;
+using fixture::NewRecord;
+using fixture::SubmitRecord;
 
 namespace {
 
--- a/test/laburnumledge/node/term.cpp
+++ b/test/laburnumledge/node/term.cpp
@@ -6,7 +6,8 @@
 
 namespace laburnumledge::node {
 
-using namespace fixture;
+using fixture::kRegion;
+using fixture::MakeState;
 
 namespace {
 
--- a/test/laburnumledge/state/apply.cpp
+++ b/test/laburnumledge/state/apply.cpp
@@ -7,7 +7,11 @@
 
 namespace laburnumledge::state {
 
-using namespace fixture;
+using fixture::ApplyNext;
+using fixture::MakeState;
+using fixture::NewRecord;
+using fixture::PlaceRecord;
+using fixture::SubmitRecord;
 
 TEST_CASE("a repeat is a no-op, also when its first copy was forgotten") {
   State state = MakeState();
--- a/test/laburnumledge/state/configuration.cpp
+++ b/test/laburnumledge/state/configuration.cpp
@@ -5,7 +5,8 @@
 
 namespace laburnumledge::state {
 
-using namespace fixture;
+using fixture::ConfigurationText;
+using fixture::NewRecord;
 
 namespace {
 
--- a/test/laburnumledge/state/snapshot.cpp
+++ b/test/laburnumledge/state/snapshot.cpp
@@ -6,7 +6,13 @@
 
 namespace laburnumledge::state {
 
-using namespace fixture;
+using fixture::ApplyNext;
+using fixture::ConfigurationText;
+using fixture::kRegion;
+using fixture::MakeState;
+using fixture::NewRecord;
+using fixture::PlaceRecord;
+using fixture::SubmitRecord;
 
 namespace {
 
--- a/test/randomised/cluster/fake_log.hpp
+++ b/test/randomised/cluster/fake_log.hpp
@@ -44,10 +44,10 @@
 
 /** @brief Sends a read over the network; `cut` tells whether the caller has no way to the log. */
 void SendRead(Timeline& timeline, FakeLog& log, core::Random& random, bool cut,
-              const std::string& stream, std::uint64_t from, platform::ReadDone done);
+              const std::string& stream, std::uint64_t from, const platform::ReadDone& done);
 
 /** @brief Sends an append over the network; its answer may be lost after it took effect. */
 void SendAppend(Timeline& timeline, FakeLog& log, core::Random& random, bool cut,
-                const std::string& stream, std::string data, platform::AppendDone done);
+                const std::string& stream, std::string data, const platform::AppendDone& done);
 
 }  // namespace laburnumledge::cluster
