Let little work preempt much, and count only full-size cells as workers and racks

A rack of two workers was bound for a rack guarantee and given back, and the packing check, which takes every rack of a zone for as large as the largest, then came up short. A worker cell is now a worker as large as any of its zone, a rack cell a rack of as many such workers as any of its zone.

--- a/src/laburnumledge/cells/guarantee.cpp
+++ b/src/laburnumledge/cells/guarantee.cpp
@@ -36,19 +36,31 @@
   return static_cast<std::uint32_t>(count);
 }
 
-bool IsWhole(const WorkerCells& worker) noexcept {
+/** A worker cell is a worker that is as large as any of its zone, so that all such cells are alike.
+ */
+bool IsFullSize(const Pool& pool, const WorkerCells& worker) noexcept {
   return worker.listed_ && worker.capacity_.accelerators_ > 0 &&
-         worker.reclaimable_ == worker.capacity_.accelerators_;
+         worker.capacity_.accelerators_ == pool.zones_[worker.zone_].largest_worker_;
 }
 
-bool IsWhole(const RackCells& rack) noexcept {
-  return rack.listed_workers_ > 0 && rack.whole_workers_ == rack.listed_workers_;
+bool IsWhole(const Pool& pool, const WorkerCells& worker) noexcept {
+  return IsFullSize(pool, worker) && worker.reclaimable_ == worker.capacity_.accelerators_;
+}
+
+/** A rack cell is a rack of as many workers as any of its zone, all of full size. */
+bool IsFullSize(const Pool& pool, const RackCells& rack) noexcept {
+  return rack.listed_workers_ > 0 && rack.full_size_workers_ == rack.listed_workers_ &&
+         rack.listed_workers_ == pool.zones_[rack.zone_].largest_rack_;
+}
+
+bool IsWhole(const Pool& pool, const RackCells& rack) noexcept {
+  return IsFullSize(pool, rack) && rack.whole_workers_ == rack.listed_workers_;
 }
 
 void SetZoneCell(ZoneCells& zone) noexcept {
-  const std::uint32_t whole = zone.reclaimable_[Level(config::Cell::kWorker)];
+  const std::size_t level = Level(config::Cell::kAccelerator);
   zone.reclaimable_[Level(config::Cell::kZone)] =
-      zone.listed_workers_ > 0 && whole == zone.listed_workers_ ? 1 : 0;
+      zone.whole_[level] > 0 && zone.reclaimable_[level] == zone.whole_[level] ? 1 : 0;
 }
 
 /** Adds what a worker contributes, or takes it away for a sign of -1 in unsigned arithmetic. */
@@ -58,22 +70,24 @@
   counts[Level(config::Cell::kAccelerator)] += sign * worker.reclaimable_;
   counts[Level(config::Cell::kPair)] += sign * (worker.reclaimable_ / kPairAccelerators);
   counts[Level(config::Cell::kQuad)] += sign * (worker.reclaimable_ / kQuadAccelerators);
-  if (!IsWhole(worker)) {
+  if (!IsWhole(pool, worker)) {
     return;
   }
-  counts[Level(config::Cell::kRack)] -= IsWhole(rack) ? 1 : 0;
+  counts[Level(config::Cell::kRack)] -= IsWhole(pool, rack) ? 1 : 0;
   rack.whole_workers_ += sign;
-  counts[Level(config::Cell::kRack)] += IsWhole(rack) ? 1 : 0;
+  counts[Level(config::Cell::kRack)] += IsWhole(pool, rack) ? 1 : 0;
   counts[Level(config::Cell::kWorker)] += sign;
 }
 
 void ClearSums(Pool& pool) {
   for (RackCells& rack : pool.racks_) {
     rack.listed_workers_ = 0;
+    rack.full_size_workers_ = 0;
     rack.whole_workers_ = 0;
   }
   for (ZoneCells& zone : pool.zones_) {
     zone.reclaimable_ = {};
+    zone.whole_ = {};
     zone.listed_workers_ = 0;
     zone.largest_worker_ = 0;
     zone.largest_rack_ = 0;
@@ -96,9 +110,27 @@
   }
 }
 
+void CountFullSize(Pool& pool) {
+  for (const WorkerCells& worker : pool.workers_) {
+    pool.racks_[worker.rack_].full_size_workers_ += IsFullSize(pool, worker) ? 1 : 0;
+  }
+}
+
 void SumInventory(Pool& pool) {
   ClearSums(pool);
   CountListed(pool);
+  CountFullSize(pool);
+  for (WorkerCells& worker : pool.workers_) {
+    worker.reclaimable_ = worker.listed_ ? worker.capacity_.accelerators_ : 0;
+    Contribute(pool, worker, 1);
+  }
+  for (ZoneCells& zone : pool.zones_) {
+    zone.whole_ = zone.reclaimable_;
+    zone.reclaimable_ = {};
+  }
+  for (RackCells& rack : pool.racks_) {
+    rack.whole_workers_ = 0;
+  }
   for (WorkerCells& worker : pool.workers_) {
     worker.kept_ = 0;
     worker.deficit_ = 0;
@@ -116,6 +148,14 @@
   return cell <= config::Cell::kQuad ? AcceleratorsOf(cell) : worker.capacity_.accelerators_;
 }
 
+/** Whether a worker is in a cell of a level, as far as its size and its rack's size go. */
+bool IsCellOf(const Pool& pool, const WorkerCells& worker, config::Cell cell) noexcept {
+  if (cell == config::Cell::kWorker) {
+    return IsFullSize(pool, worker);
+  }
+  return cell != config::Cell::kRack || IsFullSize(pool, pool.racks_[worker.rack_]);
+}
+
 std::uint32_t HostOf(const Pool& pool, WorkerIndex worker, config::Cell cell) noexcept {
   if (cell <= config::Cell::kWorker) {
     return worker;
@@ -272,7 +312,7 @@
   return std::all_of(placement.parts_.begin(), placement.parts_.end(), [&](const Part& part) {
     const WorkerCells& worker = pool.workers_[part.worker_];
     return ((due.zones_ >> worker.zone_) & 1) != 0 && worker.capacity_.accelerators_ > 0 &&
-           shape.accelerators_ <= CellSize(worker, due.cell_);
+           shape.accelerators_ <= CellSize(worker, due.cell_) && IsCellOf(pool, worker, due.cell_);
   });
 }
 
--- a/src/laburnumledge/cells/packing.cpp
+++ b/src/laburnumledge/cells/packing.cpp
@@ -135,18 +135,20 @@
 
 LevelCounts CostOf(const ZoneCells& zone, Cell cell) {
   LevelCounts cost{};
-  std::uint32_t accelerators = cell <= Cell::kQuad ? AcceleratorsOf(cell) : zone.largest_worker_;
-  if (cell >= Cell::kRack) {
-    const std::uint32_t workers = cell == Cell::kRack ? zone.largest_rack_ : zone.listed_workers_;
-    accelerators *= workers;
-    cost[Level(Cell::kWorker)] = workers;
-  }
   cost[Level(cell)] = 1;
   if (cell == Cell::kZone) {
-    cost[Level(Cell::kRack)] = static_cast<std::uint32_t>(zone.racks_.size());
+    cost = zone.whole_;
+    cost[Level(cell)] = 1;
+    return cost;
+  }
+  const std::uint32_t workers = cell == Cell::kRack ? zone.largest_rack_ : 1;
+  if (cell == Cell::kRack) {
+    cost[Level(Cell::kWorker)] = workers;
   }
+  const std::uint32_t accelerators =
+      cell <= Cell::kQuad ? AcceleratorsOf(cell) : zone.largest_worker_;
   for (std::size_t level = 0; level < Level(cell) && level <= Level(Cell::kQuad); ++level) {
-    cost[level] = accelerators / AcceleratorsOf(static_cast<Cell>(level));
+    cost[level] = workers * (accelerators / AcceleratorsOf(static_cast<Cell>(level)));
   }
   return cost;
 }
--- a/src/laburnumledge/cells/pool.hpp
+++ b/src/laburnumledge/cells/pool.hpp
@@ -86,7 +86,8 @@
   std::uint32_t zone_{};
   std::vector<WorkerIndex> workers_;
   std::uint32_t listed_workers_{};
-  std::uint32_t whole_workers_{};  ///< Listed workers that are wholly reclaimable.
+  std::uint32_t full_size_workers_{};  ///< Listed workers as large as any of the zone.
+  std::uint32_t whole_workers_{};      ///< Of these, those that are wholly reclaimable.
 };
 
 /** @brief Availability zone of the pool. */
@@ -98,6 +99,7 @@
   std::uint32_t listed_workers_{};
   std::uint32_t largest_worker_{};  ///< Accelerators.
   std::uint32_t largest_rack_{};    ///< Listed workers.
+  LevelCounts whole_{};             ///< Cells of each level when nothing runs.
 };
 
 /** @brief A number of cells of one level that must be found in a set of zones. */
--- a/src/laburnumledge/policy/decide.cpp
+++ b/src/laburnumledge/policy/decide.cpp
@@ -100,7 +100,8 @@
       (again != plan.reclaim_again_.end() && round.now_ < again->second)) {
     return;
   }
-  std::vector<Decision> evictions = Reclaim(plan, request, round.now_);
+  const bool overdue = IsOverdue(round.state_, *request.job_, round.now_);
+  std::vector<Decision> evictions = Reclaim(plan, request, overdue, round.now_);
   if (evictions.empty()) {
     plan.reclaim_again_[id] = round.now_ + kReclaimAgain;
   }
--- a/src/laburnumledge/policy/observe.cpp
+++ b/src/laburnumledge/policy/observe.cpp
@@ -86,6 +86,7 @@
     plan.failures_.erase(id);
     plan.claims_.erase(id);
     plan.reclaim_again_.erase(id);
+    plan.evictions_.erase(id);
   }
   const bool holds = state::HoldsCells(job.phase_);
   const auto held = plan.held_.find(id);
--- a/src/laburnumledge/policy/order.cpp
+++ b/src/laburnumledge/policy/order.cpp
@@ -44,11 +44,15 @@
   if (job.spec_.urgent_) {
     return 0;
   }
-  return now - job.submitted_ > state.configuration_.rules_.large_job_wait_bound_ ? 1 : 2;
+  return IsOverdue(state, job, now) ? 1 : 2;
 }
 
 }  // namespace
 
+bool IsOverdue(const state::State& state, const state::Job& job, core::StateTime now) {
+  return now - job.submitted_ > state.configuration_.rules_.large_job_wait_bound_;
+}
+
 double DominantShare(const Plan& plan, const std::string& organisation) {
   const auto found = plan.usage_.find(organisation);
   if (found == plan.usage_.end()) {
--- a/src/laburnumledge/policy/order.hpp
+++ b/src/laburnumledge/policy/order.hpp
@@ -23,6 +23,9 @@
 [[nodiscard]] std::vector<Waiting> OrderQueue(const state::State& state, const Plan& plan,
                                               core::StateTime now);
 
+/** @brief Whether a job has waited beyond the bound of the rules. */
+[[nodiscard]] bool IsOverdue(const state::State& state, const state::Job& job, core::StateTime now);
+
 /** @brief Largest share of accelerators, cores or memory that an organisation uses, over its due.
  */
 [[nodiscard]] double DominantShare(const Plan& plan, const std::string& organisation);
--- a/src/laburnumledge/policy/plan.hpp
+++ b/src/laburnumledge/policy/plan.hpp
@@ -82,7 +82,8 @@
   std::vector<std::uint64_t> claimed_;  ///< Mask of claimed accelerators of each worker.
   Reservation reservation_;
   std::set<std::string> dead_ends_;  ///< Request signatures that found no cells since a release.
-  std::map<std::string, core::StateTime> reclaim_again_;  ///< When a vain search is repeated.
+  std::unordered_map<std::string, std::uint32_t> evictions_;  ///< For order, of live jobs.
+  std::map<std::string, core::StateTime> reclaim_again_;      ///< When a vain search is repeated.
 };
 
 }  // namespace laburnumledge::policy
--- a/src/laburnumledge/policy/reclaim.cpp
+++ b/src/laburnumledge/policy/reclaim.cpp
@@ -3,6 +3,8 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <cmath>
+#include <cstdlib>
 #include <set>
 
 #include "laburnumledge/cells/guarantee.hpp"
@@ -15,6 +17,10 @@
 
 constexpr core::Milliseconds kStopCost = std::chrono::seconds(30);
 constexpr core::Milliseconds kClaimLimit = std::chrono::minutes(2);
+constexpr core::Milliseconds kLeastRun = std::chrono::minutes(5);
+constexpr std::uint32_t kMostEvictions = 3;
+constexpr double kSizePower = 0.5;
+constexpr double kMuchLonger = 4;
 
 struct Eviction {
   std::vector<std::string> victims_;
@@ -22,26 +28,64 @@
   double lost_{};
 };
 
-bool MayEvict(const Held& held, const state::JobSpec& spec, bool guaranteed) {
-  return held.placement_.tenure_ == cells::Tenure::kLoan &&
-         held.phase_ != state::Phase::kStopping &&
-         (guaranteed || (spec.urgent_ && !held.spec_.urgent_));
+/** What a search for victims is about. */
+struct Hunt {
+  const Request& request_;
+  Right right_{};
+  core::StateTime now_;
+  double value_{};  ///< Accelerator time that is left of the evicting job.
+};
+
+double Value(const state::JobSpec& spec, core::Milliseconds left) {
+  const auto size = static_cast<double>(spec.tasks_) * std::max(spec.shape_.accelerators_, 1U);
+  return static_cast<double>(left.count()) * std::pow(size, kSizePower);
+}
+
+double ValueLeft(const Plan& plan, const Held& held, core::StateTime now) {
+  const core::Milliseconds done = held.done_ + (now - held.since_);
+  return Value(held.spec_, ExpectedRemaining(plan.estimates_, held.spec_, done));
+}
+
+/** Whether a victim keeps its work and was not stopped too often or too soon. */
+bool MayMakeWay(const Plan& plan, const Held& held, core::StateTime now) {
+  const auto evictions = plan.evictions_.find(held.spec_.id_);
+  const bool spared = evictions != plan.evictions_.end() && evictions->second >= kMostEvictions;
+  return held.spec_.checkpointable_ && !held.spec_.urgent_ && !spared &&
+         held.phase_ == state::Phase::kStarted && now - held.since_ >= kLeastRun;
+}
+
+bool MayEvict(const Plan& plan, const Held& held, const Hunt& hunt) {
+  if (held.placement_.tenure_ != cells::Tenure::kLoan || held.phase_ == state::Phase::kStopping) {
+    return false;
+  }
+  switch (hunt.right_) {
+    case Right::kGuarantee:
+      return true;
+    case Right::kUrgent:
+      return !held.spec_.urgent_;
+    case Right::kOverdue:
+      return MayMakeWay(plan, held, hunt.now_) &&
+             held.submit_offset_ > hunt.request_.job_->submit_offset_;
+    case Right::kShorter:
+      return MayMakeWay(plan, held, hunt.now_) &&
+             ValueLeft(plan, held, hunt.now_) > kMuchLonger * hunt.value_;
+  }
+  return false;
 }
 
-std::vector<std::string> LoansOn(const Plan& plan, const Request& request,
-                                 const std::vector<WorkerIndex>& workers, bool guaranteed,
-                                 core::StateTime now) {
+std::vector<std::string> LoansOn(const Plan& plan, const Hunt& hunt,
+                                 const std::vector<WorkerIndex>& workers) {
   std::set<std::string> loans;
   for (const WorkerIndex index : workers) {
     for (const std::string& id : plan.on_worker_[index]) {
-      if (MayEvict(plan.held_.at(id), request.job_->spec_, guaranteed)) {
+      if (MayEvict(plan, plan.held_.at(id), hunt)) {
         loans.insert(id);
       }
     }
   }
   std::vector<std::string> sorted(loans.begin(), loans.end());
   std::stable_sort(sorted.begin(), sorted.end(), [&](const auto& a, const auto& b) {
-    return LostWork(plan.held_.at(a), now) < LostWork(plan.held_.at(b), now);
+    return LostWork(plan.held_.at(a), hunt.now_) < LostWork(plan.held_.at(b), hunt.now_);
   });
   return sorted;
 }
@@ -55,12 +99,12 @@
 }
 
 /** Frees loans, cheapest first, until the job fits; then keeps those that turn out not needed. */
-std::optional<Eviction> EvictOn(Plan& plan, const Request& request,
-                                const std::vector<WorkerIndex>& workers, bool guaranteed,
-                                core::StateTime now) {
+std::optional<Eviction> EvictOn(Plan& plan, const Hunt& hunt,
+                                const std::vector<WorkerIndex>& workers) {
+  const Request& request = hunt.request_;
   std::vector<std::string> freed;
   std::optional<cells::Placement> found;
-  for (const std::string& id : LoansOn(plan, request, workers, guaranteed, now)) {
+  for (const std::string& id : LoansOn(plan, hunt, workers)) {
     Free(plan, plan.held_.at(id));
     freed.push_back(id);
     found = FindCellsOn(plan, request, workers);
@@ -82,7 +126,7 @@
   Eviction eviction{.victims_ = freed, .placement_ = {}};
   for (const std::string& id : freed) {
     TakeBack(plan, plan.held_.at(id));
-    eviction.lost_ += LostWork(plan.held_.at(id), now);
+    eviction.lost_ += LostWork(plan.held_.at(id), hunt.now_);
   }
   if (!found.has_value() || freed.empty()) {
     return std::nullopt;
@@ -103,37 +147,35 @@
   return slots >= request.job_->spec_.tasks_;
 }
 
-void Consider(Plan& plan, const Request& request, const Request& roomy,
-              const std::vector<WorkerIndex>& workers, bool guaranteed, core::StateTime now,
-              std::optional<Eviction>& best) {
+void Consider(Plan& plan, const Hunt& hunt, const Request& roomy,
+              const std::vector<WorkerIndex>& workers, std::optional<Eviction>& best) {
   if (!HasRoom(plan, roomy, workers)) {
     return;
   }
-  std::optional<Eviction> eviction = EvictOn(plan, request, workers, guaranteed, now);
+  std::optional<Eviction> eviction = EvictOn(plan, hunt, workers);
   if (eviction.has_value() && (!best.has_value() || Cheaper(*eviction, *best))) {
     best = std::move(eviction);
   }
 }
 
-std::optional<Eviction> FindEviction(Plan& plan, const Request& request, bool guaranteed,
-                                     core::StateTime now) {
-  Request roomy = request;
+std::optional<Eviction> FindEviction(Plan& plan, const Hunt& hunt) {
+  Request roomy = hunt.request_;
   roomy.with_loans_ = true;
   std::optional<Eviction> best;
-  const state::JobSpec& spec = request.job_->spec_;
+  const state::JobSpec& spec = hunt.request_.job_->spec_;
   std::vector<WorkerIndex> everywhere;
   for (const cells::RackCells& rack : plan.pool_.racks_) {
     everywhere.insert(everywhere.end(), rack.workers_.begin(), rack.workers_.end());
     if (spec.tasks_ > 1 && spec.adjacency_ != state::Adjacency::kWorker) {
-      Consider(plan, request, roomy, rack.workers_, guaranteed, now, best);
+      Consider(plan, hunt, roomy, rack.workers_, best);
       continue;
     }
     for (const WorkerIndex worker : rack.workers_) {
-      Consider(plan, request, roomy, {worker}, guaranteed, now, best);
+      Consider(plan, hunt, roomy, {worker}, best);
     }
   }
   if (!best.has_value() && spec.adjacency_ == state::Adjacency::kNone && spec.tasks_ > 1) {
-    Consider(plan, request, roomy, everywhere, guaranteed, now, best);
+    Consider(plan, hunt, roomy, everywhere, best);
   }
   return best;
 }
@@ -175,6 +217,51 @@
   }
 }
 
+std::vector<Right> RightsOf(const Plan& plan, const state::JobSpec& spec, bool overdue) {
+  std::vector<Right> rights;
+  if (IsCovered(plan, spec)) {
+    rights.push_back(Right::kGuarantee);
+  }
+  if (spec.urgent_) {
+    rights.push_back(Right::kUrgent);
+  } else if (overdue) {
+    rights.push_back(Right::kOverdue);
+  }
+  rights.push_back(Right::kShorter);
+  return rights;
+}
+
+std::string ReasonOf(Right right, const std::string& id) {
+  switch (right) {
+    case Right::kGuarantee:
+      return fmt::format("its loaned cells are reclaimed for guaranteed job {}", id);
+    case Right::kUrgent:
+      return fmt::format("its loaned cells are taken for urgent job {}", id);
+    case Right::kOverdue:
+      return fmt::format("makes way for job {}, which waited beyond its bound", id);
+    case Right::kShorter:
+      return fmt::format("makes way for job {}, of which much less is left", id);
+  }
+  return {};
+}
+
+std::vector<Decision> PreemptAll(Plan& plan, const Eviction& eviction, Right right,
+                                 const std::string& id) {
+  std::vector<Decision> decisions;
+  for (const std::string& victim : eviction.victims_) {
+    Held& held = plan.held_.at(victim);
+    Decision decision;
+    decision.action_ = Action::kPreempt;
+    decision.job_ = victim;
+    decision.attempt_ = held.attempt_;
+    decision.reason_ = ReasonOf(right, id);
+    decisions.push_back(std::move(decision));
+    held.phase_ = state::Phase::kStopping;
+    plan.evictions_[victim] += right == Right::kOverdue || right == Right::kShorter ? 1 : 0;
+  }
+  return decisions;
+}
+
 }  // namespace
 
 double LostWork(const Held& held, core::StateTime now) {
@@ -187,28 +274,20 @@
   return accelerators * static_cast<double>(lost.count());
 }
 
-std::vector<Decision> Reclaim(Plan& plan, const Request& request, core::StateTime now) {
+std::vector<Decision> Reclaim(Plan& plan, const Request& request, bool overdue,
+                              core::StateTime now) {
   const state::JobSpec& spec = request.job_->spec_;
-  const bool guaranteed = IsCovered(plan, spec);
-  std::vector<Decision> decisions;
-  if (!guaranteed && !spec.urgent_) {
-    return decisions;
-  }
-  std::optional<Eviction> eviction = FindEviction(plan, request, guaranteed, now);
-  if (!eviction.has_value() || !Holds(plan, spec, *eviction, guaranteed && !spec.urgent_)) {
-    return decisions;
-  }
-  for (const std::string& id : eviction->victims_) {
-    Decision decision;
-    decision.action_ = Action::kPreempt;
-    decision.job_ = id;
-    decision.attempt_ = plan.held_.at(id).attempt_;
-    decision.reason_ = fmt::format("its loaned cells are reclaimed for job {}", spec.id_);
-    decisions.push_back(std::move(decision));
-    plan.held_.at(id).phase_ = state::Phase::kStopping;
+  const double value =
+      Value(spec, ExpectedRemaining(plan.estimates_, spec, request.job_->progress_));
+  for (const Right right : RightsOf(plan, spec, overdue)) {
+    const Hunt hunt{.request_ = request, .right_ = right, .now_ = now, .value_ = value};
+    std::optional<Eviction> eviction = FindEviction(plan, hunt);
+    if (eviction.has_value() && Holds(plan, spec, *eviction, right == Right::kGuarantee)) {
+      MakeClaim(plan, spec.id_, eviction->placement_, now);
+      return PreemptAll(plan, *eviction, right, spec.id_);
+    }
   }
-  MakeClaim(plan, spec.id_, eviction->placement_, now);
-  return decisions;
+  return {};
 }
 
 void RefreshClaims(Plan& plan, core::StateTime now) {
--- a/test/measure/policy.cpp
+++ b/test/measure/policy.cpp
@@ -51,6 +51,7 @@
   }
   Append(sum.all_completion_, part.all_completion_);
   Append(sum.slowdown_, part.slowdown_);
+  Append(sum.runtime_, part.runtime_);
   Append(sum.large_wait_, part.large_wait_);
   Append(sum.urgent_wait_, part.urgent_wait_);
   Append(sum.entitled_wait_, part.entitled_wait_);
@@ -73,23 +74,24 @@
 
 void PrintHeader() {
   fmt::print(
-      "{:<22}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}{:>8}{:>8}{:>8}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}"
+      "{:<12}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}{:>8}{:>8}{:>8}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}"
       "{:>6}{:>5}{:>5}{:>5}{:>8}\n",
-      "policy", "mean", "p50", "p99", "slow", "small", "medium", "large", "lw p99", "lw max",
-      "uw p99", "ew p99", "block", "strand", "absent", "lost", "preem", "rej", "open", "bad", "us");
+      "policy", "floor", "mean", "p50", "p99", "slow", "small", "medium", "large", "lw p99",
+      "lw max", "uw p99", "ew p99", "block", "strand", "absent", "lost", "preem", "rej", "open",
+      "bad", "us");
 }
 
 void PrintRow(const std::string& name, const Figures& figures) {
   const auto share = [](double part, double whole) { return whole > 0 ? part / whole : 0; };
   fmt::print(
-      "{:<22}{:>7.1f}{:>7.1f}{:>7.0f}{:>7.2f}{:>8.1f}{:>8.1f}{:>8.1f}{:>8.0f}{:>8.0f}"
+      "{:<12}{:>7.1f}{:>7.1f}{:>7.1f}{:>7.0f}{:>7.2f}{:>8.1f}{:>8.1f}{:>8.1f}{:>8.0f}{:>8.0f}"
       "{:>7.1f}{:>7.1f}{:>7.3f}{:>7.3f}{:>8.3f}{:>8.1f}{:>6}{:>5}{:>5}{:>5}{:>8.0f}\n",
-      name, Mean(figures.all_completion_), Quantile(figures.all_completion_, 0.5),
-      Quantile(figures.all_completion_, 0.99), Mean(figures.slowdown_),
-      Mean(figures.completion_[1]), Mean(figures.completion_[2]), Mean(figures.completion_[3]),
-      Quantile(figures.large_wait_, 0.99), Quantile(figures.large_wait_, 1),
-      Quantile(figures.urgent_wait_, 0.99), Quantile(figures.entitled_wait_, 0.99),
-      share(figures.block_loss_, figures.block_weight_),
+      name, Mean(figures.runtime_), Mean(figures.all_completion_),
+      Quantile(figures.all_completion_, 0.5), Quantile(figures.all_completion_, 0.99),
+      Mean(figures.slowdown_), Mean(figures.completion_[1]), Mean(figures.completion_[2]),
+      Mean(figures.completion_[3]), Quantile(figures.large_wait_, 0.99),
+      Quantile(figures.large_wait_, 1), Quantile(figures.urgent_wait_, 0.99),
+      Quantile(figures.entitled_wait_, 0.99), share(figures.block_loss_, figures.block_weight_),
       share(figures.stranded_, figures.stranded_weight_),
       share(figures.absent_useful_, figures.absent_possible_), figures.lost_, figures.preempted_,
       figures.rejected_, figures.unfinished_, figures.good_jobs_failed_,
@@ -131,8 +133,7 @@
 }
 
 template <typename Seeds>
-void Compare(const std::string& title, const Seeds& seeds, double load,
-             const std::string& folder) {
+void Compare(const std::string& title, const Seeds& seeds, double load, const std::string& folder) {
   for (const Site& site : kSites) {
     fmt::print("\n{}, {} seeds, {} jobs each, load {}\n", site.name_ + ", " + title, seeds.size(),
                kJobs, load);
--- a/test/measure/policy_run.hpp
+++ b/test/measure/policy_run.hpp
@@ -21,6 +21,7 @@
   std::array<std::vector<double>, kClasses> completion_;
   std::map<std::string, std::vector<double>> organisation_completion_;
   std::vector<double> all_completion_;
+  std::vector<double> runtime_;
   std::vector<double> slowdown_;
   std::vector<double> large_wait_;
   std::vector<double> urgent_wait_;
@@ -248,6 +249,7 @@
   figures.completion_[static_cast<std::size_t>(work.class_)].push_back(completion);
   figures.organisation_completion_[work.spec_.organisation_].push_back(completion);
   figures.all_completion_.push_back(completion);
+  figures.runtime_.push_back(runtime);
   figures.slowdown_.push_back(completion / std::max(runtime, 1.0));
   if (work.class_ == Class::kLarge) {
     figures.large_wait_.push_back(wait);
--- a/test/measure/policy_workload.hpp
+++ b/test/measure/policy_workload.hpp
@@ -150,8 +150,8 @@
   Work work;
   const double pick = draw.Uniform(0, 1);
   work.class_ = pick < 0.03   ? Class::kUrgent
-                : pick < 0.75 ? Class::kSmall
-                : pick < 0.94 ? Class::kMedium
+                : pick < 0.60 ? Class::kSmall
+                : pick < 0.88 ? Class::kMedium
                               : Class::kLarge;
   DrawShape(draw, site, work);
   const double owner = draw.Uniform(0, 1);
@@ -179,7 +179,7 @@
 /** @brief Submission times: a day's wave, with bursts of small and of large jobs. */
 inline void DrawTimes(Generator& draw, Workload& workload, double span_ms) {
   static constexpr double kWave = 0.5;
-  static constexpr double kBurstShare = 0.25;
+  static constexpr double kBurstShare = 0.5;
   std::array<std::vector<double>, kClasses> bursts;
   for (auto& times : bursts) {
     for (int i = 0; i < 5; ++i) {
