Bound the search for victims, and follow preemptions that were not applied

The backfill baseline ordered equal ends by address, so its figures moved from run to run; it orders them by submission.

--- a/src/laburnumledge/policy/decide.cpp
+++ b/src/laburnumledge/policy/decide.cpp
@@ -1,5 +1,7 @@
 #include "laburnumledge/policy/decide.hpp"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 #include <optional>
 
@@ -18,6 +20,7 @@
 namespace {
 
 constexpr core::Milliseconds kReclaimAgain = std::chrono::minutes(1);
+constexpr std::size_t kMostSearches = 4;  // for victims, in one round
 
 struct Round {
   const state::State& state_;
@@ -26,6 +29,7 @@
   std::vector<Decision> decisions_;
   std::vector<std::size_t> placed_;  ///< Positions of the placements in decisions_.
   std::set<std::string> ended_;
+  std::size_t searches_left_{kMostSearches};
   std::vector<cells::WorkerIndex> held_back_;
 };
 
@@ -62,7 +66,9 @@
     const bool waits =
         job != round.state_.jobs_.end() && job->second.phase_ == state::Phase::kQueued;
     if (waits && !round.ended_.contains(id) && FailsEverywhere(round.state_, job->second)) {
-      End(round, job->second, state::Outcome::kFailed, job->second.reason_);
+      End(round, job->second, state::Outcome::kFailed,
+          fmt::format("failed {} times on {} workers, at last: {}", failures,
+                      job->second.failed_on_.size(), job->second.reason_));
     }
   }
 }
@@ -135,6 +141,10 @@
     return;
   }
   const bool overdue = IsOverdue(round.state_, *request.job_, round.now_);
+  if (round.searches_left_ == 0) {
+    return;
+  }
+  --round.searches_left_;
   std::vector<Decision> evictions = Reclaim(plan, request, overdue, round.now_);
   if (evictions.empty()) {
     plan.reclaim_again_[id] = round.now_ + kReclaimAgain;
@@ -168,6 +178,17 @@
   TryReserve(round, request);
 }
 
+/** Takes back what the last round expected of jobs whose preemption was not applied. */
+void FollowStopping(Round& round) {
+  for (const std::string& id : round.plan_.stopping_) {
+    const auto held = round.plan_.held_.find(id);
+    if (held != round.plan_.held_.end()) {
+      held->second.phase_ = round.state_.jobs_.at(id).phase_;
+    }
+  }
+  round.plan_.stopping_.clear();
+}
+
 /** Keeps the round's placements off the workers that it suspects. */
 void HoldBackSuspects(Round& round) {
   for (const Decision& decision : round.decisions_) {
@@ -198,6 +219,7 @@
 
 std::vector<Decision> Decide(const state::State& state, Plan& plan, core::StateTime now) {
   Round round{.state_ = state, .plan_ = plan, .now_ = now};
+  FollowStopping(round);
   RefreshClaims(plan, now);
   RefreshReservation(plan, state, now);
   Append(round.decisions_, JudgeWorkers(state, plan, now));
--- a/src/laburnumledge/policy/move.cpp
+++ b/src/laburnumledge/policy/move.cpp
@@ -61,6 +61,8 @@
     decision.attempt_ = held->attempt_;
     decision.reason_ = fmt::format("availability zone {} is out", ZoneOut(plan, *held)->name_);
     decisions.push_back(std::move(decision));
+    held->phase_ = state::Phase::kStopping;
+    plan.stopping_.push_back(held->spec_.id_);
   }
   return decisions;
 }
--- a/src/laburnumledge/policy/plan.hpp
+++ b/src/laburnumledge/policy/plan.hpp
@@ -80,6 +80,7 @@
   std::vector<ZoneRecord> zones_;
   std::map<std::string, Claim> claims_;
   std::vector<std::uint64_t> claimed_;  ///< Mask of claimed accelerators of each worker.
+  std::vector<std::string> stopping_;   ///< Decided in the last round to be stopped.
   Reservation reservation_;
   std::set<std::string> dead_ends_;  ///< Request signatures that found no cells since a release.
   std::unordered_map<std::string, std::uint32_t> evictions_;  ///< For order, of live jobs.
--- a/src/laburnumledge/policy/reclaim.cpp
+++ b/src/laburnumledge/policy/reclaim.cpp
@@ -17,10 +17,13 @@
 constexpr core::Milliseconds kStopCost = std::chrono::seconds(30);
 constexpr core::Milliseconds kClaimLimit = std::chrono::minutes(2);
 constexpr core::Milliseconds kLeastRun = std::chrono::minutes(5);
-constexpr std::uint32_t kMostEvictions = 4;
+constexpr std::uint32_t kMostEvictions = 8;
 constexpr double kSizePower = 0.5;
 constexpr double kMuchLonger = 2;
 
+/** Workers that the searches of one hunt may visit. */
+constexpr std::size_t kMostVisits = 2000;
+
 struct Eviction {
   std::vector<std::string> victims_;
   cells::Placement placement_;
@@ -29,10 +32,11 @@
 
 /** What a search for victims is about. */
 struct Hunt {
-  const Request& request_;
+  Request request_;
   Right right_{};
   core::StateTime now_;
-  double value_{};             ///< Accelerator time that is left of the evicting job.
+  double value_{};  ///< Accelerator time that is left of the evicting job.
+  std::size_t* visits_left_{};
   std::uint32_t guarantee_{};  ///< Under Right::kGuarantee: position among the guarantees.
 };
 
@@ -105,6 +109,10 @@
   std::vector<std::string> freed;
   std::optional<cells::Placement> found;
   for (const std::string& id : LoansOn(plan, hunt, workers)) {
+    if (*hunt.visits_left_ < workers.size()) {
+      break;
+    }
+    *hunt.visits_left_ -= workers.size();
     Free(plan, plan.held_.at(id));
     freed.push_back(id);
     found = FindCellsOn(plan, request, workers);
@@ -241,6 +249,7 @@
     decision.reason_ = ReasonOf(right, id);
     decisions.push_back(std::move(decision));
     held.phase_ = state::Phase::kStopping;
+    plan.stopping_.push_back(victim);
     plan.evictions_[victim] += right == Right::kOverdue || right == Right::kShorter ? 1 : 0;
   }
   return decisions;
@@ -271,24 +280,22 @@
 std::vector<Decision> Reclaim(Plan& plan, const Request& request, bool overdue,
                               core::StateTime now) {
   const state::JobSpec& spec = request.job_->spec_;
-  const double value =
-      Value(spec, ExpectedRemaining(plan.estimates_, spec, request.job_->progress_));
+  std::size_t visits_left = kMostVisits;
+  Hunt hunt{.request_ = request, .now_ = now, .visits_left_ = &visits_left};
+  hunt.value_ = Value(spec, ExpectedRemaining(plan.estimates_, spec, request.job_->progress_));
   const auto& guarantees = GuaranteesOf(plan, spec.organisation_);
-  for (std::uint32_t i = 0; i < guarantees.size(); ++i) {
-    Request bound = request;
-    bound.bind_ = &guarantees[i];
-    std::vector<Decision> decisions = TryRight(plan, {.request_ = bound,
-                                                      .right_ = Right::kGuarantee,
-                                                      .now_ = now,
-                                                      .value_ = value,
-                                                      .guarantee_ = i});
+  hunt.right_ = Right::kGuarantee;
+  for (hunt.guarantee_ = 0; hunt.guarantee_ < guarantees.size(); ++hunt.guarantee_) {
+    hunt.request_.bind_ = &guarantees[hunt.guarantee_];
+    std::vector<Decision> decisions = TryRight(plan, hunt);
     if (!decisions.empty()) {
       return decisions;
     }
   }
+  hunt.request_.bind_ = nullptr;
   for (const Right right : RightsOf(spec, overdue)) {
-    std::vector<Decision> decisions =
-        TryRight(plan, {.request_ = request, .right_ = right, .now_ = now, .value_ = value});
+    hunt.right_ = right;
+    std::vector<Decision> decisions = TryRight(plan, hunt);
     if (!decisions.empty()) {
       return decisions;
     }
--- a/test/measure/policy.cpp
+++ b/test/measure/policy.cpp
@@ -158,6 +158,47 @@
   }
 }
 
+/** @brief Cost of one submit at a fleet's size, with a queue that waits behind a full fleet. */
+void MeasureScale(std::uint32_t workers) {
+  const Site site{"fleet", 4, workers, 10, 128, 262144};
+  std::vector<double> submit_us;
+  std::vector<double> apply_us;
+  Workload workload;
+  const std::size_t jobs = workers * 4;
+  Generator draw{.random_ = core::MakeRandom(1, "fleet")};
+  for (std::size_t i = 0; i < jobs; ++i) {
+    workload.works_.push_back(DrawWork(draw, site, i));
+  }
+  const auto decide = [](const auto& state, auto& plan, auto now) {
+    return policy::Decide(state, plan, now);
+  };
+  Run run{.workload_ = workload, .decide_ = decide, .oracle_ = false};
+  Begin(run, MakeConfiguration(site));
+  std::size_t queued = 0;
+  for (std::size_t i = 0; i < jobs && queued < 300; ++i) {
+    OnSubmit(run, i);
+    const auto from = std::chrono::steady_clock::now();
+    const auto decisions = policy::Decide(run.state_, run.plan_, run.now_);
+    const auto middle = std::chrono::steady_clock::now();
+    for (const policy::Decision& decision : decisions) {
+      CommitDecision(run, decision);
+    }
+    const auto end = std::chrono::steady_clock::now();
+    submit_us.push_back(std::chrono::duration<double, std::micro>(middle - from).count());
+    apply_us.push_back(std::chrono::duration<double, std::micro>(end - middle).count());
+    run.now_ += seconds(1);
+    queued = run.plan_.queued_.size();
+  }
+  double tasks = 0;
+  for (const auto& [id, held] : run.plan_.held_) {
+    tasks += held.spec_.tasks_;
+  }
+  const std::size_t bytes = state::MakeImage(run.state_).ByteSizeLong();
+  fmt::print("{:>8}{:>10}{:>9.0f}{:>8}{:>12.0f}{:>12.0f}{:>12.0f}{:>12.0f}{:>12}\n", workers,
+             workers * kWorkerAccelerators, tasks, queued, Mean(submit_us),
+             Quantile(submit_us, 0.99), Quantile(submit_us, 1), Mean(apply_us), bytes);
+}
+
 }  // namespace
 
 }  // namespace laburnumledge::measure
@@ -167,6 +208,15 @@
   const std::string mode = argc > 1 ? argv[1] : "tuning";
   const double load = argc > 2 ? std::atof(argv[2]) : 1.0;
   const std::string folder = argc > 3 ? argv[3] : "";
+  if (mode == "scale") {
+    fmt::print(
+        " workers   accel.    tasks  queued  submit mean  p99 us      max us   apply us   image "
+        "B\n");
+    for (const std::uint32_t workers : {150U, 500U, 1500U, 4500U}) {
+      MeasureScale(workers);
+    }
+    return 0;
+  }
   if (mode == "tuning") {
     Compare("tuning seeds", kSeeds, load, folder);
   } else {
--- a/test/measure/policy_baseline.hpp
+++ b/test/measure/policy_baseline.hpp
@@ -96,7 +96,10 @@
       ends.emplace_back(std::max(now, job.placed_ + job.spec_.declared_runtime_), &job);
     }
   }
-  std::sort(ends.begin(), ends.end());
+  std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first
+                              : a.second->submit_offset_ < b.second->submit_offset_;
+  });
   const auto fit_after = [&](std::size_t count) {
     cells::Pool freed = pool;
     for (std::size_t i = 0; i < count; ++i) {
--- a/test/randomised/policy/decide.cpp
+++ b/test/randomised/policy/decide.cpp
@@ -138,6 +138,7 @@
     case Action::kPreempt:
       record.mutable_preempt_job()->set_job(decision.job_);
       record.mutable_preempt_job()->set_attempt(decision.attempt_);
+      record.mutable_preempt_job()->set_reason(decision.reason_);
       break;
     case Action::kRefuse:
       record.mutable_finish_job()->set_job(decision.job_);
