--- a/src/laburnumledge/policy/placement.cpp
+++ b/src/laburnumledge/policy/placement.cpp
@@ -322,6 +322,10 @@
 std::uint32_t CountSlots(const Plan& plan, const Request& request, WorkerIndex index) {
   const cells::Shape& shape = request.job_->spec_.shape_;
   const cells::WorkerCells& worker = plan.pool_.workers_[index];
+  if (!request.with_loans_ &&
+      std::popcount(worker.free_accelerators_) < static_cast<int>(shape.accelerators_)) {
+    return 0;
+  }
   std::uint64_t slots = request.job_->spec_.tasks_;
   if (shape.accelerators_ > 0) {
     const std::uint64_t mask = UsableMask(plan, request, index);
--- a/src/laburnumledge/policy/reclaim.cpp
+++ b/src/laburnumledge/policy/reclaim.cpp
@@ -77,20 +77,27 @@
   return false;
 }
 
+/** Loans that may be evicted from a group of workers, those that lose least first. */
 std::vector<std::string> LoansOn(const Plan& plan, const Hunt& hunt,
                                  const std::vector<WorkerIndex>& workers) {
-  std::set<std::string> loans;
+  std::set<std::string> seen;
+  std::vector<std::pair<double, std::string>> loans;
   for (const WorkerIndex index : workers) {
+    if (plan.pool_.workers_[index].loaned_accelerators_ == 0) {
+      continue;
+    }
     for (const std::string& id : plan.on_worker_[index]) {
-      if (MayEvict(plan, plan.held_.at(id), hunt)) {
-        loans.insert(id);
+      const Held& held = plan.held_.at(id);
+      if (MayEvict(plan, held, hunt) && seen.insert(id).second) {
+        loans.emplace_back(LostWork(held, hunt.now_), id);
       }
     }
   }
-  std::vector<std::string> sorted(loans.begin(), loans.end());
-  std::stable_sort(sorted.begin(), sorted.end(), [&](const auto& a, const auto& b) {
-    return LostWork(plan.held_.at(a), hunt.now_) < LostWork(plan.held_.at(b), hunt.now_);
-  });
+  std::sort(loans.begin(), loans.end());
+  std::vector<std::string> sorted;
+  for (auto& [lost, id] : loans) {
+    sorted.push_back(std::move(id));
+  }
   return sorted;
 }
 
@@ -151,13 +158,16 @@
   std::uint32_t slots = 0;
   for (const WorkerIndex index : workers) {
     slots += CountSlots(plan, request, index);
+    if (slots >= request.job_->spec_.tasks_) {
+      return true;
+    }
   }
-  return slots >= request.job_->spec_.tasks_;
+  return false;
 }
 
 void Consider(Plan& plan, const Hunt& hunt, const Request& roomy,
               const std::vector<WorkerIndex>& workers, std::optional<Eviction>& best) {
-  if (!HasRoom(plan, roomy, workers)) {
+  if (*hunt.visits_left_ < workers.size() || !HasRoom(plan, roomy, workers)) {
     return;
   }
   std::optional<Eviction> eviction = EvictOn(plan, hunt, workers);
