--- a/src/laburnumledge/caller/job.cpp
+++ b/src/laburnumledge/caller/job.cpp
@@ -1,11 +1,12 @@
 #include "laburnumledge/caller/job.hpp"
 
-#include <fmt/ranges.h>
+#include <fmt/core.h>
 
 #include <array>
 #include <nlohmann/json.hpp>
 
 #include "laburnumledge/config/reader.hpp"
+#include "laburnumledge/core/name.hpp"
 #include "laburnumledge/core/reason.hpp"
 
 namespace laburnumledge::caller {
@@ -15,7 +16,6 @@
 using config::internal::Errors;
 using config::internal::ObjectReader;
 
-constexpr std::size_t kMaxIdBytes = 128;
 constexpr std::size_t kMaxCommandBytes = 64U << 10U;
 constexpr std::uint64_t kMaxTasks = 4096;
 constexpr std::uint64_t kMaxAccelerators = 64;
@@ -35,7 +35,7 @@
 }
 
 void ReadSpec(ObjectReader& reader, state::JobSpec& spec) {
-  reader.Text("organisation", spec.organisation_, true);
+  reader.Name("organisation", spec.organisation_);
   reader.Text("kind", spec.kind_, false);
   reader.Bool("urgent", spec.urgent_);
   reader.Number("tasks", spec.tasks_, 1, kMaxTasks, false);
@@ -57,10 +57,11 @@
 }  // namespace
 
 std::optional<state::JobSpec> ParseJob(std::string_view id, std::string_view body) {
-  if (id.empty() || id.size() > kMaxIdBytes || id.find('/') != std::string_view::npos) {
-    return core::Fail("a job's identifier has 1 to {} bytes and no slash", kMaxIdBytes);
+  if (!core::IsName(id)) {
+    return core::Fail("a job's identifier has 1 to {} letters, digits or any of - _ . :",
+                      core::kMaxNameBytes);
   }
-  Errors errors{.file_ = "job", .lines_ = {}};
+  Errors errors{.file_ = "job", .found_ = {}, .left_out_ = 0};
   const std::optional<nlohmann::json> document = config::internal::ParseJson(body, errors);
   state::JobSpec spec;
   spec.id_ = id;
@@ -68,8 +69,8 @@
     ObjectReader reader(errors, *document, "");
     ReadSpec(reader, spec);
   }
-  if (!errors.lines_.empty()) {
-    return core::Fail("{}", fmt::join(errors.lines_, "\n"));
+  if (!errors.Empty()) {
+    return core::Fail("{}", config::internal::DescribeErrors(errors, body));
   }
   return spec;
 }
@@ -93,9 +94,18 @@
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string JobListText(const state::State& state) {
+std::string JobListText(const state::State& state, const JobFilter& filter) {
   nlohmann::json list = nlohmann::json::array();
-  for (const auto& [id, job] : state.jobs_) {
+  bool more = false;
+  for (auto entry = state.jobs_.upper_bound(filter.after_); entry != state.jobs_.end(); ++entry) {
+    const auto& [id, job] = *entry;
+    if (!filter.organisation_.empty() && job.spec_.organisation_ != filter.organisation_) {
+      continue;
+    }
+    if (list.size() == filter.limit_) {
+      more = true;
+      break;
+    }
     nlohmann::json value = {{"id", id},
                             {"organisation", job.spec_.organisation_},
                             {"phase", state::ToString(job.phase_)}};
@@ -104,8 +114,8 @@
     }
     list.push_back(std::move(value));
   }
-  return nlohmann::json{{"jobs", std::move(list)}}.dump(-1, ' ', false,
-                                                        nlohmann::json::error_handler_t::replace);
+  return nlohmann::json{{"jobs", std::move(list)}, {"more", more}}.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace laburnumledge::caller
--- a/src/laburnumledge/cells/guarantee.cpp
+++ b/src/laburnumledge/cells/guarantee.cpp
@@ -1,5 +1,7 @@
 #include "laburnumledge/cells/guarantee.hpp"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 #include <bit>
 
@@ -301,6 +303,22 @@
          pool.guarantees_.excess_;
 }
 
+std::string WhyNotReclaimable(Pool pool, const config::Rules& rules) {
+  config::Rules some;
+  for (const config::Organisation& organisation : rules.organisations_) {
+    some.organisations_.push_back(organisation);
+    ResetGuarantees(pool, some);
+    const bool nowhere =
+        std::any_of(organisation.guarantees_.begin(), organisation.guarantees_.end(),
+                    [&](const auto& due) { return FindZones(pool, due.zones_) == 0; });
+    if (nowhere || Shortage(pool) > 0) {
+      return fmt::format("a guaranteed cell of organisation {} can't be packed",
+                         organisation.name_);
+    }
+  }
+  return {};
+}
+
 bool CanBind(const Pool& pool, const std::string& organisation, const Shape& shape,
              const Placement& placement) {
   const auto found = pool.guarantees_.organisations_.find(organisation);
--- a/src/laburnumledge/cells/guarantee.hpp
+++ b/src/laburnumledge/cells/guarantee.hpp
@@ -35,6 +35,14 @@
  */
 [[nodiscard]] std::uint32_t Shortage(const Pool& pool);
 
+/**
+ * @brief Tells why the guarantees can't be packed into an inventory on which nothing runs.
+ * @param pool The inventory.
+ * @param rules The guarantees.
+ * @return Empty text if they can, else which organisation's guarantee can't be packed.
+ */
+[[nodiscard]] std::string WhyNotReclaimable(Pool pool, const config::Rules& rules);
+
 /**
  * @brief Tells whether a placement can be held under a guarantee: the guarantee exists, each task
  * fits in one of its cells and each worker is in an allowed zone.
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "laburnumledge/config/settings.hpp"
@@ -10,9 +11,13 @@
 #include "laburnumledge/http/server.hpp"
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/node/decider.hpp"
+#include "laburnumledge/node/freshness.hpp"
+#include "laburnumledge/node/job_waiters.hpp"
 #include "laburnumledge/node/metrics.hpp"
+#include "laburnumledge/node/pending.hpp"
 #include "laburnumledge/node/replica.hpp"
 #include "laburnumledge/node/request_path.hpp"
+#include "laburnumledge/node/term.hpp"
 #include "laburnumledge/peer/peers.hpp"
 #include "laburnumledge/platform/appender.hpp"
 #include "laburnumledge/platform/log.hpp"
@@ -20,9 +25,6 @@
 
 namespace laburnumledge::node {
 
-/** @brief Receives what became of a record that this node appended. */
-using RecordDone = std::function<void(const state::ApplyResult&)>;
-
 /**
  * @brief One entry VM's process: puts the packages together on the loop.
  *
@@ -43,11 +45,18 @@
   void Drain();
 
  private:
+  void StopIfDrained(core::TimePoint notice_ends);
+
   // follow.cpp: reading and writing the log
   void ReadConfiguration();
   void ReadJobs();
+  void ReadConfigurationAgain();
+  void ReadJobsAgain();
+  void NudgeIfOwn(const platform::Appender& appender, const std::vector<Applied>& applied);
   void AppendTo(platform::Appender& appender);
-  void Settle(platform::Appender& appender, const std::vector<Applied>& applied);
+  void StepPendingRecords();
+  void AskForState();
+  void AnswerStateRequest(const proto::PeerMessage& message);
   void OnConfigurationApplied();
   void AppendAndWait(platform::Appender& appender, proto::Record record,
                      platform::Priority priority, RecordDone done);
@@ -60,23 +69,56 @@
   void Redivide();
   void StepRole();
   void ClaimTermIfDue();
+  void ReleaseTerm();
+  void Decide();
+  [[nodiscard]] TermView ViewOfTerm() const;
+  void StepSoon();
+  void Nudge();
+  void SendBeat(bool everywhere);
+  void OnHeartbeat(const proto::PeerMessage& message);
+  void OnCall(const proto::PeerMessage& message);
+
+  // exchanges.cpp: workers
   void Exchange();
   void ExchangeWith(const std::string& worker);
-  void SendReports();
-  [[nodiscard]] worker::Freshness MakeFreshness() const;
+  void SendReports(const std::string& worker);
+  void SendDueReports();
+  [[nodiscard]] worker::Freshness WorkerFreshness() const;
+  void PublishCosts();
+  [[nodiscard]] std::vector<routing::NodeInZone> NodesInZones() const;
 
   // endpoints.cpp: what callers and operators ask
   void Handle(http::Request request, http::Respond respond);
+  void HandleReport(const http::Request& request, const http::Respond& respond);
+  void HandleReady(const http::Respond& respond) const;
+
+  // job_endpoints.cpp
   void HandleJobs(const http::Request& request, const http::Respond& respond);
+  void ListJobs(const http::Request& request, const http::Respond& respond) const;
   void PutJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void SubmitJob(const state::JobSpec& spec, const http::Respond& respond);
   void GetJob(const std::string& id, const http::Request& request, const http::Respond& respond);
   void WaitForJob(const std::string& id, core::TimePoint deadline, const http::Respond& respond);
   void DeleteJob(const std::string& id, const http::Request& request, const http::Respond& respond);
+  void RespondWithJob(const std::string& id, unsigned status, const std::string& reason,
+                      const http::Respond& respond) const;
   bool ForwardToHolder(const http::Request& request, const http::Respond& respond);
+  void OnJobsApplied(const std::vector<Applied>& applied);
+  void WakeForFinishedJobs();
+
+  // configuration_endpoints.cpp
   void HandleConfiguration(const http::Request& request, const http::Respond& respond);
-  void HandleZone(const http::Request& request, const http::Respond& respond);
-  void HandleStatus(const http::Respond& respond) const;
-  void HandleReady(const http::Respond& respond) const;
+  void ShowConfiguration(const http::Respond& respond) const;
+  void PublishConfiguration(const http::Request& request, const http::Respond& respond);
+  void HandleZones(const http::Request& request, const http::Respond& respond);
+  void ListZones(const http::Respond& respond) const;
+  void SetZone(const http::Request& request, const http::Respond& respond);
+  void AppendConfigurationRecord(proto::Record record, const http::Respond& respond);
+
+  // status.cpp
+  [[nodiscard]] std::string StatusText();
+  [[nodiscard]] nlohmann::json SelfJson(core::TimePoint now);
+  void RefreshMetrics();
   [[nodiscard]] bool IsReady() const;
 
   loop::Loop& loop_;
@@ -90,19 +132,34 @@
   Replica replica_;
   platform::Appender configuration_appender_;
   platform::Appender jobs_appender_;
-  std::map<std::string, RecordDone> waiting_records_;
+  PendingRecords pending_configuration_;
+  PendingRecords pending_jobs_;
   peer::Membership membership_;
   std::unique_ptr<peer::Peers> peers_;
   Decider decider_;
   Metrics metrics_;
+  JobWaiters job_waiters_;
   RequestPath requests_;
   std::unique_ptr<http::Server> server_;
-  std::vector<std::string> nodes_;  ///< Live nodes that work is divided among.
-  std::string claim_id_;            ///< Record of this node's newest claim.
+  std::vector<std::string> nodes_;       ///< Live nodes that work is divided among.
+  std::vector<std::string> candidates_;  ///< Live nodes that may have roles.
+  Beats beats_;
+  std::string claim_id_;  ///< Record of this node's newest claim.
   core::TimePoint drain_until_;
+  std::string vm_list_tag_;   ///< Version of vm_list_.
+  platform::VmList vm_list_;  ///< As last read.
   bool draining_{};
+  core::TimePoint next_nudge_;
+  std::uint64_t exchange_bytes_{};  ///< Bodies of exchanges, both ways.
+  std::uint64_t exchanges_{};
+  bool step_planned_{};
+  bool nudge_planned_{};
   bool reading_configuration_{};
   bool reading_jobs_{};
+  bool read_configuration_again_{};
+  bool read_jobs_again_{};
+  bool asking_for_state_{};
+  bool held_term_{};
 };
 
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -10,45 +10,83 @@
 namespace {
 
 constexpr core::Milliseconds kVmListTimeout{3000};
-constexpr core::Milliseconds kExchangeTimeout{3000};
-constexpr core::Milliseconds kStartFreshness{2000};
-constexpr unsigned kOk = 200;
-
-std::uint64_t AgeMs(core::TimePoint then, core::TimePoint now) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<core::Milliseconds>(now - then).count());
-}
+constexpr core::Milliseconds kNudgeSpacing{125};
+constexpr core::Milliseconds kNudgeBurst{1000};
 
 }  // namespace
 
 void Node::Beat() {
+  SendBeat(true);
+  peers_->MaintainLinks();
+  Redivide();
+  AskForState();
+}
+
+void Node::SendBeat(bool everywhere) {
   const core::TimePoint now = loop_.Now();
   proto::PeerMessage message;
   proto::Heartbeat& heartbeat = *message.mutable_heartbeat();
   heartbeat.set_region(settings_.region_);
   heartbeat.set_zone(settings_.zone_);
   heartbeat.set_draining(draining_);
-  heartbeat.set_configuration_version(replica_.configuration_.version_);
-  heartbeat.set_configuration_offset(replica_.configuration_reader_.next_);
-  heartbeat.set_configuration_age_ms(AgeMs(replica_.configuration_reader_.fresh_at_, now));
-  heartbeat.set_jobs_offset(replica_.jobs_reader_.next_);
-  heartbeat.set_jobs_age_ms(AgeMs(replica_.jobs_reader_.fresh_at_, now));
-  heartbeat.set_term(replica_.jobs_.term_.number_);
+  NextBeat(beats_, now);
+  FillHeartbeat(beats_, replica_, now, heartbeat);
+  heartbeat.set_queued_requests(
+      static_cast<std::uint32_t>(routing::QueuedRequests(requests_.Router())));
   heartbeat.set_holder(HoldsTerm(decider_, replica_.jobs_));
-  for (const auto& [name, member] : membership_.members_) {
+  for (auto& [name, member] : membership_.members_) {
+    const bool far = !member.region_.empty() && member.region_ != settings_.region_;
+    if (far && (!everywhere || now < member.next_beat_)) {
+      continue;
+    }
+    member.next_beat_ = now + settings_.heartbeat_interval_ * peer::kFarTimeoutFactor;
+    heartbeat.set_echo(member.heartbeat_.sequence());
     peers_->Send(name, message);
   }
-  Redivide();
 }
 
-void Node::OnMessage(const proto::PeerMessage& message) {
-  if (message.has_lease_reports()) {
-    TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
+void Node::Nudge() {
+  if (nudge_planned_) {
     return;
   }
-  if (!message.has_call()) {
-    return;
+  nudge_planned_ = true;
+  loop_.At(std::max(loop_.Now(), next_nudge_), [this] {
+    nudge_planned_ = false;
+    next_nudge_ = std::max(next_nudge_, loop_.Now() - kNudgeBurst) + kNudgeSpacing;
+    SendBeat(false);
+  });
+}
+
+void Node::OnHeartbeat(const proto::PeerMessage& message) {
+  const proto::Heartbeat& heartbeat = message.heartbeat();
+  TakeEcho(beats_, membership_, message.from(), heartbeat);
+  if (heartbeat.configuration_offset() > replica_.configuration_.next_offset_) {
+    ReadConfigurationAgain();
+  }
+  const bool here = heartbeat.region() == settings_.region_;
+  if (here && heartbeat.jobs_offset() > replica_.jobs_.next_offset_) {
+    ReadJobsAgain();
+  }
+}
+
+void Node::OnMessage(const proto::PeerMessage& message) {
+  if (message.has_heartbeat()) {
+    OnHeartbeat(message);
+  } else if (message.has_lease_reports()) {
+    TakeReports(decider_, replica_.jobs_, message.lease_reports(), loop_.Now());
+    StepSoon();
+  } else if (message.has_state_request()) {
+    AnswerStateRequest(message);
+  } else if (message.has_call()) {
+    OnCall(message);
+  } else {
+    requests_.OnMessage(message, [this, message](proto::PeerMessage answer) {
+      peers_->Reply(message, std::move(answer));
+    });
   }
+}
+
+void Node::OnCall(const proto::PeerMessage& message) {
   const proto::Call& call = message.call();
   http::Request request;
   request.method_ = call.method();
@@ -73,13 +111,18 @@
 }
 
 void Node::ReadVms() {
-  platform::ReadVmList(platform_client_, settings_.platform_, loop_.Now() + kVmListTimeout,
-                       [this](const std::optional<platform::VmList>& list) {
-                         if (list.has_value()) {
-                           TakeVms(*list);
-                         } else {
+  platform::ReadVmList(platform_client_, settings_.platform_, vm_list_tag_,
+                       loop_.Now() + kVmListTimeout,
+                       [this](const std::optional<platform::VmListAnswer>& answer) {
+                         if (!answer.has_value()) {
                            core::Warning(core::Part::kPlatform, "{}", core::LastReason());
+                           return;
                          }
+                         vm_list_tag_ = answer->tag_;
+                         if (answer->list_.has_value()) {
+                           vm_list_ = *answer->list_;
+                         }
+                         TakeVms(vm_list_);
                        });
 }
 
@@ -106,113 +149,103 @@
 void Node::Redivide() {
   const core::TimePoint now = loop_.Now();
   nodes_ = peer::LiveNodes(membership_, draining_, now);
-  worker::Divide(replica_.shard_, settings_.name_, nodes_, now);
-  routing::Configure(requests_.Router(), replica_.configuration_.configuration_,
-                     replica_.configuration_.zones_out_, settings_.name_, nodes_);
+  candidates_ =
+      Candidates(membership_, settings_.zone_, draining_, replica_.configuration_.zones_out_, now);
+  worker::Divide(replica_.shard_, settings_.name_, candidates_, now);
+  requests_.Configure(replica_.configuration_.configuration_, replica_.configuration_.version_,
+                      replica_.configuration_.zones_out_, NodesInZones(),
+                      membership_.members_.size() + 1);
+}
+
+std::vector<routing::NodeInZone> Node::NodesInZones() const {
+  std::vector<routing::NodeInZone> nodes;
+  for (const std::string& name : nodes_) {
+    const auto member = membership_.members_.find(name);
+    const bool self = member == membership_.members_.end();
+    nodes.push_back({.name_ = name, .zone_ = self ? settings_.zone_ : member->second.zone_});
+  }
+  return nodes;
+}
+
+TermView Node::ViewOfTerm() const {
+  return {.replica_ = replica_,
+          .membership_ = membership_,
+          .candidates_ = candidates_,
+          .started_ = started_,
+          .peer_timeout_ = settings_.peer_timeout_};
 }
 
 void Node::ClaimTermIfDue() {
   const core::TimePoint now = loop_.Now();
-  const state::Term& term = replica_.jobs_.term_;
-  const bool settled = replica_.jobs_reader_.at_tail_ && replica_.jobs_reader_.failures_ == 0 &&
-                       now - started_ > settings_.peer_timeout_;
-  const bool vacant = term.holder_.empty() || term.holder_ == settings_.name_ ||
-                      !peer::IsLive(membership_, term.holder_, now);
-  const std::size_t candidate = core::RendezvousOwner(settings_.region_, nodes_);
-  const bool mine = candidate != core::kNoOwner && nodes_[candidate] == settings_.name_;
-  if (!settled || !vacant || !mine || platform::IsUnseen(jobs_appender_, claim_id_)) {
+  if (!ClaimIsDue(ViewOfTerm(), now) || platform::IsUnseen(jobs_appender_, claim_id_)) {
     return;
   }
-  proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
+  proto::Record record = MakeClaim(decider_, replica_.jobs_, random_, now);
   claim_id_ = record.id();
-  record.mutable_claim_term()->set_term(term.number_ + 1);
-  record.mutable_claim_term()->set_node(settings_.name_);
-  record.mutable_claim_term()->set_incarnation(incarnation_);
-  core::Info(core::Part::kNode, "claiming term {} of region {}", term.number_ + 1,
+  core::Info(core::Part::kNode, "claiming term {} of region {}", record.claim_term().term(),
              settings_.region_);
   platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
 }
 
-void Node::StepRole() {
-  const core::TimePoint now = loop_.Now();
-  if (!HoldsTerm(decider_, replica_.jobs_)) {
-    ClaimTermIfDue();
-  } else if (draining_) {
-    proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
-    record.mutable_release_term();
-    if (!platform::IsUnseen(jobs_appender_, claim_id_)) {
-      claim_id_ = record.id();
-      platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
-    }
-  } else {
-    for (Outgoing& outgoing : Step(decider_, replica_.jobs_, replica_.configuration_,
-                                   replica_.plan_, jobs_appender_, random_, now)) {
-      platform::Submit(jobs_appender_, std::move(outgoing.record_), outgoing.priority_);
-    }
+void Node::ReleaseTerm() {
+  if (platform::IsUnseen(jobs_appender_, claim_id_)) {
+    return;
   }
-  AppendTo(jobs_appender_);
-  AppendTo(configuration_appender_);
-  Exchange();
+  proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, loop_.Now());
+  record.mutable_release_term();
+  claim_id_ = record.id();
+  platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
 }
 
-void Node::Exchange() {
+void Node::Decide() {
   const core::TimePoint now = loop_.Now();
-  for (const std::string& worker : replica_.shard_.owned_) {
-    worker::WorkerView& view = replica_.shard_.workers_[worker];
-    if (!view.under_way_ && view.next_exchange_ <= now) {
-      view.under_way_ = true;
-      view.next_exchange_ = now + settings_.exchange_interval_;
-      ExchangeWith(worker);
-    }
+  for (Outgoing& outgoing :
+       Step(decider_, replica_.jobs_, replica_.configuration_, replica_.plan_, replica_.index_,
+            replica_.jobs_reader_, jobs_appender_, random_, now)) {
+    platform::Submit(jobs_appender_, std::move(outgoing.record_), outgoing.priority_);
+  }
+  auto snapshot =
+      StepConfigurationSnapshot(decider_, replica_.configuration_, replica_.configuration_reader_,
+                                configuration_appender_, random_, now);
+  if (snapshot.has_value()) {
+    platform::Submit(configuration_appender_, std::move(snapshot->record_), snapshot->priority_);
+  }
+  if (KeepIsDue(ViewOfTerm(), now) && !platform::IsUnseen(jobs_appender_, claim_id_)) {
+    proto::Record record = MakeRecord(decider_, replica_.jobs_, random_, now);
+    record.mutable_keep_term();
+    claim_id_ = record.id();
+    platform::Submit(jobs_appender_, std::move(record), platform::Priority::kTerm);
   }
 }
 
-void Node::ExchangeWith(const std::string& worker) {
-  const core::TimePoint sent = loop_.Now();
-  const worker::ExchangeRequest request =
-      worker::PlanExchange(replica_.shard_, replica_.jobs_, worker, MakeFreshness(), sent);
-  http::Call call;
-  call.method_ = "POST";
-  call.url_ = fmt::format("http://{}/v1/exchange",
-                          config::ToString(replica_.shard_.workers_[worker].address_));
-  call.headers_ = {{"Content-Type", "application/json"}};
-  call.body_ = worker::EncodeRequest(request);
-  call.deadline_ = sent + kExchangeTimeout;
-  worker_client_.Send(std::move(call), [this, worker, sent](const http::Response& response) {
-    std::optional<worker::ExchangeReply> reply;
-    if (response.status_ == kOk) {
-      reply = worker::ParseReply(response.body_);
-    }
-    if (!reply.has_value()) {
-      worker::OnSilence(replica_.shard_, worker, loop_.Now());
-      return;
-    }
-    worker::OnReply(replica_.shard_, worker, std::move(*reply), sent, loop_.Now());
-    SendReports();
-  });
-}
-
-void Node::SendReports() {
-  const proto::LeaseReports reports =
-      worker::MakeReports(replica_.shard_, replica_.jobs_, loop_.Now());
-  if (reports.reports().empty() && reports.silent_workers().empty()) {
-    return;
+void Node::StepRole() {
+  const bool holds = HoldsTerm(decider_, replica_.jobs_);
+  if (held_term_ && !holds) {
+    OnTermLost(decider_, jobs_appender_);
   }
-  if (HoldsTerm(decider_, replica_.jobs_)) {
-    TakeReports(decider_, replica_.jobs_, reports, loop_.Now());
-    return;
+  held_term_ = holds;
+  if (!holds) {
+    ClaimTermIfDue();
+  } else if (ReleaseIsDue(ViewOfTerm())) {
+    ReleaseTerm();
+  } else {
+    Decide();
   }
-  proto::PeerMessage message;
-  *message.mutable_lease_reports() = reports;
-  peers_->Send(replica_.jobs_.term_.holder_, std::move(message));
+  StepPendingRecords();
+  AppendTo(jobs_appender_);
+  AppendTo(configuration_appender_);
+  Exchange();
 }
 
-worker::Freshness Node::MakeFreshness() const {
-  const core::TimePoint now = loop_.Now();
-  const core::TimePoint until = replica_.configuration_reader_.fresh_at_ + kStartFreshness;
-  return {.may_start_ = replica_.configuration_reader_.at_tail_ && until > now,
-          .fresh_until_ = until,
-          .zones_out_ = replica_.configuration_.zones_out_};
+void Node::StepSoon() {
+  if (step_planned_) {
+    return;
+  }
+  step_planned_ = true;
+  loop_.Soon([this] {
+    step_planned_ = false;
+    StepRole();
+  });
 }
 
 }  // namespace laburnumledge::node
--- a/src/laburnumledge/policy/move.cpp
+++ b/src/laburnumledge/policy/move.cpp
@@ -51,7 +51,7 @@
   std::sort(leaving.begin(), leaving.end(), [&](const Held* a, const Held* b) {
     const double left = CostOf(*a, now);
     const double right = CostOf(*b, now);
-    return left != right ? left > right : a->submit_offset_ < b->submit_offset_;
+    return left != right ? left > right : a->submission_ < b->submission_;
   });
   leaving.resize(std::min(leaving.size(), kMovesAtOnce));
   for (Held* held : leaving) {
--- a/src/laburnumledge/policy/observe.cpp
+++ b/src/laburnumledge/policy/observe.cpp
@@ -25,7 +25,7 @@
   Held held{.spec_ = job.spec_,
             .placement_ = job.placement_,
             .attempt_ = job.attempt_,
-            .submit_offset_ = job.submit_offset_,
+            .submission_ = job.submission_,
             .phase_ = job.phase_,
             .since_ = job.placed_,
             .done_ = job.progress_};
@@ -100,10 +100,10 @@
     UpdateHeld(plan, job);
   }
   if (job.phase_ != Phase::kQueued) {
-    plan.queued_.erase(job.submit_offset_);
-    plan.unchecked_.erase(job.submit_offset_);
-  } else if (plan.queued_.emplace(job.submit_offset_, id).second && job.attempt_ == 0) {
-    plan.unchecked_.insert(job.submit_offset_);
+    plan.queued_.erase(job.submission_);
+    plan.unchecked_.erase(job.submission_);
+  } else if (plan.queued_.emplace(job.submission_, id).second && job.attempt_ == 0) {
+    plan.unchecked_.insert(job.submission_);
   }
 }
 
@@ -190,8 +190,8 @@
     if (state::HoldsCells(job.phase_)) {
       IndexHeld(plan, job);
     } else if (job.phase_ == Phase::kQueued) {
-      plan.queued_[job.submit_offset_] = id;
-      plan.unchecked_.insert(job.submit_offset_);
+      plan.queued_[job.submission_] = id;
+      plan.unchecked_.insert(job.submission_);
     } else if (job.outcome_ == state::Outcome::kSucceeded && job.finished_ > job.started_) {
       Learn(plan.estimates_, job.spec_, job.finished_ - job.started_ + job.progress_);
     }
--- a/src/laburnumledge/policy/plan.hpp
+++ b/src/laburnumledge/policy/plan.hpp
@@ -21,7 +21,7 @@
   state::JobSpec spec_;
   cells::Placement placement_;
   std::uint32_t attempt_{};
-  std::uint64_t submit_offset_{};
+  std::uint64_t submission_{};
   state::Phase phase_{state::Phase::kPlaced};
   core::StateTime since_;      ///< When it was placed, or started.
   core::Milliseconds done_{};  ///< Kept before this attempt.
--- a/src/laburnumledge/policy/reclaim.cpp
+++ b/src/laburnumledge/policy/reclaim.cpp
@@ -69,7 +69,7 @@
       return !held.spec_.urgent_;
     case Right::kOverdue:
       return MayMakeWay(plan, held, hunt.now_) &&
-             held.submit_offset_ > hunt.request_.job_->submit_offset_;
+             held.submission_ > hunt.request_.job_->submission_;
     case Right::kShorter:
       return MayMakeWay(plan, held, hunt.now_) &&
              ValueLeft(plan, held, hunt.now_) > kMuchLonger * hunt.value_;
--- a/src/laburnumledge/state/apply.hpp
+++ b/src/laburnumledge/state/apply.hpp
@@ -31,6 +31,7 @@
   kUnknownWorker,
   kUnknownZone,
   kNoChange,
+  kExpired,         ///< Made so long ago that it may repeat a forgotten record.
   kNotPreemptible,  ///< A job that is not repeatable does not run on loan.
 };
 
@@ -47,7 +48,8 @@
 struct ApplyResult {
   ApplyCode code_{ApplyCode::kApplied};
   Change change_;
-  std::string reason_;  ///< Empty when applied.
+  std::string reason_;       ///< Empty when applied.
+  std::uint64_t version_{};  ///< Of the configuration after the record; 0 in the jobs stream.
 };
 
 /** @brief Name of a code in metrics and answers, such as `stale-term`. */
@@ -58,7 +60,8 @@
  * @param state State up to the record.
  * @param record The record.
  * @param offset Offset of the append that carried it; not below state.next_offset_.
- * @return What became of it. A record that does not hold leaves the state as it was.
+ * @return What became of it. A record that does not hold leaves the state as it was. A record of a
+ * newer format leaves next_offset_ as well: this program can't follow the stream any further.
  * @warning Pure: the same records in the same order give the same state on every node.
  */
 ApplyResult ApplyConfiguration(ConfigurationState& state, const proto::Record& record,
--- a/src/laburnumledge/state/job.hpp
+++ b/src/laburnumledge/state/job.hpp
@@ -47,7 +47,7 @@
 struct Job {
   JobSpec spec_;
   Phase phase_{Phase::kQueued};
-  std::uint64_t submit_offset_{};
+  std::uint64_t submission_{};  ///< Number of its submission: unique, in stream order.
   core::StateTime submitted_;
   std::uint32_t attempt_{};  ///< Of the newest placement; 0 before the first.
   cells::Placement placement_;
@@ -57,6 +57,7 @@
   core::StateTime started_;
   bool may_have_started_{};  ///< Some task of any attempt may have been started.
   bool cancelled_{};
+  bool stop_at_once_{};            ///< While stopping: no part waits for a checkpoint.
   core::Milliseconds progress_{};  ///< Kept by the newest checkpoint.
   std::uint32_t failures_{};
   std::vector<std::string> failed_on_;  ///< Distinct workers blamed for failures.
--- a/test/measure/policy_baseline.hpp
+++ b/test/measure/policy_baseline.hpp
@@ -97,8 +97,7 @@
     }
   }
   std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) {
-    return a.first != b.first ? a.first < b.first
-                              : a.second->submit_offset_ < b.second->submit_offset_;
+    return a.first != b.first ? a.first < b.first : a.second->submission_ < b.second->submission_;
   });
   const auto fit_after = [&](std::size_t count) {
     cells::Pool freed = pool;
@@ -147,7 +146,7 @@
   std::map<std::uint64_t, const state::Job*> queue;
   for (const auto& [id, job] : state.jobs_) {
     if (job.phase_ == state::Phase::kQueued) {
-      queue[job.submit_offset_] = &job;
+      queue[job.submission_] = &job;
     }
   }
   cells::Pool pool = state.pool_;
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <vector>
 
+#include "audit.hpp"
 #include "instance.hpp"
 #include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/core/reason.hpp"
@@ -20,10 +21,13 @@
 
 /** @brief Everything that the process stands in for. */
 struct World {
+  core::TimePoint started_;
+  std::vector<Event> events_;
   std::unique_ptr<Platform> platform_;
   std::vector<std::unique_ptr<StandinWorker>> workers_;
   std::vector<std::unique_ptr<StandinInstance>> instances_;
   std::vector<std::unique_ptr<http::Server>> servers_;
+  std::vector<std::unique_ptr<Front>> fronts_;
 };
 
 template <typename Target>
@@ -44,22 +48,37 @@
 bool Build(loop::Loop& loop, World& world, const config::Address& platform,
            const config::Configuration& configuration) {
   constexpr unsigned kPlenty = 1024;
+  world.started_ = loop.Now();
   world.platform_ = std::make_unique<Platform>(loop);
+  world.platform_->audit_ = [&loop, &world](const std::string& job) {
+    for (const auto& worker : world.workers_) {
+      worker->Advance();
+    }
+    const auto now = std::chrono::duration_cast<core::Milliseconds>(loop.Now() - world.started_);
+    return AuditText(world.events_, job, now);
+  };
   world.platform_->ListInstances(configuration);
   if (!Listen(loop, world, platform, kPlenty, world.platform_.get())) {
     return false;
   }
   for (const config::Worker& worker : configuration.inventory_.workers_) {
     const core::Milliseconds offset(core::Hash(worker.name_) % kLargestClockOffsetMs);
-    world.workers_.push_back(std::make_unique<StandinWorker>(loop, worker, offset));
+    world.workers_.push_back(std::make_unique<StandinWorker>(loop, worker, offset, world.events_));
     if (!Listen(loop, world, worker.address_, kPlenty, world.workers_.back().get())) {
       return false;
     }
   }
   for (const config::Instance& instance : configuration.inventory_.instances_) {
     world.instances_.push_back(std::make_unique<StandinInstance>(loop, instance));
-    if (!Listen(loop, world, instance.address_, instance.connections_,
-                world.instances_.back().get())) {
+    const config::Address inner{.ip_ = "127.0.0.1", .port_ = 0};
+    if (!Listen(loop, world, inner, kPlenty, world.instances_.back().get())) {
+      return false;
+    }
+    const config::Address server{.ip_ = inner.ip_, .port_ = world.servers_.back()->Port()};
+    world.fronts_.push_back(std::make_unique<Front>(loop, instance.address_, server));
+    world.instances_.back()->SetFront(world.fronts_.back().get());
+    if (!world.fronts_.back()->IsOpen()) {
+      fmt::print(stderr, "can't listen on {}\n", config::ToString(instance.address_));
       return false;
     }
   }
@@ -89,16 +108,21 @@
 }
 
 /** Prints free loopback ports; all are held until the last one is known, so that none repeats. */
-int PrintFreePorts(int count) {
+int PrintFreePorts(int first, int count) {
+  constexpr int kLastPort = 65535;
   loop::Loop loop;
   std::vector<std::unique_ptr<http::Server>> servers;
-  for (int i = 0; i < count; ++i) {
-    servers.push_back(http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
-                                          [](const http::Request&, const http::Respond&) {}));
-    if (servers.back() == nullptr) {
+  for (int port = first; servers.size() < static_cast<std::size_t>(count); ++port) {
+    if (port > kLastPort) {
       return 1;
     }
-    fmt::print("{}\n", servers.back()->Port());
+    const config::Address address{.ip_ = "127.0.0.1", .port_ = static_cast<std::uint16_t>(port)};
+    auto server =
+        http::Server::Start(loop, address, {}, [](const http::Request&, const http::Respond&) {});
+    if (server != nullptr) {
+      fmt::print("{}\n", server->Port());
+      servers.push_back(std::move(server));
+    }
   }
   return 0;
 }
@@ -108,12 +132,13 @@
 }  // namespace laburnumledge::standin
 
 int main(int argc, char** argv) {
-  if (argc == 3 && std::string(argv[1]) == "free-ports") {
-    return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]));
+  if (argc == 4 && std::string(argv[1]) == "free-ports") {
+    return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]), std::atoi(argv[3]));
   }
   if (argc != 3) {
-    fmt::print(stderr,
-               "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports N\n");
+    fmt::print(
+        stderr,
+        "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports FIRST COUNT\n");
     return 2;
   }
   return laburnumledge::standin::Run(argv[1], argv[2]);
