Give the workers of the randomised site distinct addresses

Cause: a configuration in which two workers share an address is now refused, and the randomised policy runs built such a site. Change: each worker has a port of its own. Conclusion: the check stays, the test's site holds under it.

--- a/test/randomised/policy/decide.cpp
+++ b/test/randomised/policy/decide.cpp
@@ -29,8 +29,8 @@
   std::string workers;
   for (int i = 0; i < 8; ++i) {
     workers += fmt::format(
-        R"({}{{"name":"w{}","rack":"r{}","address":"127.0.0.1:9","accelerators":8,"cores":16,"memory_mb":64}})",
-        i > 0 ? "," : "", i, i / 3);
+        R"({}{{"name":"w{}","rack":"r{}","address":"127.0.0.1:{}","accelerators":8,"cores":16,"memory_mb":64}})",
+        i > 0 ? "," : "", i, i / 3, 1000 + i);
   }
   std::string site = kSite;
   return site.replace(site.find("{workers}"), 9, workers);
