--- a/test/laburnumledge/fixture.hpp
+++ b/test/laburnumledge/fixture.hpp
@@ -80,7 +80,7 @@
   proto::PlaceJob& body = *record.mutable_place_job();
   body.set_job(job);
   body.set_attempt(attempt);
-  body.set_tenure(proto::TENURE_LOAN);
+  body.set_tenure(proto::TENURE_SPARE);
   for (std::uint32_t task = 0; task < tasks; ++task) {
     proto::Part& part = *body.add_parts();
     part.set_task(task);
