--- a/src/laburnumledge/operators/guarantee_check.cpp
+++ b/src/laburnumledge/operators/guarantee_check.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/operators/guarantee_check.hpp"
 
 #include <set>
+#include <utility>
 
 #include "laburnumledge/cells/guarantee.hpp"
 #include "laburnumledge/cells/pool.hpp"
@@ -43,7 +44,7 @@
                    const std::string& region) {
   cells::Pool pool;
   cells::UpdateInventory(pool, inventory, region);
-  return cells::WhyNotReclaimable(pool, rules, {});
+  return cells::WhyNotReclaimable(std::move(pool), rules);
 }
 
 }  // namespace
--- a/src/laburnumledge/state/apply.hpp
+++ b/src/laburnumledge/state/apply.hpp
@@ -31,11 +31,12 @@
   kUnknownWorker,
   kUnknownZone,
   kNoChange,
-  kExpired,  ///< Made so long ago that it may repeat a forgotten record.
+  kExpired,         ///< Made so long ago that it may repeat a forgotten record.
+  kNotPreemptible,  ///< A job that is not repeatable does not run on loan.
 };
 
 /** @brief Number of codes, for counters indexed by code. */
-inline constexpr std::size_t kApplyCodes = static_cast<std::size_t>(ApplyCode::kExpired) + 1;
+inline constexpr std::size_t kApplyCodes = static_cast<std::size_t>(ApplyCode::kNotPreemptible) + 1;
 
 /** @brief What a record changed. */
 struct Change {
--- a/test/randomised/cluster/cluster.hpp
+++ b/test/randomised/cluster/cluster.hpp
@@ -72,6 +72,9 @@
 /** @brief Applies what a seeded defect does to a job state. */
 void Spoil(const Cluster& cluster, state::State& state);
 
+/** @brief The same for what the policy derives from the state. */
+void SpoilPlan(const Cluster& cluster, policy::Plan& plan);
+
 /** @brief Sets everything up: log, workers and nodes. */
 void Build(Cluster& cluster, std::uint64_t seed);
 
--- a/test/randomised/cluster/sim_node.cpp
+++ b/test/randomised/cluster/sim_node.cpp
@@ -74,6 +74,7 @@
   const auto applied =
       node::TakeJobsAnswer(node->replica_, Skip(cluster, reader, std::move(answer)), sent);
   Spoil(cluster, node->replica_.jobs_);
+  SpoilPlan(cluster, node->replica_.plan_);
   CompareReplica(cluster, *node);
   node::FollowClock(node->decider_, node->replica_.jobs_, cluster.timeline_.now_);
   node::Settle(node->pending_jobs_, node->jobs_appender_, applied, node->replica_.jobs_.records_,
