--- a/src/laburnumledge/operators/options.hpp
+++ b/src/laburnumledge/operators/options.hpp
@@ -1,9 +1,5 @@
 #pragma once
 
-// The library's regular expressions don't compile with the sanitizers and warnings as errors.
-#ifndef CXXOPTS_NO_REGEX
-#define CXXOPTS_NO_REGEX true
-#endif
 #include <cxxopts.hpp>
 #include <optional>
 #include <string>
--- a/test/measure/policy_workload.hpp
+++ b/test/measure/policy_workload.hpp
@@ -19,6 +19,8 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
+inline constexpr std::uint32_t kFirstPort = 10000;
+
 /** @brief One deployment. */
 struct Site {
   std::string name_;
@@ -83,8 +85,9 @@
                            ZoneName(rack % site.zones_));
     }
     workers += fmt::format(
-        R"({}{{"name":"{}","rack":"rack-{}","address":"127.0.0.1:9","accelerators":{},"cores":{},"memory_mb":{}}})",
-        i > 0 ? "," : "", WorkerName(i), rack, kWorkerAccelerators, site.cores_, site.memory_mb_);
+        R"({}{{"name":"{}","rack":"rack-{}","address":"127.0.0.1:{}","accelerators":{},"cores":{},"memory_mb":{}}})",
+        i > 0 ? "," : "", WorkerName(i), rack, kFirstPort + i, kWorkerAccelerators, site.cores_,
+        site.memory_mb_);
   }
   const std::uint32_t unit = site.workers_ / 25;
   return fmt::format(
