--- a/src/laburnumledge/policy/fwd.hpp
+++ b/src/laburnumledge/policy/fwd.hpp
@@ -8,7 +8,6 @@
 struct Reservation;
 struct Decision;
 struct Estimates;
-struct Request;
 enum class Action : unsigned char;
 
 }  // namespace laburnumledge::policy
--- a/src/laburnumledge/policy/placement.cpp
+++ b/src/laburnumledge/policy/placement.cpp
@@ -289,9 +289,9 @@
 
 const std::vector<cells::GuaranteedCells>& GuaranteesOf(const Plan& plan,
                                                         const std::string& organisation) {
-  static const std::vector<cells::GuaranteedCells> kNone;
+  static const std::vector<cells::GuaranteedCells> none;
   const auto found = plan.pool_.guarantees_.organisations_.find(organisation);
-  return found == plan.pool_.guarantees_.organisations_.end() ? kNone : found->second.guarantees_;
+  return found == plan.pool_.guarantees_.organisations_.end() ? none : found->second.guarantees_;
 }
 
 bool TakeGuarantee(Plan& plan, const state::JobSpec& spec, cells::Placement& placement,
--- a/src/laburnumledge/policy/reclaim.cpp
+++ b/src/laburnumledge/policy/reclaim.cpp
@@ -95,6 +95,7 @@
   }
   std::sort(loans.begin(), loans.end());
   std::vector<std::string> sorted;
+  sorted.reserve(loans.size());
   for (auto& [lost, id] : loans) {
     sorted.push_back(std::move(id));
   }
--- a/test/laburnumledge/routing/choice.cpp
+++ b/test/laburnumledge/routing/choice.cpp
@@ -24,6 +24,7 @@
 
 std::vector<Target*> PointersTo(std::vector<Target>& targets) {
   std::vector<Target*> pointers;
+  pointers.reserve(targets.size());
   for (Target& target : targets) {
     pointers.push_back(&target);
   }
