--- a/test/process/library.sh
+++ b/test/process/library.sh
@@ -164,7 +164,7 @@
 
 # cluster ZONES WORKERS: starts stand-ins with one rack a zone, three nodes, publishes version 1.
 cluster() {
-  make_configuration "$1" 1 "$2" 1
+  make_configuration "$1" 1 "$2" 6
   start_standin
   make_nodes 3
   for i in 1 2 3; do start_node "$i"; done
