--- a/test/measure/capacity.cpp
+++ b/test/measure/capacity.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "capacity_roles.hpp"
 #include "fit.hpp"
 #include "fleet.hpp"
 #include "laburnumledge/core/random.hpp"
@@ -170,6 +171,62 @@
   }
 }
 
+double JobRecordBytes(const node::Replica& replica) {
+  constexpr std::uint32_t kTasks = 11;
+  node::Replica copy = replica;
+  const proto::Record submit = SubmitRecord(copy, "sized", kTasks, 0);
+  MustApply(copy, submit);
+  cells::WorkerIndex from = 0;
+  const proto::Record place = PlaceRecord(copy, "sized", from);
+  MustApply(copy, place);
+  proto::Record start = NextRecord(copy);
+  start.mutable_start_job()->set_job("sized");
+  start.mutable_start_job()->set_attempt(1);
+  proto::Record finish = NextRecord(copy);
+  finish.mutable_finish_job()->set_job("sized");
+  finish.mutable_finish_job()->set_attempt(1);
+  finish.mutable_finish_job()->set_result(std::string(kTasks * 8, 'r'));
+  return static_cast<double>(submit.ByteSizeLong() + place.ByteSizeLong() + start.ByteSizeLong() +
+                             finish.ByteSizeLong());
+}
+
+Costs MeasureCosts() {
+  const FleetSize size = Share(kLetterSize, 0.125);
+  node::Replica replica = MakeFleet(size);
+  FillFleet(replica, size);
+  worker::ExchangeRequest request{.boot_ = ~0ULL, .seen_ = 1000, .renew_all_ = true};
+  request.renewals_.push_back({.key_ = {}, .expires_ = core::WorkerTime(core::Milliseconds(1))});
+  const std::string reply = R"({"boot":18446744073709551615,"clock_ms":1000000,"leases":[],)"
+                            R"("partial":true,"renewed":true,"sequence":1000})";
+  const std::string read = R"({"first":100000,"next":200000,"records":[]})";
+  return {.http_ = HttpOverheadBytes(),
+          .heartbeat_ = HeartbeatBytes(),
+          .request_body_ = static_cast<double>(worker::EncodeRequest(request).size()),
+          .reply_body_ = static_cast<double>(reply.size()),
+          .read_body_ = static_cast<double>(read.size()),
+          .record_bytes_ = JobRecordBytes(replica)};
+}
+
+void PrintRoles() {
+  const auto text = [](const FleetSize& size) {
+    return static_cast<double>(MakeConfigurationText(size).size());
+  };
+  const FleetSize today{.workers_ = 50,
+                        .accelerators_ = 400,
+                        .tasks_ = 400,
+                        .teams_ = 4,
+                        .zones_ = 4,
+                        .instances_ = 50};
+  const double large = text(kLetterSize);
+  const std::vector<Deployment> sites = {
+      {"Stofnhugbunadur, 8 nodes", 50, 400, 8, 0, 200, 4, 4, text(today), 20},
+      {"Lefka, 8 nodes", 50, 400, 8, 0, 200, 4, 4, text(today), 20},
+      {"letter, a region of five, 8 nodes each", 900, 2800, 8, 32, 1020, 4000, 200, large, 40},
+      {"letter, every change a publication", 900, 2800, 8, 32, 1020, 0, 4200, large, 40},
+      {"letter, all in one region, 8 nodes", 4500, 14000, 8, 0, 5100, 4000, 200, large, 40}};
+  PrintNodeBytes(sites, MeasureCosts());
+}
+
 }  // namespace
 
 }  // namespace laburnumledge::measure
@@ -180,5 +237,7 @@
     laburnumledge::measure::MeasureAt(table, share);
   }
   laburnumledge::measure::Print(table);
+  fmt::print("\n");
+  laburnumledge::measure::PrintRoles();
   return 0;
 }
