--- a/src/laburnumledge/http/message.cpp
+++ b/src/laburnumledge/http/message.cpp
@@ -20,6 +20,10 @@
   return std::nullopt;
 }
 
+void Remove(Fields& fields, std::string_view name) {
+  std::erase_if(fields, [name](const Field& field) { return IsNamed(field, name); });
+}
+
 Reply JsonReply(unsigned status, std::string body) {
   return Reply{.status_ = status,
                .headers_ = {{"Content-Type", "application/json"}},
--- a/src/laburnumledge/http/message.hpp
+++ b/src/laburnumledge/http/message.hpp
@@ -26,6 +26,9 @@
 [[nodiscard]] std::optional<std::string_view> Find(const Fields& fields,
                                                    std::string_view name) noexcept;
 
+/** @brief Removes every field of a name. */
+void Remove(Fields& fields, std::string_view name);
+
 /** @brief Request that a server received, whole. */
 struct Request {
   std::string method_;
--- a/src/laburnumledge/node/job_endpoints.cpp
+++ b/src/laburnumledge/node/job_endpoints.cpp
@@ -78,7 +78,7 @@
     return false;
   }
   const std::string& holder = replica_.jobs_.term_.holder_;
-  const bool forwarded = http::Find(request.headers_, "Forwarded").has_value();
+  const bool forwarded = http::Find(request.headers_, kForwardedHeader).has_value();
   if (forwarded || holder.empty() || !peer::IsLive(membership_, holder, loop_.Now())) {
     respond(TryLater("no node decides for this region now"));
     return true;
--- a/src/laburnumledge/node/node.cpp
+++ b/src/laburnumledge/node/node.cpp
@@ -79,6 +79,7 @@
                                   .max_connections_ = settings_.max_connections_};
   server_ = http::Server::Start(loop_, settings_.callers_, limits,
                                 [this](http::Request request, http::Respond respond) {
+                                  http::Remove(request.headers_, kForwardedHeader);
                                   Handle(std::move(request), std::move(respond));
                                 });
   if (server_ == nullptr) {
--- a/src/laburnumledge/node/node.hpp
+++ b/src/laburnumledge/node/node.hpp
@@ -25,6 +25,9 @@
 
 namespace laburnumledge::node {
 
+/** @brief Marks a call that another node handed over. Removed from what callers send. */
+inline constexpr std::string_view kForwardedHeader = "Laburnumledge-Forwarded";
+
 /**
  * @brief One entry VM's process: puts the packages together on the loop.
  *
--- a/src/laburnumledge/node/roles.cpp
+++ b/src/laburnumledge/node/roles.cpp
@@ -94,7 +94,7 @@
   for (const proto::Header& header : call.headers()) {
     request.headers_.push_back({header.name(), header.value()});
   }
-  request.headers_.push_back({"Forwarded", message.from()});
+  request.headers_.push_back({std::string(kForwardedHeader), message.from()});
   Handle(std::move(request), [this, message](const http::Reply& reply) {
     proto::PeerMessage answer;
     proto::CallReply& body = *answer.mutable_call_reply();
--- /dev/null
+++ b/test/laburnumledge/http/message.cpp
@@ -0,0 +1,23 @@
+#include "laburnumledge/http/message.hpp"
+
+#include <doctest/doctest.h>
+
+namespace laburnumledge::http {
+
+TEST_CASE("fields are found and removed without regard to case") {
+  Fields fields = {{"Request-Id", "r-1"}, {"x-mark", "1"}, {"X-Mark", "2"}};
+  CHECK(Find(fields, "request-id") == "r-1");
+  Remove(fields, "X-MARK");
+  REQUIRE(fields.size() == 1);
+  CHECK(fields[0].name_ == "Request-Id");
+  CHECK_FALSE(Find(fields, "X-Mark").has_value());
+}
+
+TEST_CASE("a refusal carries its verdict in the body and as a header") {
+  const Reply reply = ProblemReply(503, core::Verdict::kNotRun, "bytes \xff that are no UTF-8",
+                                   core::Milliseconds(5));
+  CHECK(Find(reply.headers_, "Verdict") == "not-run");
+  CHECK(reply.body_.find("\"retry_after_ms\":5") != std::string::npos);
+}
+
+}  // namespace laburnumledge::http
