--- a/test/process/library.sh
+++ b/test/process/library.sh
@@ -21,6 +21,14 @@
 }
 trap cleanup EXIT
 
+# has PATTERN: whether standard input holds a pattern. Reads all of it: grep -q ends at the first
+# match, and what writes the rest into the closed pipe then fails the pipeline.
+has() {
+  local text
+  text=$(cat)
+  grep -q -- "$1" <<< "$text"
+}
+
 fail() {
   echo "FAILED: $*" >&2
   exit 1
@@ -154,7 +162,7 @@
 
 # has_holder NODE: whether the node knows who decides.
 has_holder() {
-  call "$1" GET /v1/status | grep -q '"holder":"node-'
+  call "$1" GET /v1/status | has '"holder":"node-'
 }
 
 # publish NODE REPLACES: publishes $work/configuration.json.
@@ -177,12 +185,12 @@
 
 # publishes NODE REPLACES: whether a publication is accepted.
 publishes() {
-  publish "$1" "$2" | grep -q '"version"'
+  publish "$1" "$2" | has '"version"'
 }
 
 # is_ready NODE: whether the node serves callers.
 is_ready() {
-  call "$1" GET /readyz | grep -q '"ready":true'
+  call "$1" GET /readyz | has '"ready":true'
 }
 
 # field NAME: prints a number or text of a JSON object on standard input.
@@ -203,12 +211,12 @@
 
 # accepts NODE JOB TASKS COMMAND [MORE]: whether the job was accepted.
 accepts() {
-  submit "$@" | tee "$work/answer" | grep -q "\"id\":\"$2\"" || { cat "$work/answer" >&2; false; }
+  submit "$@" | tee "$work/answer" | has "\"id\":\"$2\"" || { cat "$work/answer" >&2; false; }
 }
 
 # has_phase NODE JOB PHASE: whether a job is in a phase, as a node knows it.
 has_phase() {
-  call "$1" GET "/v1/jobs/$2" | grep -q "\"phase\":\"$3\""
+  call "$1" GET "/v1/jobs/$2" | has "\"phase\":\"$3\""
 }
 
 # audit JOB FIELD: prints what the workers know of all starts of a job.
@@ -232,7 +240,7 @@
 # expect_result NODE JOB RESULT: waits for the job's end and compares its result.
 expect_result() {
   wait_until 20 has_phase "$1" "$2" finished
-  call "$1" GET "/v1/jobs/$2" | grep -q "\"result\":\"$3\"" ||
+  call "$1" GET "/v1/jobs/$2" | has "\"result\":\"$3\"" ||
     fail "job $2 has another result: $(call "$1" GET "/v1/jobs/$2")"
 }
 
@@ -250,7 +258,7 @@
 
 # set_zone NODE ZONE OUT: takes a zone out or brings it back.
 set_zone() {
-  call "$1" POST "/v1/zones/$2?out=$3" | grep -q '"version"'
+  call "$1" POST "/v1/zones/$2?out=$3" | has '"version"'
 }
 
 # at_version NODE VERSION: whether a node has a configuration version in force.
--- a/test/randomised/cluster/cluster.cpp
+++ b/test/randomised/cluster/cluster.cpp
@@ -259,6 +259,17 @@
   }
 }
 
+Cluster::~Cluster() {
+  for (const auto& [name, node] : nodes_) {
+    replaced_.push_back(node);
+  }
+  for (const NodePointer& node : replaced_) {
+    node->pending_configuration_ = {};
+    node->pending_jobs_ = {};
+    node->calls_.clear();
+  }
+}
+
 void Build(Cluster& cluster, std::uint64_t seed) {
   cluster.random_ = core::MakeRandom(seed, "cluster");
   cluster.next_seed_ = seed;
@@ -283,6 +294,7 @@
   const auto old = cluster.nodes_.find(name);
   if (old != cluster.nodes_.end()) {
     old->second->up_ = false;
+    cluster.replaced_.push_back(old->second);
   }
   const auto index = static_cast<std::uint32_t>(name.back() - '1');
   const NodePointer node = MakeNode(name, ZoneName(index % kZones + 1), cluster.names_,
--- a/test/randomised/cluster/cluster.hpp
+++ b/test/randomised/cluster/cluster.hpp
@@ -49,6 +49,14 @@
   std::uint64_t records_{};                        ///< Applied.
   std::uint64_t stale_records_{};                  ///< Of an earlier term.
   std::uint64_t next_seed_{};
+  std::vector<NodePointer> replaced_;  ///< Processes that ended.
+
+  Cluster() = default;
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  /** @brief Drops the answers that processes wait for: they refer to the processes. */
+  ~Cluster();
 };
 
 inline constexpr const char* kRegion = "region-1";
