Count the tasks of a step that a plan has placed towards its limit

Cause: anti-affinity counted only runs that were on a worker before the plan, so one plan put several tasks of a step on one worker.

--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -21,6 +21,7 @@
   site::Resources total_;  ///< Free now or soon, less what is kept for units that wait for it.
   bool probe_only_{};      ///< Takes one run at a time until it has proved itself.
   std::set<RunId> evicted_;  ///< Runs that this plan has made give way.
+  std::uint32_t taken_{};    ///< Tasks of the unit that is being placed.
 };
 
 /** Tasks of one step that can start. */
@@ -140,12 +141,13 @@
 std::uint32_t SiblingsLeft(const Slot& slot, const Unit& unit) noexcept {
   constexpr std::uint32_t kNoLimit = 1U << 30U;
   const std::uint32_t limit = unit.spec_->anti_affinity_;
+  const std::uint32_t probes = slot.taken_ > 0 ? 0 : 1;
   if (limit == 0) {
-    return slot.probe_only_ ? 1 : kNoLimit;
+    return slot.probe_only_ ? probes : kNoLimit;
   }
-  const std::uint32_t present = CountSiblings(*slot.worker_, unit);
+  const std::uint32_t present = CountSiblings(*slot.worker_, unit) + slot.taken_;
   const std::uint32_t left = present >= limit ? 0 : limit - present;
-  return slot.probe_only_ ? std::min(left, 1U) : left;
+  return slot.probe_only_ ? std::min(left, probes) : left;
 }
 
 /** How many tasks of a need fit into an amount. */
@@ -212,6 +214,7 @@
 void Take(const Unit& unit, std::uint32_t task, Slot& slot, PlannedUnit& planned) {
   slot.now_ -= unit.spec_->each_;
   slot.total_ -= unit.spec_->each_;
+  ++slot.taken_;
   planned.push_back({.task_ = {.job_ = unit.job_->id_,
                                 .occurrence_ = unit.occurrence_,
                                 .step_ = unit.step_,
@@ -474,6 +477,9 @@
 
 void PlanUnit(Planner& planner, const Unit& unit) {
   std::size_t missing = 0;
+  for (Slot& slot : planner.slots_) {
+    slot.taken_ = 0;
+  }
   if (unit.spec_->gang_) {
     missing = PlaceGang(planner, unit) ? 0 : unit.tasks_.size();
   } else {
--- /dev/null
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -0,0 +1,157 @@
+#include "laburnumledge/dispatch/placement.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/core.h>
+
+#include <map>
+#include <set>
+
+#include "laburnumledge/dispatch/fixture.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using namespace fixture;  // NOLINT
+
+struct Scene {
+  Board board_;
+  Fleet fleet_;
+  site::Rules rules_;
+  site::Bounds bounds_ = MakeBounds();
+
+  Plan Make(core::Milliseconds later = {}) {
+    return MakePlan(board_, fleet_, rules_, bounds_,
+                    {.now_ = kNow + later, .wall_ = kWall + later});
+  }
+};
+
+std::map<std::string, int> CountByWorker(const Plan& plan) {
+  std::map<std::string, int> counts;
+  for (const PlannedUnit& unit : plan.starts_) {
+    for (const PlannedStart& start : unit) {
+      ++counts[start.worker_->entry_.id_];
+    }
+  }
+  return counts;
+}
+
+std::size_t CountStarts(const Plan& plan) {
+  std::size_t count = 0;
+  for (const PlannedUnit& unit : plan.starts_) {
+    count += unit.size();
+  }
+  return count;
+}
+
+Occupant Running(std::int64_t gpus, std::uint32_t priority) {
+  return {.phase_ = OccupantPhase::kRunning,
+          .needs_ = {.cpu_millis_ = 10000, .memory_mb_ = 20000, .gpus_ = gpus},
+          .priority_ = priority,
+          .started_ = kNow - core::Milliseconds(1000)};
+}
+
+}  // namespace
+
+TEST_CASE("tasks of one step stay within their limit on a worker in one plan") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1"));
+  AddWorker(scene.fleet_, MakeEntry("w2"));
+  ledger::Step step = MakeStep(5, 1);
+  step.anti_affinity_ = 2;
+  AddJob(scene.board_, JobId(1), {step});
+  const Plan plan = scene.Make();
+  CHECK(CountStarts(plan) == 4);
+  for (const auto& [worker, count] : CountByWorker(plan)) {
+    CHECK(count <= 2);
+  }
+}
+
+TEST_CASE("tasks that are there already count towards the limit on a worker") {
+  Scene scene;
+  Worker& worker = AddWorker(scene.fleet_, MakeEntry("w1"));
+  ledger::Step step = MakeStep(3, 1);
+  step.anti_affinity_ = 1;
+  Job& job = AddJob(scene.board_, JobId(1), {step});
+  MarkPlaced(job.occurrences_.at(0).steps_[0], job.occurrences_.at(0).steps_[0].tasks_[0], 1, "w1");
+  AddOccupant(worker, {.task_ = {.job_ = JobId(1)}, .run_ = 1}, Running(1, 1));
+  CHECK(CountStarts(scene.Make()) == 0);
+}
+
+TEST_CASE("a gang starts whole or not at all") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1"));
+  AddWorker(scene.fleet_, MakeEntry("w2"));
+  ledger::Step step = MakeStep(3, 8);
+  step.gang_ = true;
+  AddJob(scene.board_, JobId(1), {step});
+  CHECK(CountStarts(scene.Make()) == 0);
+  AddWorker(scene.fleet_, MakeEntry("w3"));
+  CHECK(CountStarts(scene.Make()) == 3);
+}
+
+TEST_CASE("a gang that wants one rack waits for one before it spreads") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1", "r1"));
+  AddWorker(scene.fleet_, MakeEntry("w2", "r1"));
+  AddWorker(scene.fleet_, MakeEntry("w3", "r2"));
+  AddOccupant(scene.fleet_.workers_.at("w2"), {.task_ = {.job_ = JobId(9)}, .run_ = 1},
+              Running(4, 0));
+  ledger::Step step = MakeStep(2, 8);
+  step.gang_ = true;
+  step.same_rack_ = true;
+  AddJob(scene.board_, JobId(1), {step});
+  CHECK(CountStarts(scene.Make()) == 0);
+  CHECK(CountStarts(scene.Make(step.estimate_ + core::Milliseconds(1))) == 2);
+}
+
+TEST_CASE("a task goes to the rack of its data") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1", "r1"));
+  AddWorker(scene.fleet_, MakeEntry("w2", "r2"));
+  ledger::Step step = MakeStep(1, 1);
+  step.affinity_rack_ = "r2";
+  AddJob(scene.board_, JobId(1), {step});
+  CHECK(CountByWorker(scene.Make()) == std::map<std::string, int>{{"w2", 1}});
+}
+
+TEST_CASE("zones that are out, draining and unlisted workers get nothing") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1", "r1", "zone-a"));
+  AddWorker(scene.fleet_, MakeEntry("w2", "r2", "zone-b")).entry_.draining_ = true;
+  AddWorker(scene.fleet_, MakeEntry("w3", "r2", "zone-b")).listed_ = false;
+  AddJob(scene.board_, JobId(1), {MakeStep(1, 1)});
+  scene.rules_.zones_out_.insert("zone-a");
+  CHECK(CountStarts(scene.Make()) == 0);
+  scene.rules_.zones_out_.clear();
+  CHECK(CountByWorker(scene.Make()) == std::map<std::string, int>{{"w1", 1}});
+}
+
+TEST_CASE("urgent work makes less urgent work give way, the least lost first") {
+  Scene scene;
+  Worker& worker = AddWorker(scene.fleet_, MakeEntry("w1"));
+  Occupant saved = Running(4, 2);
+  saved.checkpointed_ = kNow - core::Milliseconds(10);
+  AddOccupant(worker, {.task_ = {.job_ = JobId(8)}, .run_ = 1}, Running(4, 2));
+  AddOccupant(worker, {.task_ = {.job_ = JobId(9)}, .run_ = 1}, saved);
+  AddJob(scene.board_, JobId(1), {MakeStep(1, 4)}, 0);
+  const Plan plan = scene.Make();
+  REQUIRE(plan.preemptions_.size() == 1);
+  CHECK(plan.preemptions_[0].run_.task_.job_ == JobId(9));
+  CHECK(plan.starts_.empty());
+}
+
+TEST_CASE("room that comes free for urgent work is not given to others, nor freed twice") {
+  Scene scene;
+  Worker& worker = AddWorker(scene.fleet_, MakeEntry("w1"));
+  Occupant stopping = Running(4, 2);
+  stopping.phase_ = OccupantPhase::kStopping;
+  AddOccupant(worker, {.task_ = {.job_ = JobId(8)}, .run_ = 1}, stopping);
+  AddJob(scene.board_, JobId(1), {MakeStep(1, 8)}, 0);
+  AddJob(scene.board_, JobId(2), {MakeStep(1, 2)}, 1);
+  const Plan plan = scene.Make();
+  CHECK(plan.preemptions_.empty());
+  CHECK(plan.starts_.empty());
+}
+
+}  // namespace laburnumledge::dispatch
