Let the leases of silent workers expire, and believe no lost call to be unsent

Cause 1 (LOST): each lease call without an answer moved the moment after which nothing can run on the worker, so runs on a worker that had lost power were never given up. Calls after the first failure now repeat the deadline that has been granted. Ruled out: the list of workers (the worker was unlisted in time). Cause 2 (REFUSED): libcurl repeats a call whose kept connection ends; when the new connection was refused, the client said that the call had not been sent, and a submit that had landed was answered 503. What has been sent once may have run, whatever the repeat says.

Tests: a silent worker's run is lost within a lease and one call; a call on an open connection may have run though no new one opens.

--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -33,7 +33,10 @@
   occupant.order_in_flight_ = true;
   const Job& job = board_.jobs_.at(run.task_.job_);
   const Task& task = *FindTask(board_, run.task_);
-  worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+  if (occupant.order_attempts_ == 1) {
+    occupant.lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_;
+    worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+  }
   worker.next_lease_ = std::min(worker.next_lease_, now);
   ++counts_.starts_;
   actions_.starts_.push_back(
@@ -43,7 +46,7 @@
                   .text_ = job.submission_->text_,
                   .checkpoint_ = task.checkpoint_,
                   .ticket_ = {},
-                  .lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_,
+                  .lease_deadline_ = occupant.lease_deadline_,
                   .fence_ = worker.fence_},
        .deadline_ = now + internal::kOrderTimeout});
 }
@@ -160,6 +163,10 @@
       }
       [[fallthrough]];
     case OrderOutcome::kLate:
+      // The worker answers, and its answer has brought its clock up to date.
+      occupant.lease_deadline_ = ClockAt(*worker, now) + bounds_.longest_lease_;
+      worker->leased_until_ = std::max(worker->leased_until_, internal::LeaseEnd(now, bounds_));
+      [[fallthrough]];
     case OrderOutcome::kUnknown:
       if (occupant.order_attempts_ < internal::kMaxStartAttempts) {
         SendStart(*worker, run, occupant, now);
@@ -234,12 +241,17 @@
   worker.lease_call_ = next_lease_call_++;
   worker.lease_sent_ = now;
   worker.next_lease_ = ends_wait ? now + internal::kLeaseWhileRecording : now;
-  worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+  if (worker.failed_calls_ == 0) {
+    worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+    worker.lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_;
+  }
+  // A worker that gives no answers may get every call: extending its lease again and again would
+  // keep its runs from ever being given up.
   actions_.leases_.push_back(
       {.worker_ = internal::AddressOf(worker),
        .call_ = {.fence_ = worker.fence_,
                  .last_seen_ = worker.ends_recorded_,
-                 .lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_,
+                 .lease_deadline_ = worker.lease_deadline_,
                  .wait_ = wait,
                  .deadline_ = now + wait + internal::kLeaseSlack},
        .number_ = worker.lease_call_});
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -39,6 +39,7 @@
   bool gang_{};
   core::TimePoint settled_{};       ///< Since when the worker is known to have acted on the order.
   core::TimePoint started_{};       ///< When the run was confirmed.
+  core::WorkerTime lease_deadline_{};  ///< That its start asks for, on the worker's clock.
   core::TimePoint next_order_{};    ///< When an order without an answer goes out again.
   core::TimePoint progressed_{};    ///< When its progress was last seen to change.
   std::int64_t progress_percent_{};
@@ -74,6 +75,7 @@
   core::TimePoint lease_sent_{};
   core::TimePoint next_lease_{};    ///< When the next lease call goes out.
   core::TimePoint leased_until_{};  ///< Nothing runs there after it, whatever was ordered.
+  core::WorkerTime lease_deadline_{};  ///< Of the newest lease call, on the worker's clock.
   core::TimePoint reached_{};       ///< When it last answered.
   std::uint32_t failed_calls_{};    ///< In a row.
   Health health_;
--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -88,9 +88,9 @@
          code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_BAD_CONTENT_ENCODING;
 }
 
-bool NeverSent(const Transfer& transfer, CURLcode code) noexcept {
-  return !transfer.sent_ || code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
-}
+/** libcurl sends a call again when a kept connection ends under it; failing to connect then says
+ * nothing about what went out before. */
+bool NeverSent(const Transfer& transfer) noexcept { return !transfer.sent_; }
 
 }  // namespace
 
@@ -203,7 +203,7 @@
     response.malformed_ = IsMalformed(*transfer, code);
     response.reason_ = transfer->too_large_ ? "answer is too large" : curl_easy_strerror(code);
     response.verdict_ =
-        NeverSent(*transfer, code) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
+        NeverSent(*transfer) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
   }
   const Received received = std::move(transfer->received_);
   const CallId id = transfer->id_;
--- /dev/null
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -0,0 +1,163 @@
+#include "laburnumledge/dispatch/dispatcher.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "laburnumledge/dispatch/fixture.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using namespace fixture;  // NOLINT
+using platform::OrderOutcome;
+using platform::RunEnd;
+
+/** @brief Dispatcher with one worker; answers what it asks for by hand, in virtual time. */
+struct Scene {
+  Dispatcher dispatcher_{MakeBounds(), 1};
+  core::TimePoint now_ = kNow;
+  Actions actions_;
+  std::vector<LeaseAction> leases_;  ///< Calls that went out with the last starts.
+
+  Scene() {
+    dispatcher_.SetRules({});
+    dispatcher_.OnWorker(MakeEntry("w1"), now_);
+    dispatcher_.Begin(now_, now_);
+  }
+
+  void Submit(const std::string& id, std::vector<ledger::Step> steps) {
+    const ledger::JobEntry entry{.submission_ = MakeSubmission(std::move(steps))};
+    dispatcher_.OnJob(id, &entry, now_);
+  }
+
+  /** @brief Lets the dispatcher run and collects what it wants. */
+  Actions& Run(core::Milliseconds later = {}) {
+    now_ += later;
+    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - kNow)});
+    actions_ = dispatcher_.TakeActions();
+    return actions_;
+  }
+
+  /** @brief Stores every batch of the last actions. */
+  void StoreAll() {
+    const std::vector<RecordBatch> batches = actions_.records_;
+    for (const RecordBatch& batch : batches) {
+      dispatcher_.OnRecorded(batch.number_, now_);
+    }
+  }
+
+  /** @brief Brings every job that is waiting to run on its worker. */
+  std::vector<StartAction> StartAll() {
+    Run();
+    StoreAll();
+    std::vector<StartAction> starts = Run().starts_;
+    leases_ = actions_.leases_;
+    now_ += core::Milliseconds(1);
+    for (const StartAction& start : starts) {
+      dispatcher_.OnStarted(start, {.outcome_ = OrderOutcome::kDone}, now_);
+    }
+    return starts;
+  }
+};
+
+platform::RunningRow Row(const StartAction& start) {
+  return {.task_ = start.order_.task_, .run_ = start.order_.run_};
+}
+
+}  // namespace
+
+TEST_CASE("a start goes out only after its record is stored") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 1)});
+  scene.Run();
+  REQUIRE(scene.actions_.records_.size() == 1);
+  CHECK(scene.actions_.records_[0].tasks_.size() == 1);
+  CHECK(scene.actions_.starts_.empty());
+  scene.StoreAll();
+  CHECK(scene.Run().starts_.size() == 1);
+}
+
+TEST_CASE("a run on a worker that gives no answer is lost once its lease has passed") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 1)});
+  REQUIRE(scene.StartAll().size() == 1);
+  const core::TimePoint started = scene.now_;
+  std::vector<LeaseAction> calls = scene.leases_;
+  REQUIRE(calls.size() == 1);
+  bool restarted = false;
+  core::TimePoint restarted_at{};
+  while (!restarted && scene.now_ < started + core::Milliseconds(20000)) {
+    for (const LeaseAction& call : calls) {
+      scene.now_ = std::max(scene.now_, call.call_.deadline_);
+      scene.dispatcher_.OnLease(call, {.outcome_ = OrderOutcome::kUnknown}, scene.now_);
+    }
+    scene.Run(core::Milliseconds(50));
+    calls = scene.actions_.leases_;
+    restarted = std::any_of(
+        scene.actions_.records_.begin(), scene.actions_.records_.end(), [](const auto& batch) {
+          return !batch.tasks_.empty() &&
+                 batch.tasks_[0].second.outcome_ == ledger::TaskOutcome::kWaiting;
+        });
+    restarted_at = scene.now_;
+  }
+  REQUIRE(restarted);
+  CHECK(restarted_at > started + core::Milliseconds(6000));
+  // The first call without an answer extended the lease; those after it must not.
+  CHECK(restarted_at < started + core::Milliseconds(6000 + 3000));
+}
+
+TEST_CASE("a start without an answer goes out again under a higher fence") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 1)});
+  scene.Run();
+  scene.StoreAll();
+  const std::vector<StartAction> first = scene.Run().starts_;
+  REQUIRE(first.size() == 1);
+  scene.dispatcher_.OnStarted(first[0], {.outcome_ = OrderOutcome::kUnknown}, scene.now_);
+  const std::vector<StartAction> second = scene.Run().starts_;
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].order_.run_ == first[0].order_.run_);
+  CHECK(second[0].order_.fence_ > first[0].order_.fence_);
+}
+
+TEST_CASE("an end is forgotten by the worker only after it is on record") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 1)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 1);
+  const std::vector<LeaseAction> calls = scene.leases_;
+  REQUIRE(calls.size() == 1);
+  platform::LeaseResult ended{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
+  ended.finished_.push_back({.number_ = 1,
+                             .task_ = starts[0].order_.task_,
+                             .run_ = 1,
+                             .end_ = RunEnd::kDone});
+  scene.dispatcher_.OnLease(calls[0], ended, scene.now_);
+  scene.Run();
+  CHECK(scene.dispatcher_.Workers().workers_.at("w1").ends_recorded_ == 0);
+  CHECK(scene.actions_.statuses_.back().state_ == ledger::JobState::kCompleted);
+  scene.StoreAll();
+  CHECK(scene.dispatcher_.Workers().workers_.at("w1").ends_recorded_ == 1);
+}
+
+TEST_CASE("a run that a worker does not list although it was started is lost") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(2, 1)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 2);
+  REQUIRE(scene.leases_.size() == 1);
+  const platform::LeaseResult early{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
+  scene.dispatcher_.OnLease(scene.leases_[0], early, scene.now_);
+  // That call went out before the starts were confirmed: its lists prove nothing.
+  CHECK(scene.dispatcher_.Counts().runs_lost_ == 0);
+  const std::vector<LeaseAction> calls = scene.Run(core::Milliseconds(1)).leases_;
+  REQUIRE(calls.size() == 1);
+  platform::LeaseResult lists{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
+  lists.running_.push_back(Row(starts[0]));
+  scene.dispatcher_.OnLease(calls[0], lists, scene.now_);
+  CHECK(scene.dispatcher_.Counts().runs_lost_ == 1);
+}
+
+}  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/http/client.cpp
+++ b/test/laburnumledge/http/client.cpp
@@ -123,4 +123,31 @@
   }
 }
 
+TEST_CASE("A call that was read on an open connection may have run, even if no new one opens") {
+  loop::Loop loop;
+  RawServer* listening = nullptr;
+  RawServer server(
+      loop,
+      [&](int request) {
+        if (request == 1) {
+          return kWhole;
+        }
+        listening->StopListening();
+        return std::string();
+      },
+      false);
+  listening = &server;
+  Client client(loop, 4);
+  Call call;
+  call.method_ = "POST";
+  call.url_ = server.Url();
+  call.body_ = "x";
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
+  // The client's library sends a call again when a kept connection ends under it.
+  const Response response = Exchange(loop, client, call);
+  CHECK(server.Requests() == 2);
+  CHECK(response.status_ == 0);
+  CHECK(response.verdict_ == core::Verdict::kMayHaveRun);
+}
+
 }  // namespace laburnumledge::http
--- a/test/laburnumledge/http/raw_socket.hpp
+++ b/test/laburnumledge/http/raw_socket.hpp
@@ -45,7 +45,9 @@
     while (!watches_.empty()) {
       Close(watches_.begin()->first);
     }
-    close(listener_);
+    if (listener_ >= 0) {
+      close(listener_);
+    }
   }
 
   RawServer(const RawServer&) = delete;
@@ -56,6 +58,13 @@
   }
   [[nodiscard]] int Requests() const noexcept { return requests_; }
 
+  /** @brief Refuses new connections; open ones are served on. */
+  void StopListening() {
+    loop_.Unwatch(watch_);
+    close(listener_);
+    listener_ = -1;
+  }
+
  private:
   void Accept() {
     const int descriptor = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
