Never resume a term that this process has given up

Cause: a heartbeat of the term that was under way when the node began to shut down landed after it; reading it made the node hold the same term again, with a second dispatcher under the same epoch, whose load could miss records that the first had under way.

Ruled out: lost fences (the epoch is the same for both), slow reads.

A given-up term's number is kept, release is repeated until it lands.

--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -252,7 +252,7 @@
                                              .jobs_follower_ = jobs_follower_},
                                  term_.seen_->number_, leases_end, [weak = weak_from_this()] {
                                    if (const auto self = weak.lock()) {
-                                     self->term_.holds_ = false;
+                                     Abandon(self->term_);
                                      self->EndDuty("a higher epoch or fence was seen");
                                    }
                                  });
@@ -275,7 +275,7 @@
     case TermStep::kNone:
       break;
     case TermStep::kStepDown:
-      term_.holds_ = false;
+      Abandon(term_);
       EndDuty("the store did not confirm the term in time");
       break;
     case TermStep::kClaim: {
@@ -292,6 +292,12 @@
     case TermStep::kBeat:
       AppendTerm(*term_.seen_);
       break;
+    case TermStep::kRelease: {
+      ledger::Term released = *term_.seen_;
+      released.released_ = true;
+      AppendTerm(std::move(released));
+      break;
+    }
   }
   loop_.Cancel(term_timer_);
   term_timer_ = loop_.At(NextTermTime(term_, now), [this] { StepTerm(); });
@@ -420,11 +426,10 @@
   self.leave_latest_ = now + self.deployment_.bounds_.shutdown_grace_ - kShutdownReserve;
   self.callers_server_->CloseAfterAnswers();
   if (self.term_.holds_) {
-    ledger::Term released = *self.term_.seen_;
-    released.released_ = true;
     self.EndDuty("the node shuts down");
-    self.term_.holds_ = false;
-    self.AppendTerm(released);
+    Abandon(self.term_);
+    self.term_.next_append_ = {};
+    self.StepTerm();
   }
   self.LeaveWhenIdle();
 }
--- a/src/laburnumledge/control/term.cpp
+++ b/src/laburnumledge/control/term.cpp
@@ -29,7 +29,14 @@
   state.end_ = end;
   state.seen_ = term;
   state.heard_ = now;
-  state.holds_ = IsOwn(state, term) && !term.released_;
+  state.holds_ = IsOwn(state, term) && !term.released_ && term.number_ > state.abandoned_;
+}
+
+void Abandon(TermState& state) noexcept {
+  if (state.holds_) {
+    state.abandoned_ = std::max(state.abandoned_, state.seen_->number_);
+    state.holds_ = false;
+  }
 }
 
 TermStep NextTermStep(const TermState& state, core::TimePoint now) noexcept {
@@ -42,7 +49,12 @@
   if (state.holds_) {
     return TermStep::kBeat;
   }
-  if (state.retiring_ || state.answering_since_ == core::TimePoint{}) {
+  if (state.retiring_) {
+    const bool open = state.seen_.has_value() && IsOwn(state, *state.seen_) &&
+                      !state.seen_->released_;
+    return open ? TermStep::kRelease : TermStep::kNone;
+  }
+  if (state.answering_since_ == core::TimePoint{}) {
     return TermStep::kNone;
   }
   return IsVacant(state) || now >= SilentAt(state) ? TermStep::kClaim : TermStep::kNone;
--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -26,6 +26,7 @@
   kNone,
   kClaim,     ///< Append a term of its own.
   kBeat,      ///< Append its term again.
+  kRelease,   ///< Append its term as released.
   kStepDown,  ///< Grant nothing more: it may have been superseded without knowing.
 };
 
@@ -44,6 +45,7 @@
   core::TimePoint answering_since_{};  ///< Since when the store answers; zero while it does not.
   bool loaded_{};                      ///< The stream has been read to its end once.
   bool holds_{};
+  std::uint64_t abandoned_{};     ///< Highest term that this process has given up.
   bool retiring_{};               ///< Shuts down: claims nothing.
   bool append_in_flight_{};
   core::TimePoint confirmed_{};   ///< When the last append that landed was sent.
@@ -54,6 +56,14 @@
 void OnTermRead(TermState& state, const ledger::Term& term, std::uint64_t end,
                 core::TimePoint now);
 
+/**
+ * @brief Gives up the term that this process holds.
+ *
+ * It is not held again, whatever is read later: what was done under it may still land, and a
+ * successor under the same number could not tell.
+ */
+void Abandon(TermState& state) noexcept;
+
 /** @brief Decides what to do. A step is repeated until its append is noted. */
 [[nodiscard]] TermStep NextTermStep(const TermState& state, core::TimePoint now) noexcept;
 
