Wait for the leases of all earlier terms, and confirm a claim by its first send

Cause 1 (TWICE): a holder that was cut off with its zone went on granting leases; its successor's claim was read before its append was answered, so it counted as never confirmed, stepped down and claimed again. The second take-over looked at its own short term only and started runs that still lived behind the cut. Cause 2: the same gap stood open for every short term between two others.

Change: a term's record says how long leases of terms before it may last; a claim is confirmed by the time it was first sent.

Tests: two chained terms, a reborn holder, a claim read early, a claim sent twice.

--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -77,8 +77,7 @@
   std::unique_ptr<http::Server> callers_server_;
   std::unique_ptr<http::Server> readiness_server_;
   loop::Handle term_timer_{};
-  std::optional<ledger::Term> claimed_over_;  ///< Term before the one that this node claims.
-  core::TimePoint claimed_heard_{};
+  std::string claimed_over_;  ///< Holder before the term that this node claims.
   core::TimePoint leave_at_{};
   core::TimePoint leave_latest_{};
   bool draining_{};
@@ -211,7 +210,8 @@
                    {"reason", core::LastReason()}});
       continue;
     }
-    const bool changed = term_.seen_ != term;
+    const bool changed = !term_.seen_.has_value() || term_.seen_->number_ != term->number_ ||
+                         term_.seen_->released_ != term->released_;
     OnTermRead(term_, *term, record.offset_ + 1, loop_.Now());
     if (changed) {
       core::Event(Level::kInfo, EventWeight::kDecisive, "term.seen",
@@ -233,16 +233,12 @@
   if (duty_ != nullptr) {
     return;
   }
-  const core::TimePoint now = loop_.Now();
-  const auto lease_length = std::chrono::duration_cast<core::Clock::duration>(
-      deployment_.bounds_.longest_lease_ * 1.04);
-  const core::TimePoint leases_end =
-      EarlierLeasesEnd(term_, claimed_over_, claimed_heard_, lease_length, now);
+  const core::TimePoint leases_end = term_.earlier_leases_end_;
   core::Event(Level::kInfo, EventWeight::kDecisive, "term.taken",
               {{"term", term_.seen_->number_},
-               {"from", claimed_over_.has_value() ? claimed_over_->holder_ : ""},
+               {"from", claimed_over_},
                {"earlier_leases_end_ms",
-                std::chrono::duration_cast<core::Milliseconds>(leases_end - now)}});
+                std::chrono::duration_cast<core::Milliseconds>(leases_end - loop_.Now())}});
   duty_ = std::make_unique<Duty>(DutyContext{.loop_ = loop_,
                                              .store_ = store_,
                                              .workers_ = workers_,
@@ -279,9 +275,9 @@
       EndDuty("the store did not confirm the term in time");
       break;
     case TermStep::kClaim: {
-      claimed_over_ = term_.seen_;
-      claimed_heard_ = term_.heard_;
-      const ledger::Term claim = MakeClaim(term_);
+      claimed_over_ = term_.seen_.has_value() ? term_.seen_->holder_ : "";
+      const ledger::Term claim =
+          BeginClaim(term_, dispatch::LongestLease(deployment_.bounds_), now);
       core::Event(Level::kInfo, EventWeight::kDecisive, "term.claim",
                   {{"term", claim.number_},
                    {"silence_ms",
@@ -290,10 +286,10 @@
       break;
     }
     case TermStep::kBeat:
-      AppendTerm(*term_.seen_);
+      AppendTerm(MakeBeat(term_, now));
       break;
     case TermStep::kRelease: {
-      ledger::Term released = *term_.seen_;
+      ledger::Term released = MakeBeat(term_, now);
       released.released_ = true;
       AppendTerm(std::move(released));
       break;
--- a/src/laburnumledge/control/term.cpp
+++ b/src/laburnumledge/control/term.cpp
@@ -11,6 +11,15 @@
   return !state.seen_.has_value() || state.seen_->released_ || state.seen_->holder_ == state.node_;
 }
 
+ledger::Term MakeTerm(const TermState& state, std::uint64_t number, core::TimePoint now) {
+  const auto left = std::chrono::ceil<core::Milliseconds>(state.earlier_leases_end_ - now);
+  return {.number_ = number,
+          .holder_ = state.node_,
+          .incarnation_ = state.incarnation_,
+          .released_ = false,
+          .earlier_leases_left_ = std::max(left, core::Milliseconds{})};
+}
+
 core::TimePoint SilentAt(const TermState& state) noexcept {
   return std::max(state.heard_, state.answering_since_) + kHolderSilence;
 }
@@ -29,7 +38,14 @@
   state.end_ = end;
   state.seen_ = term;
   state.heard_ = now;
-  state.holds_ = IsOwn(state, term) && !term.released_ && term.number_ > state.abandoned_;
+  const bool own = IsOwn(state, term);
+  if (own && !state.holds_ && term.number_ == state.claim_number_) {
+    state.confirmed_ = std::max(state.confirmed_, state.claim_sent_);
+  }
+  if (!own) {
+    state.earlier_leases_end_ = now + term.earlier_leases_left_;
+  }
+  state.holds_ = own && !term.released_ && term.number_ > state.abandoned_;
 }
 
 void Abandon(TermState& state) noexcept {
@@ -76,24 +92,28 @@
   return std::max({next, earliest, now});
 }
 
-ledger::Term MakeClaim(const TermState& state) {
-  return {.number_ = state.seen_.has_value() ? state.seen_->number_ + 1 : 1,
-          .holder_ = state.node_,
-          .incarnation_ = state.incarnation_,
-          .released_ = false};
+ledger::Term BeginClaim(TermState& state, core::Clock::duration lease_length,
+                        core::TimePoint now) {
+  const std::uint64_t number = state.seen_.has_value() ? state.seen_->number_ + 1 : 1;
+  if (state.seen_.has_value()) {
+    // A holder that is not known to have stopped may grant leases until it must give up. Its last
+    // renewal was sent before it was read here.
+    const bool stopped = state.seen_->released_ || state.seen_->holder_ == state.node_;
+    const core::TimePoint last_grant =
+        stopped ? now : std::max(now, state.heard_ + kUnconfirmedLimit);
+    state.earlier_leases_end_ = std::max(state.earlier_leases_end_, last_grant + lease_length);
+  } else {
+    state.earlier_leases_end_ = now;
+  }
+  if (state.claim_number_ != number) {
+    state.claim_number_ = number;
+    state.claim_sent_ = now;
+  }
+  return MakeTerm(state, number, now);
 }
 
-core::TimePoint EarlierLeasesEnd(const TermState& state,
-                                 const std::optional<ledger::Term>& previous,
-                                 core::TimePoint heard, core::Clock::duration lease_length,
-                                 core::TimePoint now) noexcept {
-  if (!previous.has_value()) {
-    return now;
-  }
-  const bool over = previous->released_ || previous->holder_ == state.node_;
-  // Its last renewal was sent before it was read here.
-  const core::TimePoint last_grant = over ? now : heard + kUnconfirmedLimit;
-  return std::max(now, last_grant) + lease_length;
+ledger::Term MakeBeat(const TermState& state, core::TimePoint now) {
+  return MakeTerm(state, state.seen_->number_, now);
 }
 
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -48,7 +48,10 @@
   std::uint64_t abandoned_{};     ///< Highest term that this process has given up.
   bool retiring_{};               ///< Shuts down: claims nothing.
   bool append_in_flight_{};
-  core::TimePoint confirmed_{};   ///< When the last append that landed was sent.
+  core::TimePoint confirmed_{};   ///< When the last append that landed was sent, or earlier.
+  core::TimePoint earlier_leases_end_{};  ///< Of terms before the one seen, or claimed.
+  std::uint64_t claim_number_{};          ///< Term that was last claimed.
+  core::TimePoint claim_sent_{};          ///< When it was first claimed.
   core::TimePoint next_append_{};  ///< Not before this time.
 };
 
@@ -70,23 +73,19 @@
 /** @brief When NextTermStep may change its mind without an event. */
 [[nodiscard]] core::TimePoint NextTermTime(const TermState& state, core::TimePoint now) noexcept;
 
-/** @brief Term to append for a claim. */
-[[nodiscard]] ledger::Term MakeClaim(const TermState& state);
-
-/** @brief Whether a term is this process's own. */
-[[nodiscard]] bool IsOwn(const TermState& state, const ledger::Term& term) noexcept;
-
 /**
- * @brief When every lease that earlier holders have granted has passed.
- * @param state The state as it was when this node claimed.
- * @param previous Term before this node's; empty if there was none.
- * @param heard When the previous term was last read before the claim.
+ * @brief Makes the term to append for a claim, and works out when the leases of earlier terms end.
+ * @param state The state.
  * @param lease_length Longest lease, tolerance of clocks included.
+ * @param now When the claim is sent.
  */
-[[nodiscard]] core::TimePoint EarlierLeasesEnd(const TermState& state,
-                                               const std::optional<ledger::Term>& previous,
-                                               core::TimePoint heard,
-                                               core::Clock::duration lease_length,
-                                               core::TimePoint now) noexcept;
+[[nodiscard]] ledger::Term BeginClaim(TermState& state, core::Clock::duration lease_length,
+                                      core::TimePoint now);
+
+/** @brief The term that is held, as it is appended again. */
+[[nodiscard]] ledger::Term MakeBeat(const TermState& state, core::TimePoint now);
+
+/** @brief Whether a term is this process's own. */
+[[nodiscard]] bool IsOwn(const TermState& state, const ledger::Term& term) noexcept;
 
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -35,7 +35,7 @@
   const Task& task = *FindTask(board_, run.task_);
   if (occupant.order_attempts_ == 1) {
     occupant.lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_;
-    worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+    worker.leased_until_ = std::max(worker.leased_until_, now + LongestLease(bounds_));
   }
   worker.next_lease_ = std::min(worker.next_lease_, now);
   ++counts_.starts_;
@@ -165,7 +165,7 @@
     case OrderOutcome::kLate:
       // The worker answers, and its answer has brought its clock up to date.
       occupant.lease_deadline_ = ClockAt(*worker, now) + bounds_.longest_lease_;
-      worker->leased_until_ = std::max(worker->leased_until_, internal::LeaseEnd(now, bounds_));
+      worker->leased_until_ = std::max(worker->leased_until_, now + LongestLease(bounds_));
       [[fallthrough]];
     case OrderOutcome::kUnknown:
       if (occupant.order_attempts_ < internal::kMaxStartAttempts) {
@@ -242,7 +242,7 @@
   worker.lease_sent_ = now;
   worker.next_lease_ = ends_wait ? now + internal::kLeaseWhileRecording : now;
   if (worker.failed_calls_ == 0) {
-    worker.leased_until_ = std::max(worker.leased_until_, internal::LeaseEnd(now, bounds_));
+    worker.leased_until_ = std::max(worker.leased_until_, now + LongestLease(bounds_));
     worker.lease_deadline_ = ClockAt(worker, now) + bounds_.longest_lease_;
   }
   // A worker that gives no answers may get every call: extending its lease again and again would
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -9,8 +9,17 @@
 /** A worker's steady clock may be slow by this part. Source: the platform's bound of 2%. */
 constexpr double kSlowestClock = 0.98;
 
+/** Part by which a lease may last longer than it says. Source: the platform's bound of 2% for a
+ * worker's clock, and as much again for the clock of our own VM. */
+constexpr double kClockTolerance = 0.04;
+
 }  // namespace
 
+core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept {
+  return std::chrono::duration_cast<core::Clock::duration>(bounds.longest_lease_ *
+                                                           (1.0 + kClockTolerance));
+}
+
 site::Resources Room(const Worker& worker) noexcept {
   return worker.entry_.capacity_ - worker.used_;
 }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -8,6 +8,7 @@
 
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/ledger/job.hpp"
+#include "laburnumledge/site/deployment.hpp"
 #include "laburnumledge/site/resources.hpp"
 #include "laburnumledge/site/worker_entry.hpp"
 
@@ -88,6 +89,9 @@
   std::map<std::string, Worker, std::less<>> workers_;
 };
 
+/** @brief Longest time of ours that a lease granted now can last, whatever the clocks. */
+[[nodiscard]] core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept;
+
 /** @brief Room that is left for starts now. */
 [[nodiscard]] site::Resources Room(const Worker& worker) noexcept;
 
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -34,17 +34,6 @@
 /** @brief Pause between lease calls while ends wait for the store. Source: ours. */
 inline constexpr core::Milliseconds kLeaseWhileRecording{1000};
 
-/** @brief A worker's clock may be slow by this part. Source: the platform's bound of 2%, and as
- * much again for the clock of our own VM. */
-inline constexpr double kClockTolerance = 0.04;
-
-/** @brief When a lease that is granted now has passed for certain. */
-[[nodiscard]] inline core::TimePoint LeaseEnd(core::TimePoint now,
-                                              const site::Bounds& bounds) noexcept {
-  const auto length = bounds.longest_lease_ * (1.0 + kClockTolerance);
-  return now + std::chrono::duration_cast<core::Clock::duration>(length);
-}
-
 /** @brief Address of a worker for an action. */
 [[nodiscard]] inline platform::WorkerAddress AddressOf(const Worker& worker) {
   return {.id_ = worker.entry_.id_, .address_ = worker.entry_.address_};
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -182,6 +182,7 @@
   message.set_holder(term.holder_);
   message.set_incarnation(term.incarnation_);
   message.set_released(term.released_);
+  message.set_earlier_leases_left_ms(term.earlier_leases_left_.count());
   return message.SerializeAsString();
 }
 
@@ -193,7 +194,8 @@
   return Term{.number_ = message->number(),
               .holder_ = message->holder(),
               .incarnation_ = message->incarnation(),
-              .released_ = message->released()};
+              .released_ = message->released(),
+              .earlier_leases_left_ = core::Milliseconds(message->earlier_leases_left_ms())};
 }
 
 }  // namespace laburnumledge::ledger
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -116,6 +116,7 @@
   std::string holder_;
   std::string incarnation_;  ///< Of the holder's process.
   bool released_{};
+  core::Milliseconds earlier_leases_left_{};  ///< When written, until leases of earlier terms end.
 
   [[nodiscard]] bool operator==(const Term&) const = default;
 };
--- a/test/laburnumledge/control/term.cpp
+++ b/test/laburnumledge/control/term.cpp
@@ -30,7 +30,7 @@
   OnTermRead(state, OtherTerm(), 5, kNow);
   CHECK(NextTermStep(state, kNow + kHolderSilence - core::Milliseconds(1)) == TermStep::kNone);
   CHECK(NextTermStep(state, kNow + kHolderSilence) == TermStep::kClaim);
-  CHECK(MakeClaim(state).number_ == 4);
+  CHECK(BeginClaim(state, {}, kNow).number_ == 4);
   ledger::Term released = OtherTerm();
   released.released_ = true;
   OnTermRead(state, released, 6, kNow);
@@ -68,7 +68,7 @@
   CHECK_FALSE(state.holds_);
   // Only a term of a higher number can be held again: records of the old one may still land.
   CHECK(NextTermStep(state, kNow) == TermStep::kClaim);
-  CHECK(MakeClaim(state).number_ == 4);
+  CHECK(BeginClaim(state, {}, kNow).number_ == 4);
 }
 
 TEST_CASE("a node that shuts down releases its term until that has landed, and claims none") {
@@ -88,14 +88,65 @@
 }
 
 TEST_CASE("the leases of an earlier holder end after the time that it may go on unconfirmed") {
-  const TermState state = MakeTermState();
   const core::Clock::duration lease = std::chrono::seconds(6);
-  CHECK(EarlierLeasesEnd(state, std::nullopt, {}, lease, kNow) == kNow);
-  CHECK(EarlierLeasesEnd(state, OtherTerm(), kNow, lease, kNow) ==
-        kNow + kUnconfirmedLimit + lease);
+  TermState state = MakeTermState();
+  (void)BeginClaim(state, lease, kNow);
+  CHECK(state.earlier_leases_end_ == kNow);
+  state = MakeTermState();
+  OnTermRead(state, OtherTerm(), 5, kNow);
+  (void)BeginClaim(state, lease, kNow + kHolderSilence);
+  CHECK(state.earlier_leases_end_ == kNow + kUnconfirmedLimit + lease);
+  state = MakeTermState();
   ledger::Term released = OtherTerm();
   released.released_ = true;
-  CHECK(EarlierLeasesEnd(state, released, kNow, lease, kNow) == kNow + lease);
+  OnTermRead(state, released, 5, kNow);
+  (void)BeginClaim(state, lease, kNow);
+  CHECK(state.earlier_leases_end_ == kNow + lease);
+}
+
+TEST_CASE("leases of terms before the last one count, too") {
+  // The holder of one term is cut off and grants on; its successor's term is short.
+  const core::Clock::duration lease = std::chrono::seconds(6);
+  TermState successor = MakeTermState();
+  OnTermRead(successor, OtherTerm(), 5, kNow);
+  const core::TimePoint claimed = kNow + kHolderSilence;
+  const ledger::Term term = BeginClaim(successor, lease, claimed);
+  OnTermRead(successor, term, 6, claimed);
+  const core::TimePoint end = successor.earlier_leases_end_;
+  const core::TimePoint later = claimed + std::chrono::seconds(1);
+  ledger::Term released = MakeBeat(successor, later);
+  released.released_ = true;
+
+  TermState third = MakeTermState();
+  third.node_ = "node-3";
+  OnTermRead(third, released, 7, later);
+  (void)BeginClaim(third, lease, later);
+  CHECK(third.earlier_leases_end_ == end);
+
+  TermState reborn = MakeTermState();
+  reborn.incarnation_ = "second";
+  OnTermRead(reborn, MakeBeat(successor, later), 7, later);
+  (void)BeginClaim(reborn, lease, later);
+  CHECK(reborn.earlier_leases_end_ == end);
+}
+
+TEST_CASE("a claim that is read before its append is answered is confirmed by when it was sent") {
+  TermState state = MakeTermState();
+  OnTermRead(state, OtherTerm(), 5, kNow - std::chrono::seconds(9));
+  const ledger::Term claim = BeginClaim(state, std::chrono::seconds(6), kNow);
+  state.append_in_flight_ = true;
+  OnTermRead(state, claim, 6, kNow + core::Milliseconds(10));
+  CHECK(state.holds_);
+  CHECK(state.confirmed_ == kNow);
+  CHECK(NextTermStep(state, kNow + core::Milliseconds(10)) == TermStep::kNone);
+  // A claim that is repeated may have landed when it was first sent.
+  state = MakeTermState();
+  const ledger::Term first = BeginClaim(state, std::chrono::seconds(6), kNow);
+  const ledger::Term again =
+      BeginClaim(state, std::chrono::seconds(6), kNow + core::Milliseconds(700));
+  CHECK(first.number_ == again.number_);
+  OnTermRead(state, again, 1, kNow + core::Milliseconds(710));
+  CHECK(state.confirmed_ == kNow);
 }
 
 }  // namespace laburnumledge::control
