Pass calls on to a node that reaches the store; fail jobs whose attempts are used up on record

Cause 1: a node that loses the store answered 503 or 504 until the balancer took it out of rotation, and callers have four attempts within 3 s. Nodes now find each other in a stream of the store; one that can't reach it asks another, and says 503 only when that one can't either.

Ruled out: a longer wait for the own append (it holds calls up), no advice on when to return (all attempts then fall into the first half second).

Tests: a task with its attempts used up on record fails its job at take-over.

--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -72,9 +72,11 @@
   Follower rules_follower_;
   Follower jobs_follower_;
   Follower term_follower_;
+  entry::Peers peers_;
   entry::JobCalls calls_;
   std::unique_ptr<Duty> duty_;
   std::unique_ptr<http::Server> callers_server_;
+  std::unique_ptr<http::Server> peers_server_;
   std::unique_ptr<http::Server> readiness_server_;
   loop::Handle term_timer_{};
   std::string claimed_over_;  ///< Holder before the term that this node claims.
@@ -125,13 +127,16 @@
                             term_.loaded_ = true;
                             StepTerm();
                           }}),
+      peers_(loop, store_, client_, deployment_,
+             core::MakeRandom(core::EntropySeed(), "peers")),
       calls_({.loop_ = loop,
               .store_ = store_,
               .deployment_ = deployment_,
               .rules_ = rules_,
               .jobs_ = jobs_,
               .rules_follower_ = rules_follower_,
-              .jobs_follower_ = jobs_follower_}) {
+              .jobs_follower_ = jobs_follower_,
+              .peers_ = peers_}) {
   term_.node_ = deployment_.node_;
   term_.incarnation_ = core::MakeUniqueId(random_);
 }
@@ -384,14 +389,21 @@
   const http::ServerLimits limits{.max_body_bytes_ = kMaxBodyBytes,
                                   .max_header_bytes_ = kMaxHeaderBytes,
                                   .max_connections_ = connections};
-  self.callers_server_ = http::Server::Start(
-      self.loop_, self.deployment_.callers_, limits,
-      [&self](http::Request request, http::Respond respond) {
-        self.calls_.Handle(std::move(request), std::move(respond));
-      });
+  const http::Handler handle = [&self](http::Request request, http::Respond respond) {
+    self.calls_.Handle(std::move(request), std::move(respond));
+  };
+  self.callers_server_ =
+      http::Server::Start(self.loop_, self.deployment_.callers_, limits, handle);
   if (self.callers_server_ == nullptr) {
     return false;
   }
+  if (self.deployment_.peers_.has_value()) {
+    self.peers_server_ =
+        http::Server::Start(self.loop_, *self.deployment_.peers_, limits, handle);
+    if (self.peers_server_ == nullptr) {
+      return false;
+    }
+  }
   self.readiness_server_ = http::Server::Start(
       self.loop_, self.deployment_.readiness_, {},
       [&self](const http::Request& /*request*/, const http::Respond& respond) {
@@ -404,6 +416,7 @@
   self.rules_follower_.Start();
   self.jobs_follower_.Start();
   self.term_follower_.Start();
+  self.peers_.Start();
   return true;
 }
 
@@ -421,6 +434,7 @@
   self.leave_at_ = now + kLeaveNotice;
   self.leave_latest_ = now + self.deployment_.bounds_.shutdown_grace_ - kShutdownReserve;
   self.callers_server_->CloseAfterAnswers();
+  self.peers_.Withdraw();
   if (self.term_.holds_) {
     self.EndDuty("the node shuts down");
     Abandon(self.term_);
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -35,6 +35,41 @@
   return "";
 }
 
+/** The failures of a gang are those of its runs, whichever member each was noted for. */
+void ShareGangFailures(Job& job) noexcept {
+  for (auto& [number, occurrence] : job.occurrences_) {
+    for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+      if (!job.submission_->steps_[index].gang_) {
+        continue;
+      }
+      std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
+      std::uint32_t failures = 0;
+      for (const Task& task : tasks) {
+        failures = std::max(failures, task.failures_);
+      }
+      for (Task& task : tasks) {
+        task.failures_ = failures;
+      }
+    }
+  }
+}
+
+bool HasUsedUpAttempts(const Job& job) noexcept {
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+      if (job.submission_->steps_[index].long_running_) {
+        continue;
+      }
+      for (const Task& task : occurrence.steps_[index].tasks_) {
+        if (task.phase_ != TaskPhase::kDone && task.failures_ >= job.treatment_.max_attempts_) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term)
@@ -135,28 +170,18 @@
       ++unresolved;
     }
   }
-  std::vector<ledger::JobId> final_jobs;
+  std::vector<ledger::JobId> over;
   for (auto& [id, job] : board_.jobs_) {
-    for (auto& [number, occurrence] : job.occurrences_) {
-      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-        StepRun& step = occurrence.steps_[index];
-        if (job.submission_->steps_[index].gang_) {
-          std::uint32_t failures = 0;
-          for (const Task& task : step.tasks_) {
-            failures = std::max(failures, task.failures_);
-          }
-          for (Task& task : step.tasks_) {
-            task.failures_ = failures;
-          }
-        }
-      }
-    }
-    if (ledger::IsFinal(job.state_)) {
-      final_jobs.push_back(id);
+    ShareGangFailures(job);
+    if (!ledger::IsFinal(job.state_) && HasUsedUpAttempts(job)) {
+      // The end is on record, but the state that follows from it is not.
+      StopJob(job, ledger::JobState::kFailed, now);
+    } else if (ledger::IsFinal(job.state_)) {
+      StopJob(job, job.state_, now);
+      over.push_back(id);
     }
   }
-  for (const ledger::JobId& id : final_jobs) {
-    StopJob(board_.jobs_.at(id), board_.jobs_.at(id).state_, now);
+  for (const ledger::JobId& id : over) {
     Retire(id);
   }
   std::vector<ledger::JobId> open;
--- a/src/laburnumledge/entry/fwd.hpp
+++ b/src/laburnumledge/entry/fwd.hpp
@@ -3,6 +3,7 @@
 namespace laburnumledge::entry {
 
 class JobCalls;
+class Peers;
 struct EntryContext;
 struct EntryCounts;
 
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -31,316 +31,337 @@
 constexpr core::Milliseconds kUsualPatience{3000};
 /** Part of a caller's patience that is kept for the answer's way back. Source: ours. */
 constexpr core::Milliseconds kAnswerReserve{200};
-/** Time for one append before it is repeated. Source: ours; twice what a slow store takes on the
- * platform's days. */
-constexpr core::Milliseconds kAppendTimeout{500};
-/** Pause before an append that the store refused is repeated. Source: ours. */
-constexpr core::Milliseconds kRefusedPause{50};
+/** Time for the append of a call. Source: ours; more than a slow store takes on the platform's
+ * days, and a fraction of callers' patience: another node is asked then. */
+constexpr core::Milliseconds kAppendTimeout{400};
 /** Time for a read that answers a question for a job's state. Source: ours. */
-constexpr core::Milliseconds kReadTimeout{900};
-/** When callers are asked to come back while the store can't be reached. Source: ours; a node that
- * is cut off alone is out of rotation by then, so that the next attempt reaches another. */
+constexpr core::Milliseconds kReadTimeout{600};
+/** When callers are asked to come back while no node reaches the store. Source: ours; within their
+ * patience of a few seconds they come as late as they can. */
 constexpr core::Milliseconds kComeBack{1000};
-/** Calls to the store without an answer in a row after which it counts as unreachable. */
-constexpr std::uint32_t kFailuresToGiveUp = 2;
 
 ledger::WallTime WallNow() {
   return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
 }
 
-/** Append on behalf of one call, repeated until it lands or the caller has to be told. */
-struct Intake {
+/** One call while it is being answered. */
+struct Exchange {
+  http::Request request_;
+  http::Respond respond_;
+  platform::CallerCall call_;
   std::string job_;
-  std::string key_;
-  std::string value_;
+  std::string route_;
+  std::string organisation_;
+  core::TimePoint begun_;
   core::TimePoint deadline_;
-  bool may_have_landed_{};
-  std::uint32_t attempts_{};
-  std::function<void(AppendOutcome)> done_;
+  bool forwarded_{};        ///< Came from another node, so it is not passed on again.
+  bool may_have_landed_{};  ///< An append for it has gone out without an answer.
 };
 
+using ExchangePointer = std::shared_ptr<Exchange>;
+
 }  // namespace
 
 struct JobCalls::Implementation : std::enable_shared_from_this<JobCalls::Implementation> {
   EntryContext context_;
   EntryCounts counts_;
-  std::uint32_t failures_{};  ///< Appends without an answer in a row.
+  core::TimePoint store_failed_{};  ///< When the store last gave this node no answer.
+  std::uint64_t newest_version_{};  ///< Of configurations that other nodes have answered by.
 
   explicit Implementation(const EntryContext& context) : context_(context) {}
 
-  void Dispatch(const http::Request& request, const http::Respond& respond);
-  void Submit(const platform::CallerCall& call, const site::Route& route,
-              const std::string& organisation, const std::string& job, const std::string& body,
-              const http::Respond& respond);
-  void Cancel(const platform::CallerCall& call, const std::string& organisation,
-              const std::string& job, const http::Respond& respond);
-  void Show(const std::string& organisation, const std::string& job, const http::Respond& respond);
-  void ShowQueue(const std::string& route, const http::Respond& respond);
-  void Append(const std::shared_ptr<Intake>& intake);
-  void OnAppended(const std::shared_ptr<Intake>& intake, const platform::AppendResult& result);
-  [[nodiscard]] bool StoreIsAway() const noexcept;
-  [[nodiscard]] core::TimePoint DeadlineOf(const platform::CallerCall& call) const noexcept;
-  void Refuse(const std::string& job, unsigned status, std::string_view reason,
-              const http::Respond& respond, core::Milliseconds retry_after = {});
+  void Begin(const ExchangePointer& exchange);
+  void Submit(const ExchangePointer& exchange);
+  void Cancel(const ExchangePointer& exchange);
+  void Show(const ExchangePointer& exchange);
+  void ShowQueue(const ExchangePointer& exchange);
+  void Append(const ExchangePointer& exchange, platform::KeyedRecord record);
+  void OnAppended(const ExchangePointer& exchange, const platform::AppendResult& result);
+  void Done(const ExchangePointer& exchange);
+  void PassOn(const ExchangePointer& exchange, unsigned status, std::string_view reason);
+  void OnPeerAnswer(const ExchangePointer& exchange, unsigned status, std::string_view reason,
+                    std::optional<PeerReply> answer);
+  [[nodiscard]] std::uint64_t OwnVersion() const noexcept;
+  void Refuse(const ExchangePointer& exchange, unsigned status, std::string_view reason,
+              core::Milliseconds retry_after = {});
+  [[nodiscard]] bool StoreIsSuspect() const noexcept;
 };
 
-core::TimePoint JobCalls::Implementation::DeadlineOf(
-    const platform::CallerCall& call) const noexcept {
-  const core::Milliseconds patience = call.patience_.value_or(kUsualPatience);
-  return context_.loop_.Now() + std::max(patience - kAnswerReserve, patience / 2);
+bool JobCalls::Implementation::StoreIsSuspect() const noexcept {
+  const control::Follower& follower = context_.rules_follower_;
+  const bool follower_waits_in_vain = follower.AnsweringSince() == core::TimePoint{};
+  return store_failed_ > follower.AnsweredAt() || follower_waits_in_vain;
+}
+
+void JobCalls::Implementation::Refuse(const ExchangePointer& exchange, unsigned status,
+                                      std::string_view reason, core::Milliseconds retry_after) {
+  // A call that may have had an effect is never said to have had none.
+  const bool in_doubt = exchange->may_have_landed_ && status == kUnavailable;
+  const unsigned told = in_doubt ? kGatewayTimeout : status;
+  counts_.refused_ += in_doubt ? 0 : 1;
+  counts_.in_doubt_ += in_doubt ? 1 : 0;
+  core::Event(Level::kInfo, EventWeight::kDecisive, in_doubt ? "call.in_doubt" : "call.refused",
+              {{"job", exchange->job_},
+               {"status", told},
+               {"version", context_.rules_.configuration_.version_},
+               {"reason", reason}});
+  exchange->respond_(platform::RefusalReply(told, reason, in_doubt ? core::Milliseconds{}
+                                                                   : retry_after));
 }
 
-bool JobCalls::Implementation::StoreIsAway() const noexcept {
-  // The followers notice when the store is back.
-  return failures_ >= kFailuresToGiveUp &&
-         context_.rules_follower_.AnsweringSince() == core::TimePoint{};
+void JobCalls::Implementation::PassOn(const ExchangePointer& exchange, unsigned status,
+                                      std::string_view reason) {
+  if (exchange->forwarded_) {
+    Refuse(exchange, status, reason, status == kUnavailable ? kComeBack : core::Milliseconds{});
+    return;
+  }
+  ++counts_.forwarded_;
+  const std::uint64_t version = std::max(OwnVersion(), newest_version_);
+  context_.peers_.Ask(exchange->request_, version, exchange->deadline_,
+                      [weak = weak_from_this(), exchange, status,
+                       reason = std::string(reason)](std::optional<PeerReply> answer) {
+                        if (const auto self = weak.lock()) {
+                          self->OnPeerAnswer(exchange, status, reason, std::move(answer));
+                        }
+                      });
 }
 
-void JobCalls::Implementation::Refuse(const std::string& job, unsigned status,
-                                      std::string_view reason, const http::Respond& respond,
-                                      core::Milliseconds retry_after) {
-  ++counts_.refused_;
-  core::Event(Level::kInfo, EventWeight::kDecisive, "call.refused",
-              {{"job", job}, {"status", status}, {"reason", reason}});
-  respond(platform::RefusalReply(status, reason, retry_after));
+std::uint64_t JobCalls::Implementation::OwnVersion() const noexcept {
+  return context_.rules_.configuration_.version_;
+}
+
+void JobCalls::Implementation::OnPeerAnswer(const ExchangePointer& exchange, unsigned status,
+                                            std::string_view reason,
+                                            std::optional<PeerReply> answer) {
+  if (!answer.has_value()) {
+    // The node that was asked may have acted on it. Alone, this node can't say when it is back:
+    // another attempt reaches another node.
+    exchange->may_have_landed_ =
+        exchange->may_have_landed_ || exchange->call_.verb_ != CallerVerb::kShow;
+    Refuse(exchange, status, reason);
+    return;
+  }
+  http::Reply& reply = answer->reply_;
+  newest_version_ = std::max(newest_version_, answer->version_);
+  core::Event(Level::kInfo, EventWeight::kDecisive, "call.passed_on",
+              {{"job", exchange->job_},
+               {"status", reply.status_},
+               {"version", answer->version_},
+               {"reason", reason},
+               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
+                                  context_.loop_.Now() - exchange->begun_)}});
+  if (reply.status_ == kUnavailable && exchange->may_have_landed_) {
+    Refuse(exchange, kUnavailable, reason);
+    return;
+  }
+  exchange->respond_(std::move(reply));
 }
 
-void JobCalls::Implementation::Dispatch(const http::Request& request,
-                                        const http::Respond& respond) {
+void JobCalls::Implementation::Begin(const ExchangePointer& exchange) {
   if (!context_.rules_follower_.Loaded() || context_.rules_.configuration_.version_ == 0 ||
       !context_.jobs_follower_.Loaded()) {
-    Refuse({}, kUnavailable, "the node has no configuration yet", respond, kComeBack);
+    PassOn(exchange, kUnavailable, "the node has no configuration yet");
     return;
   }
-  const platform::CallerCall call = platform::ParseCallerCall(request);
-  const site::Route* route = site::FindRoute(context_.rules_, call.host_, call.path_);
-  if (route == nullptr) {
-    Refuse({}, kNotFound, "no queue has this host and path", respond);
+  // What another node has answered by a newer configuration must not be taken back here.
+  if (OwnVersion() < std::max(newest_version_, Peers::OldestVersion(exchange->request_))) {
+    PassOn(exchange, kUnavailable, "the node has an older configuration");
     return;
   }
+  const platform::CallerCall& call = exchange->call_;
+  const site::Route* route = site::FindRoute(context_.rules_, call.host_, call.path_);
   const std::string* organisation = site::FindOrganisation(context_.rules_, call.key_);
-  const std::string job = call.path_.substr(route->path_prefix_.size());
-  if (organisation == nullptr && !route->public_) {
-    Refuse(job, kUnauthorized, "the key is not known", respond);
+  const bool known = route != nullptr && (organisation != nullptr || route->public_);
+  if (!known) {
+    const unsigned status = route == nullptr ? kNotFound : kUnauthorized;
+    const std::string_view reason =
+        route == nullptr ? "no queue has this host and path" : "the key is not known";
+    // While the store can't be reached, the configuration may be an old one.
+    if (StoreIsSuspect()) {
+      PassOn(exchange, kUnavailable, reason);
+    } else {
+      Refuse(exchange, status, reason);
+    }
     return;
   }
-  const std::string owner = organisation == nullptr ? "" : *organisation;
-  if (job.empty() && call.verb_ == CallerVerb::kShow) {
-    ShowQueue(route->name_, respond);
+  exchange->route_ = route->name_;
+  exchange->organisation_ = organisation == nullptr ? "" : *organisation;
+  exchange->job_ = call.path_.substr(route->path_prefix_.size());
+  if (exchange->job_.empty() && call.verb_ == CallerVerb::kShow) {
+    ShowQueue(exchange);
     return;
   }
   if (call.verb_ == CallerVerb::kOther) {
-    Refuse(job, kMethodNotAllowed, "a job takes POST, GET and DELETE", respond);
+    Refuse(exchange, kMethodNotAllowed, "a job takes POST, GET and DELETE");
     return;
   }
-  if (!ledger::IsJobId(job)) {
-    Refuse({}, kBadRequest, "a job's identifier has 16 hexadecimal digits", respond);
+  if (!ledger::IsJobId(exchange->job_)) {
+    Refuse(exchange, kBadRequest, "a job's identifier has 16 hexadecimal digits");
     return;
   }
   switch (call.verb_) {
     case CallerVerb::kSubmit:
-      Submit(call, *route, owner, job, request.body_, respond);
+      Submit(exchange);
       return;
     case CallerVerb::kCancel:
-      Cancel(call, owner, job, respond);
+      Cancel(exchange);
       return;
     default:
-      Show(owner, job, respond);
+      Show(exchange);
   }
 }
 
-void JobCalls::Implementation::Submit(const platform::CallerCall& call, const site::Route& route,
-                                      const std::string& organisation, const std::string& job,
-                                      const std::string& body, const http::Respond& respond) {
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, job);
+void JobCalls::Implementation::Submit(const ExchangePointer& exchange) {
+  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, exchange->job_);
   if (known != nullptr && known->submission_ != nullptr) {
-    respond(platform::DoneReply());
+    exchange->respond_(platform::DoneReply());
     return;
   }
-  std::optional<ledger::Submission> submission = platform::ParseSubmission(body);
+  std::optional<ledger::Submission> submission =
+      platform::ParseSubmission(exchange->request_.body_);
   if (!submission.has_value()) {
-    Refuse(job, kBadRequest, core::LastReason(), respond);
+    Refuse(exchange, kBadRequest, core::LastReason());
     return;
   }
-  if (StoreIsAway()) {
-    Refuse(job, kUnavailable, "the store can't be reached", respond, kComeBack);
+  if (StoreIsSuspect()) {
+    PassOn(exchange, kUnavailable, "the store can't be reached");
     return;
   }
-  submission->route_ = route.name_;
-  submission->treatment_ = route.treatment_;
-  submission->organisation_ = organisation;
+  const site::Route* route = site::FindRoute(context_.rules_, exchange->route_);
+  submission->route_ = exchange->route_;
+  submission->treatment_ = route->treatment_;
+  submission->organisation_ = exchange->organisation_;
   submission->accepted_ = WallNow();
-  const core::TimePoint begun = context_.loop_.Now();
-  const ledger::Step first = submission->steps_.front();
-  const std::size_t steps = submission->steps_.size();
-  auto intake = std::make_shared<Intake>(
-      Intake{.job_ = job,
-             .key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, job),
-             .value_ = ledger::Encode(*submission),
-             .deadline_ = DeadlineOf(call),
-             .done_ = {}});
-  intake->done_ = [weak = weak_from_this(), job, respond, begun, organisation, first, steps,
-                   route = route.name_](AppendOutcome outcome) {
-    const auto self = weak.lock();
-    if (self == nullptr) {
-      return;
-    }
-    if (outcome == AppendOutcome::kDone) {
-      ++self->counts_.accepted_;
-      const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(
-          self->context_.loop_.Now() - begun);
-      core::Event(Level::kInfo, EventWeight::kDecisive, "job.accepted",
-                  {{"job", job},
-                   {"route", route},
-                   {"organisation", organisation},
-                   {"version", self->context_.rules_.configuration_.version_},
-                   {"steps", steps},
-                   {"tasks", first.count_},
-                   {"gpus", first.each_.gpus_},
-                   {"cpu_millis", first.each_.cpu_millis_},
-                   {"estimate_ms", first.estimate_},
-                   {"gang", first.gang_},
-                   {"same_rack", first.same_rack_},
-                   {"affinity", first.affinity_rack_},
-                   {"constraint", first.constraint_},
-                   {"elapsed_ms", elapsed}});
-      respond(platform::DoneReply());
-    } else if (outcome == AppendOutcome::kUnknown) {
-      ++self->counts_.in_doubt_;
-      core::Event(Level::kWarning, EventWeight::kDecisive, "job.in_doubt",
-                  {{"job", job}, {"reason", "the store gave no answer"}});
-      respond(platform::RefusalReply(kGatewayTimeout,
-                                     "whether the job was accepted is not known; send it again"));
-    } else {
-      self->Refuse(job, kUnavailable, "the store takes no jobs", respond, kComeBack);
-    }
-  };
-  Append(intake);
+  const ledger::Step& first = submission->steps_.front();
+  core::Event(Level::kInfo, EventWeight::kFrequent, "job.submitted",
+              {{"job", exchange->job_},
+               {"route", exchange->route_},
+               {"organisation", exchange->organisation_},
+               {"version", context_.rules_.configuration_.version_},
+               {"steps", submission->steps_.size()},
+               {"tasks", first.count_},
+               {"gpus", first.each_.gpus_},
+               {"cpu_millis", first.each_.cpu_millis_},
+               {"estimate_ms", first.estimate_},
+               {"gang", first.gang_},
+               {"same_rack", first.same_rack_},
+               {"rack", first.affinity_rack_},
+               {"label", first.constraint_}});
+  Append(exchange, {.key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, exchange->job_),
+                    .value_ = ledger::Encode(*submission)});
+}
+
+void JobCalls::Implementation::Cancel(const ExchangePointer& exchange) {
+  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, exchange->job_);
+  if (known != nullptr && (known->cancelled_ || ledger::IsFinal(known->state_))) {
+    exchange->respond_(platform::DoneReply());
+    return;
+  }
+  if (StoreIsSuspect()) {
+    PassOn(exchange, kUnavailable, "the store can't be reached");
+    return;
+  }
+  Append(exchange, {.key_ = ledger::JobKey(ledger::JobRecordKind::kCancellation, exchange->job_),
+                    .value_ = ledger::EncodeCancellation(WallNow())});
 }
 
-void JobCalls::Implementation::Append(const std::shared_ptr<Intake>& intake) {
-  ++intake->attempts_;
+void JobCalls::Implementation::Append(const ExchangePointer& exchange,
+                                      platform::KeyedRecord record) {
   std::vector<platform::KeyedRecord> records;
-  records.push_back({.key_ = intake->key_, .value_ = intake->value_});
+  records.push_back(std::move(record));
   const core::TimePoint now = context_.loop_.Now();
-  context_.store_.append_({.stream_ = platform::Stream::kJobs,
-                           .records_ = std::move(records),
-                           .expected_end_ = std::nullopt,
-                           .writer_ = std::nullopt,
-                           .deadline_ = std::min(intake->deadline_, now + kAppendTimeout)},
-                          [weak = weak_from_this(), intake](const platform::AppendResult& result) {
-                            if (const auto self = weak.lock()) {
-                              self->OnAppended(intake, result);
-                            }
-                          });
+  context_.store_.append_(
+      {.stream_ = platform::Stream::kJobs,
+       .records_ = std::move(records),
+       .expected_end_ = std::nullopt,
+       .writer_ = std::nullopt,
+       .deadline_ = std::min(exchange->deadline_, now + kAppendTimeout)},
+      [weak = weak_from_this(), exchange](const platform::AppendResult& result) {
+        if (const auto self = weak.lock()) {
+          self->OnAppended(exchange, result);
+        }
+      });
 }
 
-void JobCalls::Implementation::OnAppended(const std::shared_ptr<Intake>& intake,
+void JobCalls::Implementation::OnAppended(const ExchangePointer& exchange,
                                           const platform::AppendResult& result) {
   if (result.outcome_ == AppendOutcome::kDone) {
-    failures_ = 0;
-    intake->done_(AppendOutcome::kDone);
+    Done(exchange);
     return;
   }
-  ++failures_;
-  intake->may_have_landed_ =
-      intake->may_have_landed_ || result.outcome_ == AppendOutcome::kUnknown;
   core::Event(Level::kWarning, EventWeight::kFrequent, "job.append_failed",
-              {{"job", intake->job_},
+              {{"job", exchange->job_},
                {"outcome", platform::ToString(result.outcome_)},
-               {"attempt", intake->attempts_},
                {"reason", result.reason_}});
-  const core::TimePoint now = context_.loop_.Now();
-  const bool hopeless = result.outcome_ == AppendOutcome::kInvalid || StoreIsAway();
-  if (hopeless || now + kRefusedPause >= intake->deadline_) {
-    // The same record is written again by a caller's repeat: one job either way.
-    intake->done_(intake->may_have_landed_ ? AppendOutcome::kUnknown : AppendOutcome::kRefused);
+  exchange->may_have_landed_ =
+      exchange->may_have_landed_ || result.outcome_ == AppendOutcome::kUnknown;
+  if (result.outcome_ == AppendOutcome::kInvalid) {
+    Refuse(exchange, kUnavailable, "the store does not take the record");
     return;
   }
-  context_.loop_.At(now + kRefusedPause, [weak = weak_from_this(), intake] {
-    if (const auto self = weak.lock()) {
-      self->Append(intake);
-    }
-  });
+  store_failed_ = context_.loop_.Now();
+  // The same record, written by another node or for the caller's next attempt, is the same job.
+  PassOn(exchange, kUnavailable, "the store can't be reached");
 }
 
-void JobCalls::Implementation::Cancel(const platform::CallerCall& call,
-                                      const std::string& organisation, const std::string& job,
-                                      const http::Respond& respond) {
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, job);
-  if (known != nullptr && (known->cancelled_ || ledger::IsFinal(known->state_))) {
-    respond(platform::DoneReply());
-    return;
-  }
-  if (StoreIsAway()) {
-    Refuse(job, kUnavailable, "the store can't be reached", respond, kComeBack);
-    return;
-  }
-  auto intake = std::make_shared<Intake>(
-      Intake{.job_ = job,
-             .key_ = ledger::JobKey(ledger::JobRecordKind::kCancellation, job),
-             .value_ = ledger::EncodeCancellation(WallNow()),
-             .deadline_ = DeadlineOf(call),
-             .done_ = {}});
-  intake->done_ = [weak = weak_from_this(), job, organisation, respond](AppendOutcome outcome) {
-    const auto self = weak.lock();
-    if (self == nullptr) {
-      return;
-    }
-    if (outcome == AppendOutcome::kDone) {
-      ++self->counts_.cancelled_;
-      core::Event(Level::kInfo, EventWeight::kDecisive, "job.cancelled",
-                  {{"job", job}, {"organisation", organisation}});
-      respond(platform::DoneReply());
-    } else if (outcome == AppendOutcome::kUnknown) {
-      ++self->counts_.in_doubt_;
-      respond(platform::RefusalReply(kGatewayTimeout,
-                                     "whether the job was cancelled is not known; send it again"));
-    } else {
-      self->Refuse(job, kUnavailable, "the store takes no cancellations", respond, kComeBack);
-    }
-  };
-  Append(intake);
+void JobCalls::Implementation::Done(const ExchangePointer& exchange) {
+  const bool submitted = exchange->call_.verb_ == CallerVerb::kSubmit;
+  counts_.accepted_ += submitted ? 1 : 0;
+  counts_.cancelled_ += submitted ? 0 : 1;
+  core::Event(Level::kInfo, EventWeight::kDecisive, submitted ? "job.accepted" : "job.cancelled",
+              {{"job", exchange->job_},
+               {"route", exchange->route_},
+               {"organisation", exchange->organisation_},
+               {"forwarded", exchange->forwarded_},
+               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
+                                  context_.loop_.Now() - exchange->begun_)}});
+  exchange->respond_(platform::DoneReply());
 }
 
-void JobCalls::Implementation::Show(const std::string& /*organisation*/, const std::string& job,
-                                    const http::Respond& respond) {
+void JobCalls::Implementation::Show(const ExchangePointer& exchange) {
   ++counts_.shown_;
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, job);
+  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, exchange->job_);
   if (known != nullptr && known->submission_ != nullptr && ledger::IsFinal(known->state_)) {
-    respond(platform::StateReply(known->state_));
+    exchange->respond_(platform::StateReply(known->state_));
+    return;
+  }
+  if (StoreIsSuspect()) {
+    PassOn(exchange, kUnavailable, "the store can't be reached");
     return;
   }
   context_.jobs_follower_.Refresh(
-      context_.loop_.Now() + kReadTimeout,
-      [weak = weak_from_this(), job, respond](bool fresh) {
+      context_.loop_.Now() + kReadTimeout, [weak = weak_from_this(), exchange](bool fresh) {
         const auto self = weak.lock();
         if (self == nullptr) {
           return;
         }
-        const ledger::JobEntry* entry = ledger::FindJob(self->context_.jobs_, job);
+        const ledger::JobEntry* entry = ledger::FindJob(self->context_.jobs_, exchange->job_);
         if (entry != nullptr && entry->submission_ != nullptr) {
-          respond(platform::StateReply(ledger::ShownState(*entry)));
+          exchange->respond_(platform::StateReply(ledger::ShownState(*entry)));
         } else if (fresh) {
-          respond(platform::RefusalReply(kGone, "no such job"));
+          exchange->respond_(platform::RefusalReply(kGone, "no such job"));
         } else {
-          self->Refuse(job, kUnavailable, "the store can't be reached", respond, kComeBack);
+          self->PassOn(exchange, kUnavailable, "the store can't be reached");
         }
       });
 }
 
-void JobCalls::Implementation::ShowQueue(const std::string& route, const http::Respond& respond) {
+void JobCalls::Implementation::ShowQueue(const ExchangePointer& exchange) {
+  if (StoreIsSuspect()) {
+    PassOn(exchange, kUnavailable, "the store can't be reached");
+    return;
+  }
   context_.jobs_follower_.Refresh(
-      context_.loop_.Now() + kReadTimeout,
-      [weak = weak_from_this(), route, respond](bool fresh) {
+      context_.loop_.Now() + kReadTimeout, [weak = weak_from_this(), exchange](bool fresh) {
         const auto self = weak.lock();
         if (self == nullptr) {
           return;
         }
         if (fresh) {
-          respond(platform::WaitingReply(ledger::Waiting(self->context_.jobs_, route)));
+          exchange->respond_(
+              platform::WaitingReply(ledger::Waiting(self->context_.jobs_, exchange->route_)));
         } else {
-          self->Refuse({}, kUnavailable, "the store can't be reached", respond, kComeBack);
+          self->PassOn(exchange, kUnavailable, "the store can't be reached");
         }
       });
 }
@@ -351,7 +372,22 @@
 JobCalls::~JobCalls() = default;
 
 void JobCalls::Handle(http::Request request, http::Respond respond) {
-  implementation_->Dispatch(request, respond);
+  auto exchange = std::make_shared<Exchange>();
+  exchange->call_ = platform::ParseCallerCall(request);
+  exchange->forwarded_ = Peers::IsForwarded(request);
+  exchange->request_ = std::move(request);
+  exchange->respond_ = std::move(respond);
+  if (exchange->forwarded_) {
+    exchange->respond_ = [respond = std::move(exchange->respond_),
+                          version = implementation_->OwnVersion()](http::Reply reply) {
+      Peers::NoteVersion(reply, version);
+      respond(std::move(reply));
+    };
+  }
+  exchange->begun_ = implementation_->context_.loop_.Now();
+  const core::Milliseconds patience = exchange->call_.patience_.value_or(kUsualPatience);
+  exchange->deadline_ = exchange->begun_ + std::max(patience - kAnswerReserve, patience / 2);
+  implementation_->Begin(exchange);
 }
 
 const EntryCounts& JobCalls::Counts() const noexcept { return implementation_->counts_; }
--- a/src/laburnumledge/entry/job_calls.hpp
+++ b/src/laburnumledge/entry/job_calls.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "laburnumledge/control/follower.hpp"
+#include "laburnumledge/entry/peers.hpp"
 #include "laburnumledge/http/server.hpp"
 #include "laburnumledge/ledger/jobs.hpp"
 #include "laburnumledge/loop/loop.hpp"
@@ -25,6 +26,7 @@
   const ledger::Jobs& jobs_;
   control::Follower& rules_follower_;
   control::Follower& jobs_follower_;
+  Peers& peers_;
 };
 
 /** @brief Calls by outcome, for metrics. */
@@ -34,12 +36,14 @@
   std::uint64_t in_doubt_{};  ///< Whether the job was accepted is not known.
   std::uint64_t cancelled_{};
   std::uint64_t shown_{};
+  std::uint64_t forwarded_{};  ///< Passed on to another node.
 };
 
 /**
  * @brief Answers callers: takes jobs in, cancels them and shows their state.
  *
- * Needs no deciding node: a job is accepted once the store holds it. Not thread safe: every call
+ * Needs no deciding node: a job is accepted once the store holds it. While this node can't reach
+ * the store, or knows too little to answer, another node is asked. Not thread safe: every call
  * comes from the loop's thread.
  */
 class JobCalls {
--- /dev/null
+++ b/src/laburnumledge/entry/peers.cpp
@@ -0,0 +1,228 @@
+#include "laburnumledge/entry/peers.hpp"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "laburnumledge/control/follower.hpp"
+#include "laburnumledge/core/event.hpp"
+#include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/platform/callers.hpp"
+
+namespace laburnumledge::entry {
+
+namespace {
+
+using core::EventWeight;
+using core::Level;
+using platform::AppendOutcome;
+
+/** Interval at which nodes are looked up. Source: ours; nodes are replaced rarely. */
+constexpr core::Milliseconds kLookUpInterval{5000};
+/** Time for the append that makes a node known, and pause before it is repeated. Source: ours. */
+constexpr core::Milliseconds kAnnounceTimeout{1000};
+constexpr core::Milliseconds kAnnouncePause{500};
+/** How long a node that gave no answer is passed over. Source: ours; about as long as the platform
+ * leaves a node out of rotation that it can't reach. */
+constexpr core::Milliseconds kPassOver{3000};
+/** Time for one node's answer. Source: ours; longer than a node gives the store for one append. */
+constexpr core::Milliseconds kPeerTimeout{600};
+constexpr int kMostAsked = 2;
+
+constexpr std::string_view kForwardedHeader = "Forwarded";
+constexpr std::string_view kVersionHeader = "Configuration-Version";
+
+struct Peer {
+  config::Address address_;
+  core::TimePoint passed_over_until_{};
+};
+
+std::uint64_t VersionIn(const http::Fields& headers) noexcept {
+  const std::string_view text = http::Find(headers, kVersionHeader).value_or("");
+  std::uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+}  // namespace
+
+struct Peers::Implementation : std::enable_shared_from_this<Peers::Implementation> {
+  loop::Loop& loop_;
+  const platform::Store& store_;
+  http::Client& client_;
+  const site::Deployment& deployment_;
+  core::Random random_;
+  std::map<std::string, Peer> peers_;
+  control::Follower follower_;
+  bool withdrawn_{};
+  loop::Handle timer_{};
+
+  Implementation(loop::Loop& loop, const platform::Store& store, http::Client& client,
+                 const site::Deployment& deployment, core::Random random)
+      : loop_(loop),
+        store_(store),
+        client_(client),
+        deployment_(deployment),
+        random_(std::move(random)),
+        follower_(loop, store,
+                  {.stream_ = platform::Stream::kNodes, .wait_ = {}, .interval_ = kLookUpInterval},
+                  {.loaded_ =
+                       [this](const auto& records) {
+                         peers_.clear();
+                         Take(records);
+                       },
+                   .added_ = [this](const auto& records) { Take(records); },
+                   .caught_up_ = {}}) {}
+
+  void Take(const std::vector<platform::StoredRecord>& records);
+  void Announce();
+  Peer* Choose(core::TimePoint now);
+  void AskOne(const http::Call& call, core::TimePoint deadline, int left, const PeerDone& done);
+};
+
+void Peers::Implementation::Take(const std::vector<platform::StoredRecord>& records) {
+  for (const platform::StoredRecord& record : records) {
+    const std::string& name = record.record_.key_;
+    if (name == deployment_.node_) {
+      continue;
+    }
+    if (!record.record_.value_.has_value()) {
+      peers_.erase(name);
+      continue;
+    }
+    const std::optional<config::Address> address = config::ParseAddress(*record.record_.value_);
+    if (address.has_value()) {
+      peers_[name].address_ = *address;
+    } else {
+      core::Event(Level::kError, EventWeight::kDecisive, "store.record_unreadable",
+                  {{"stream", "nodes"}, {"key", name}, {"reason", core::LastReason()}});
+    }
+  }
+}
+
+void Peers::Implementation::Announce() {
+  std::vector<platform::KeyedRecord> records;
+  records.push_back({.key_ = deployment_.node_, .value_ = std::nullopt});
+  if (!withdrawn_) {
+    records.front().value_ = config::ToString(*deployment_.peers_);
+  }
+  store_.append_({.stream_ = platform::Stream::kNodes,
+                  .records_ = std::move(records),
+                  .expected_end_ = std::nullopt,
+                  .writer_ = std::nullopt,
+                  .deadline_ = loop_.Now() + kAnnounceTimeout},
+                 [weak = weak_from_this(), withdrawn = withdrawn_](
+                     const platform::AppendResult& result) {
+                   const auto self = weak.lock();
+                   if (self == nullptr || result.outcome_ == AppendOutcome::kDone ||
+                       withdrawn != self->withdrawn_) {
+                     return;
+                   }
+                   self->timer_ = self->loop_.At(self->loop_.Now() + kAnnouncePause, [weak] {
+                     if (const auto held = weak.lock()) {
+                       held->Announce();
+                     }
+                   });
+                 });
+}
+
+Peer* Peers::Implementation::Choose(core::TimePoint now) {
+  std::vector<Peer*> candidates;
+  for (auto& [name, peer] : peers_) {
+    if (peer.passed_over_until_ <= now) {
+      candidates.push_back(&peer);
+    }
+  }
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  return candidates[random_(static_cast<std::uint32_t>(candidates.size()))];
+}
+
+void Peers::Implementation::AskOne(const http::Call& call, core::TimePoint deadline, int left,
+                                   const PeerDone& done) {
+  const core::TimePoint now = loop_.Now();
+  Peer* peer = left > 0 && now < deadline ? Choose(now) : nullptr;
+  if (peer == nullptr) {
+    loop_.Soon([done] { done(std::nullopt); });
+    return;
+  }
+  const config::Address address = peer->address_;
+  http::Call sent = call;
+  sent.url_ = fmt::format("http://{}{}", config::ToString(address), call.url_);
+  sent.deadline_ = std::min(deadline, now + kPeerTimeout);
+  client_.Send(std::move(sent), [weak = weak_from_this(), call, deadline, left, done,
+                                 address](const http::Response& response) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    if (response.status_ != 0) {
+      PeerReply reply{.reply_ = http::JsonReply(response.status_, response.body_),
+                      .version_ = VersionIn(response.headers_)};
+      if (const auto retry = http::Find(response.headers_, "Retry-After")) {
+        reply.reply_.headers_.push_back({"Retry-After", std::string(*retry)});
+      }
+      done(std::move(reply));
+      return;
+    }
+    for (auto& [name, asked] : self->peers_) {
+      if (asked.address_ == address) {
+        asked.passed_over_until_ = self->loop_.Now() + kPassOver;
+      }
+    }
+    self->AskOne(call, deadline, left - 1, done);
+  });
+}
+
+Peers::Peers(loop::Loop& loop, const platform::Store& store, http::Client& client,
+             const site::Deployment& deployment, core::Random random)
+    : implementation_(std::make_shared<Implementation>(loop, store, client, deployment,
+                                                       std::move(random))) {}
+
+Peers::~Peers() { implementation_->loop_.Cancel(implementation_->timer_); }
+
+void Peers::Start() {
+  if (implementation_->deployment_.peers_.has_value()) {
+    implementation_->Announce();
+    implementation_->follower_.Start();
+  }
+}
+
+void Peers::Withdraw() {
+  if (implementation_->deployment_.peers_.has_value() && !implementation_->withdrawn_) {
+    implementation_->withdrawn_ = true;
+    implementation_->Announce();
+  }
+}
+
+void Peers::Ask(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
+                PeerDone done) {
+  http::Call call{.method_ = request.method_,
+                  .url_ = request.target_,
+                  .headers_ = platform::HeadersToPass(request),
+                  .body_ = request.body_};
+  call.headers_.push_back({std::string(kForwardedHeader),
+                           fmt::format("by={}", implementation_->deployment_.node_)});
+  call.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
+  implementation_->AskOne(call, deadline, kMostAsked, std::move(done));
+}
+
+bool Peers::IsForwarded(const http::Request& request) noexcept {
+  return http::Find(request.headers_, kForwardedHeader).has_value();
+}
+
+std::uint64_t Peers::OldestVersion(const http::Request& request) noexcept {
+  return IsForwarded(request) ? VersionIn(request.headers_) : 0;
+}
+
+void Peers::NoteVersion(http::Reply& reply, std::uint64_t version) {
+  reply.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
+}
+
+}  // namespace laburnumledge::entry
--- a/src/laburnumledge/platform/callers.cpp
+++ b/src/laburnumledge/platform/callers.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/core.h>
 
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr std::string_view kKeyScheme = "Bearer ";
+constexpr std::string_view kPatienceHeader = "Deadline-Ms";
 
 std::string_view Word(ledger::JobState state) noexcept {
   switch (state) {
@@ -53,7 +55,7 @@
     call.key_ = key.substr(kKeyScheme.size());
   }
   std::int64_t patience = 0;
-  const std::string_view text = http::Find(request.headers_, "Deadline-Ms").value_or("");
+  const std::string_view text = http::Find(request.headers_, kPatienceHeader).value_or("");
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), patience);
   if (parsed.ec == std::errc{} && patience > 0) {
     call.patience_ = core::Milliseconds(patience);
@@ -61,6 +63,18 @@
   return call;
 }
 
+http::Fields HeadersToPass(const http::Request& request) {
+  constexpr std::array<std::string_view, 4> kNames = {"Host", "Authorization", kPatienceHeader,
+                                                      "Content-Type"};
+  http::Fields headers;
+  for (const std::string_view name : kNames) {
+    if (const auto value = http::Find(request.headers_, name)) {
+      headers.push_back({std::string(name), std::string(*value)});
+    }
+  }
+  return headers;
+}
+
 http::Reply StateReply(ledger::JobState state) {
   return http::JsonReply(kOk, nlohmann::json{{"state", Word(state)}}.dump());
 }
--- a/src/laburnumledge/platform/callers.hpp
+++ b/src/laburnumledge/platform/callers.hpp
@@ -26,6 +26,9 @@
 /** @brief Reads a caller's request. */
 [[nodiscard]] CallerCall ParseCallerCall(const http::Request& request);
 
+/** @brief Headers of a caller's request that another node needs to answer it. */
+[[nodiscard]] http::Fields HeadersToPass(const http::Request& request);
+
 /** @brief Answer to a question for a job's state. */
 [[nodiscard]] http::Reply StateReply(ledger::JobState state);
 
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -49,6 +49,17 @@
   return within(amount.cpu_millis_) && within(amount.memory_mb_) && within(amount.gpus_);
 }
 
+/** The first of the ports that are free for the nodes' own use. */
+std::optional<config::Address> PeersAddressOf(const Json& object) {
+  const std::optional<std::string> ip = Text(object, "ip");
+  const Json* ports = Member(object, "internal_ports");
+  if (!ip.has_value() || ports == nullptr || !ports->is_array() || ports->empty() ||
+      !ports->front().is_number_unsigned()) {
+    return core::Fail("\"ip\" or \"internal_ports\" is missing");
+  }
+  return config::Address{.ip_ = *ip, .port_ = ports->front().get<std::uint16_t>()};
+}
+
 site::Bounds BoundsOf(const Json& object) {
   constexpr double kNoPenalty = 1.0;
   return {
@@ -184,7 +195,7 @@
       .callers_ = *callers,
       .readiness_ = *readiness,
       .store_ = *store_address,
-      .metrics_ = std::nullopt,
+      .peers_ = PeersAddressOf(*object),
       .advice_ = AddressOf(*object, "advice"),
       .machines_ = std::nullopt,
       .heartbeat_interval_ = Ms(*object, "heartbeat_ms"),
--- a/src/laburnumledge/platform/store.cpp
+++ b/src/laburnumledge/platform/store.cpp
@@ -40,6 +40,8 @@
       return "keyed.tasks";
     case Stream::kTerm:
       return "keyed.term";
+    case Stream::kNodes:
+      return "keyed.nodes";
   }
   return "";
 }
@@ -131,6 +133,8 @@
       return "tasks";
     case Stream::kTerm:
       return "term";
+    case Stream::kNodes:
+      return "nodes";
   }
   return "";
 }
--- a/src/laburnumledge/platform/store.hpp
+++ b/src/laburnumledge/platform/store.hpp
@@ -20,6 +20,7 @@
   kJobs,
   kTasks,
   kTerm,
+  kNodes,
 };
 
 /** @brief Name of a stream for log lines and metrics. */
--- a/src/laburnumledge/site/deployment.hpp
+++ b/src/laburnumledge/site/deployment.hpp
@@ -36,7 +36,7 @@
   config::Address callers_;    ///< HTTP of callers.
   config::Address readiness_;  ///< HTTP of the platform's readiness probe.
   config::Address store_;
-  std::optional<config::Address> metrics_;
+  std::optional<config::Address> peers_;  ///< HTTP of the other nodes.
   std::optional<config::Address> advice_;
   std::optional<config::Address> machines_;  ///< The platform's interface for VMs of workers.
   core::Milliseconds heartbeat_interval_{};  ///< Of workers' entries.
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -160,4 +160,21 @@
   CHECK(scene.dispatcher_.Counts().runs_lost_ == 1);
 }
 
+TEST_CASE("a job whose task has used up its attempts on record is failed by the next term") {
+  // The end was stored, the job's state was not: the holder died between the two.
+  Dispatcher dispatcher(MakeBounds(), 2);
+  const ledger::JobEntry entry{.submission_ = MakeSubmission({MakeStep(1, 1)})};
+  dispatcher.SetRules({});
+  dispatcher.OnJob(JobId(1), &entry, kNow);
+  dispatcher.LoadTask({.job_ = JobId(1)},
+                      {.outcome_ = ledger::TaskOutcome::kWaiting, .run_ = 3, .failures_ = 3});
+  dispatcher.OnWorker(MakeEntry("w1"), kNow);
+  dispatcher.Begin(kNow, kNow);
+  (void)dispatcher.Run({.now_ = kNow, .wall_ = kWall});
+  const Actions actions = dispatcher.TakeActions();
+  REQUIRE(actions.statuses_.size() == 1);
+  CHECK(actions.statuses_[0].state_ == ledger::JobState::kFailed);
+  CHECK(actions.records_.empty());
+}
+
 }  // namespace laburnumledge::dispatch
