--- a/src/laburnumledge/control/duty.cpp
+++ b/src/laburnumledge/control/duty.cpp
@@ -58,8 +58,8 @@
   loop::Handle timer_{};
   std::map<std::string, core::TimePoint> gone_since_;  ///< Entries that went, not yet believed.
 
-  Implementation(const DutyContext& context, std::uint64_t term,
-                 core::TimePoint earlier_leases_end, std::function<void()> superseded);
+  Implementation(const DutyContext& context, std::uint64_t term, core::TimePoint earlier_leases_end,
+                 std::function<void()> superseded);
 
   void Begin();
   void Superseded();
@@ -113,27 +113,26 @@
   // From here on no record of an earlier term can be added.
   core::Event(Level::kInfo, EventWeight::kDecisive, "takeover.fenced",
               {{"term", term_},
-               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                  context_.loop_.Now() - claimed_)}});
+               {"elapsed_ms",
+                std::chrono::duration_cast<core::Milliseconds>(context_.loop_.Now() - claimed_)}});
   RefreshJobs();
   const auto weak = weak_from_this();
   tasks_ = std::make_unique<Follower>(
       context_.loop_, context_.store_,
       FollowerOptions{.stream_ = Stream::kTasks, .wait_ = {}, .interval_ = {}},
-      FollowerEvents{.loaded_ =
-                         [this](const std::vector<platform::StoredRecord>& records) {
-                           loaded_tasks_.clear();
-                           TakeTasks(records);
-                         },
-                     .added_ =
-                         [this](const std::vector<platform::StoredRecord>& records) {
-                           TakeTasks(records);
-                         },
-                     .caught_up_ =
-                         [this](core::TimePoint /*sent*/) {
-                           tasks_ready_ = true;
-                           BeginWhenLoaded();
-                         }});
+      FollowerEvents{
+          .loaded_ =
+              [this](const std::vector<platform::StoredRecord>& records) {
+                loaded_tasks_.clear();
+                TakeTasks(records);
+              },
+          .added_ =
+              [this](const std::vector<platform::StoredRecord>& records) { TakeTasks(records); },
+          .caught_up_ =
+              [this](core::TimePoint /*sent*/) {
+                tasks_ready_ = true;
+                BeginWhenLoaded();
+              }});
   workers_ = std::make_unique<Follower>(
       context_.loop_, context_.store_,
       FollowerOptions{.stream_ = Stream::kWorkers, .wait_ = {}, .interval_ = kWorkersInterval},
@@ -183,8 +182,9 @@
     const std::optional<ledger::TaskRecord> task =
         id.has_value() ? ledger::DecodeTask(*record.record_.value_) : std::nullopt;
     if (!task.has_value()) {
-      core::Event(Level::kError, EventWeight::kDecisive, "store.record_unreadable",
-                  {{"stream", "tasks"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
+      core::Event(
+          Level::kError, EventWeight::kDecisive, "store.record_unreadable",
+          {{"stream", "tasks"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
       continue;
     }
     loaded_tasks_.insert_or_assign(*id, *task);
@@ -197,8 +197,7 @@
     gone_since_.try_emplace(id, context_.loop_.Now());
     return;
   }
-  std::optional<site::WorkerEntry> entry =
-      platform::ParseWorkerEntry(id, *record.record_.value_);
+  std::optional<site::WorkerEntry> entry = platform::ParseWorkerEntry(id, *record.record_.value_);
   if (!entry.has_value()) {
     core::Event(Level::kWarning, EventWeight::kFrequent, "worker.entry_unreadable",
                 {{"key", id}, {"reason", core::LastReason()}});
@@ -295,8 +294,7 @@
   if (ended_ || dispatcher_ == nullptr) {
     return;
   }
-  const core::TimePoint next =
-      dispatcher_->Run({.now_ = context_.loop_.Now(), .wall_ = WallNow()});
+  const core::TimePoint next = dispatcher_->Run({.now_ = context_.loop_.Now(), .wall_ = WallNow()});
   dispatch::Actions actions = dispatcher_->TakeActions();
   const bool superseded = actions.superseded_;
   Perform(std::move(actions));
@@ -375,15 +373,14 @@
                             });
   }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
-    context_.workers_.lease_(lease.worker_, lease.call_,
-                             [weak, lease](const platform::LeaseResult& result) {
-                               const auto self = weak.lock();
-                               if (self != nullptr && !self->ended_) {
-                                 self->dispatcher_->OnLease(lease, result,
-                                                            self->context_.loop_.Now());
-                                 self->PumpSoon();
-                               }
-                             });
+    context_.workers_.lease_(
+        lease.worker_, lease.call_, [weak, lease](const platform::LeaseResult& result) {
+          const auto self = weak.lock();
+          if (self != nullptr && !self->ended_) {
+            self->dispatcher_->OnLease(lease, result, self->context_.loop_.Now());
+            self->PumpSoon();
+          }
+        });
   }
 }
 
--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -107,14 +107,13 @@
 
 void Follower::Implementation::LoadPage(const std::string& after) {
   loading_ = true;
-  store_.newest_({.stream_ = options_.stream_,
-                  .after_ = after,
-                  .deadline_ = loop_.Now() + kCallTimeout},
-                 [self = weak_from_this()](platform::NewestResult result) {
-                   if (const auto held = self.lock()) {
-                     held->OnPage(std::move(result));
-                   }
-                 });
+  store_.newest_(
+      {.stream_ = options_.stream_, .after_ = after, .deadline_ = loop_.Now() + kCallTimeout},
+      [self = weak_from_this()](platform::NewestResult result) {
+        if (const auto held = self.lock()) {
+          held->OnPage(std::move(result));
+        }
+      });
 }
 
 void Follower::Implementation::OnPage(platform::NewestResult result) {
@@ -223,27 +222,25 @@
   plain_due_ = false;
   const core::TimePoint sent = loop_.Now();
   const std::uint64_t from = next_;
-  store_.read_({.stream_ = options_.stream_,
-                .from_ = from,
-                .wait_ = {},
-                .deadline_ = sent + kCallTimeout},
-               [self = weak_from_this(), from, sent](const platform::ReadResult& result) {
-                 const auto held = self.lock();
-                 if (held == nullptr) {
-                   return;
-                 }
-                 held->plain_read_ = false;
-                 const bool ok = held->OnRead(result, from, sent);
-                 if (!ok) {
-                   held->After(held->Pause(), &Implementation::Go);
-                 } else if (held->plain_due_ || !held->waiters_.empty()) {
-                   held->ReadPlain();
-                 } else if (held->options_.wait_.count() > 0) {
-                   held->ReadWaiting();
-                 } else if (held->options_.interval_.count() > 0) {
-                   held->After(held->options_.interval_, &Implementation::ReadPlain);
-                 }
-               });
+  store_.read_(
+      {.stream_ = options_.stream_, .from_ = from, .wait_ = {}, .deadline_ = sent + kCallTimeout},
+      [self = weak_from_this(), from, sent](const platform::ReadResult& result) {
+        const auto held = self.lock();
+        if (held == nullptr) {
+          return;
+        }
+        held->plain_read_ = false;
+        const bool ok = held->OnRead(result, from, sent);
+        if (!ok) {
+          held->After(held->Pause(), &Implementation::Go);
+        } else if (held->plain_due_ || !held->waiters_.empty()) {
+          held->ReadPlain();
+        } else if (held->options_.wait_.count() > 0) {
+          held->ReadWaiting();
+        } else if (held->options_.interval_.count() > 0) {
+          held->After(held->options_.interval_, &Implementation::ReadPlain);
+        }
+      });
 }
 
 void Follower::Implementation::ReadWaiting() {
@@ -305,7 +302,8 @@
   waiter.done_ = std::move(done);
   waiter.timer_ = self.loop_.At(deadline, [weak = self.weak_from_this(), number] {
     const auto held = weak.lock();
-    const auto found = held == nullptr ? decltype(held->waiters_.end()){} : held->waiters_.find(number);
+    const auto found =
+        held == nullptr ? decltype(held->waiters_.end()){} : held->waiters_.find(number);
     if (held == nullptr || found == held->waiters_.end()) {
       return;
     }
--- a/src/laburnumledge/control/follower.hpp
+++ b/src/laburnumledge/control/follower.hpp
@@ -15,7 +15,7 @@
 /** @brief How a stream is followed. */
 struct FollowerOptions {
   platform::Stream stream_{};
-  core::Milliseconds wait_{};      ///< Of a read that waits for records; zero for reads at intervals.
+  core::Milliseconds wait_{};  ///< Of a read that waits for records; zero for reads at intervals.
   core::Milliseconds interval_{};  ///< Between reads that do not wait; zero: only when refreshed.
 };
 
--- /dev/null
+++ b/src/laburnumledge/control/metrics.cpp
@@ -0,0 +1,279 @@
+#include "laburnumledge/control/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "laburnumledge/core/event.hpp"
+
+namespace laburnumledge::control {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+const Histogram::BucketBoundaries kCallBuckets = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
+                                                  0.1,   0.25,   0.5,   1,    2.5};
+const Histogram::BucketBoundaries kJobBuckets = {0.05, 0.1, 0.25, 0.5, 1,   2.5,  5,
+                                                 10,   25,  60,   300, 900, 3600, 14400};
+
+Family<Counter>& MakeCounter(prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Family<Gauge>& MakeGauge(prometheus::Registry& registry, const char* name, const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+Family<Histogram>& MakeHistogram(prometheus::Registry& registry, const char* name,
+                                 const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+void RaiseTo(Counter& counter, std::uint64_t value) {
+  counter.Increment(std::max(0.0, static_cast<double>(value) - counter.Value()));
+}
+
+std::string OrganisationLabel(const std::string& name, const site::Rules& rules) {
+  const auto& known = rules.configuration_.organisations_;
+  const bool found = std::any_of(known.begin(), known.end(), [&name](const auto& organisation) {
+    return organisation.name_ == name;
+  });
+  return found ? name : kOtherOrganisation;
+}
+
+double SecondsSince(core::TimePoint begun) {
+  return std::chrono::duration<double>(core::Clock::now() - begun).count();
+}
+
+const char* OutcomeLabel(ledger::JobState state) noexcept {
+  switch (state) {
+    case ledger::JobState::kCompleted:
+      return "completed";
+    case ledger::JobState::kFailed:
+      return "failed";
+    case ledger::JobState::kCancelled:
+      return "cancelled";
+    default:
+      return "open";
+  }
+}
+
+std::string_view ReadOutcomeLabel(platform::ReadOutcome outcome) noexcept {
+  switch (outcome) {
+    case platform::ReadOutcome::kDone:
+      return "done";
+    case platform::ReadOutcome::kExpired:
+      return "expired";
+    case platform::ReadOutcome::kFailed:
+      return "failed";
+  }
+  return "";
+}
+
+}  // namespace
+
+struct NodeMetrics::Families {
+  explicit Families(prometheus::Registry& registry)
+      : store_calls_(MakeCounter(registry, "laburnumledge_store_calls_total",
+                                 "Calls to the store, by kind, stream and outcome.")),
+        store_seconds_(MakeHistogram(registry, "laburnumledge_store_call_seconds",
+                                     "Time of appends to the store.")),
+        orders_(MakeCounter(registry, "laburnumledge_worker_calls_total",
+                            "Calls to workers, by kind and outcome.")),
+        calls_(MakeCounter(registry, "laburnumledge_calls_total",
+                           "Callers' calls, by what became of them.")),
+        job_wait_(MakeHistogram(registry, "laburnumledge_job_wait_seconds",
+                                "Time from a job's acceptance to its first start.")),
+        job_seconds_(MakeHistogram(registry, "laburnumledge_job_seconds",
+                                   "Time from a job's acceptance to its end, by outcome.")),
+        runs_(MakeCounter(registry, "laburnumledge_runs_total",
+                          "Runs of tasks in this term, by what became of them.")),
+        jobs_(MakeGauge(registry, "laburnumledge_jobs", "Jobs under way, by priority.")),
+        gpus_(MakeGauge(registry, "laburnumledge_gpus", "GPUs of workers, by zone and use.")),
+        workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
+        term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
+        holds_(MakeGauge(registry, "laburnumledge_holds_term", "1 while this node decides.")),
+        dropped_(MakeCounter(registry, "laburnumledge_log_lines_dropped_total",
+                             "Log lines dropped because their reader was slow.")) {}
+
+  Family<Counter>& store_calls_;
+  Family<Histogram>& store_seconds_;
+  Family<Counter>& orders_;
+  Family<Counter>& calls_;
+  Family<Histogram>& job_wait_;
+  Family<Histogram>& job_seconds_;
+  Family<Counter>& runs_;
+  Family<Gauge>& jobs_;
+  Family<Gauge>& gpus_;
+  Family<Gauge>& workers_;
+  Family<Gauge>& term_;
+  Family<Gauge>& holds_;
+  Family<Counter>& dropped_;
+
+  void CountStoreCall(const char* kind, platform::Stream stream, std::string_view outcome) {
+    store_calls_
+        .Add({{"kind", kind},
+              {"stream", std::string(platform::ToString(stream))},
+              {"outcome", std::string(outcome)}})
+        .Increment();
+  }
+
+  void CountOrder(const char* kind, platform::OrderOutcome outcome) {
+    orders_.Add({{"kind", kind}, {"outcome", std::string(platform::ToString(outcome))}})
+        .Increment();
+  }
+};
+
+NodeMetrics::NodeMetrics() : families_(std::make_unique<Families>(registry_)) {}
+
+NodeMetrics::~NodeMetrics() = default;
+
+platform::Store NodeMetrics::Observe(const platform::Store& store) {
+  platform::Store observed;
+  Families* families = families_.get();
+  observed.append_ = [families, append = store.append_](platform::AppendCall call,
+                                                        const platform::AppendDone& done) {
+    const core::TimePoint begun = core::Clock::now();
+    const platform::Stream stream = call.stream_;
+    append(std::move(call), [families, stream, begun, done](platform::AppendResult result) {
+      families->CountStoreCall("append", stream, platform::ToString(result.outcome_));
+      families->store_seconds_
+          .Add({{"stream", std::string(platform::ToString(stream))}}, kCallBuckets)
+          .Observe(SecondsSince(begun));
+      done(std::move(result));
+    });
+  };
+  observed.read_ = [families, read = store.read_](platform::ReadCall call,
+                                                  const platform::ReadDoneCallback& done) {
+    const platform::Stream stream = call.stream_;
+    read(call, [families, stream, done](platform::ReadResult result) {
+      families->CountStoreCall("read", stream, ReadOutcomeLabel(result.outcome_));
+      done(std::move(result));
+    });
+  };
+  observed.newest_ = [families, newest = store.newest_](platform::NewestCall call,
+                                                        const platform::NewestDone& done) {
+    const platform::Stream stream = call.stream_;
+    newest(std::move(call), [families, stream, done](platform::NewestResult result) {
+      families->CountStoreCall("newest", stream, result.done_ ? "done" : "failed");
+      done(std::move(result));
+    });
+  };
+  return observed;
+}
+
+platform::Workers NodeMetrics::Observe(const platform::Workers& workers) {
+  platform::Workers observed;
+  Families* families = families_.get();
+  observed.start_ = [families, start = workers.start_](
+                        const platform::WorkerAddress& worker, platform::StartOrder order,
+                        core::TimePoint deadline, const platform::OrderDone& done) {
+    start(worker, std::move(order), deadline, [families, done](platform::OrderResult result) {
+      families->CountOrder("start", result.outcome_);
+      done(std::move(result));
+    });
+  };
+  observed.stop_ = [families, stop = workers.stop_](
+                       const platform::WorkerAddress& worker, platform::StopOrder order,
+                       core::TimePoint deadline, const platform::OrderDone& done) {
+    stop(worker, std::move(order), deadline, [families, done](platform::OrderResult result) {
+      families->CountOrder("stop", result.outcome_);
+      done(std::move(result));
+    });
+  };
+  observed.lease_ = [families, lease = workers.lease_](const platform::WorkerAddress& worker,
+                                                       platform::LeaseCall call,
+                                                       const platform::LeaseDone& done) {
+    lease(worker, call, [families, done](platform::LeaseResult result) {
+      families->CountOrder("lease", result.outcome_);
+      done(std::move(result));
+    });
+  };
+  return observed;
+}
+
+void NodeMetrics::ObserveJob(const ledger::Submission& submission, ledger::JobState state,
+                             ledger::WallTime now, const site::Rules& rules) {
+  const double seconds = std::chrono::duration<double>(now - submission.accepted_).count();
+  const std::string organisation = OrganisationLabel(submission.organisation_, rules);
+  if (state == ledger::JobState::kRunning) {
+    families_->job_wait_.Add({{"organisation", organisation}}, kJobBuckets).Observe(seconds);
+  } else if (ledger::IsFinal(state)) {
+    families_->job_seconds_
+        .Add({{"organisation", organisation}, {"outcome", OutcomeLabel(state)}}, kJobBuckets)
+        .Observe(seconds);
+  }
+}
+
+void NodeMetrics::Update(const entry::EntryCounts& counts) {
+  const auto set = [this](const char* outcome, std::uint64_t value) {
+    RaiseTo(families_->calls_.Add({{"outcome", outcome}}), value);
+  };
+  set("accepted", counts.accepted_);
+  set("refused", counts.refused_);
+  set("in_doubt", counts.in_doubt_);
+  set("cancelled", counts.cancelled_);
+  set("shown", counts.shown_);
+  set("forwarded", counts.forwarded_);
+}
+
+void NodeMetrics::Update(const dispatch::Dispatcher& dispatcher) {
+  const dispatch::DispatchCounts& counts = dispatcher.Counts();
+  const auto set = [this](const char* outcome, std::uint64_t value) {
+    RaiseTo(families_->runs_.Add({{"outcome", outcome}}), value);
+  };
+  set("started", counts.starts_);
+  set("refused", counts.starts_refused_);
+  set("preempted", counts.preemptions_);
+  set("done", counts.runs_done_);
+  set("failed", counts.runs_failed_);
+  set("lost", counts.runs_lost_);
+  std::map<std::uint32_t, double> jobs;
+  for (const auto& [id, job] : dispatcher.Jobs().jobs_) {
+    jobs[job.treatment_.priority_] += ledger::IsFinal(job.state_) ? 0.0 : 1.0;
+  }
+  for (const auto& [priority, count] : jobs) {
+    families_->jobs_.Add({{"priority", std::to_string(priority)}}).Set(count);
+  }
+  std::map<std::string, std::pair<double, double>> gpus;
+  std::map<std::string, double> workers;
+  for (const auto& [id, worker] : dispatcher.Workers().workers_) {
+    auto& [used, all] = gpus[worker.entry_.zone_];
+    used += static_cast<double>(worker.used_.gpus_);
+    all += worker.listed_ ? static_cast<double>(worker.entry_.capacity_.gpus_) : 0.0;
+    const char* state = !worker.listed_                   ? "unlisted"
+                        : worker.entry_.draining_         ? "draining"
+                        : worker.failed_calls_ > 0        ? "unreachable"
+                        : worker.health_.suspicions_ > 0U ? "suspected"
+                                                          : "ready";
+    workers[state] += 1.0;
+  }
+  for (const auto& [zone, amounts] : gpus) {
+    families_->gpus_.Add({{"zone", zone}, {"use", "used"}}).Set(amounts.first);
+    families_->gpus_.Add({{"zone", zone}, {"use", "all"}}).Set(amounts.second);
+  }
+  for (const char* state : {"ready", "draining", "unreachable", "suspected", "unlisted"}) {
+    families_->workers_.Add({{"state", state}}).Set(workers[state]);
+  }
+}
+
+void NodeMetrics::UpdateTerm(std::uint64_t number, bool holds) {
+  families_->term_.Add({}).Set(static_cast<double>(number));
+  families_->holds_.Add({}).Set(holds ? 1.0 : 0.0);
+  RaiseTo(families_->dropped_.Add({}), core::DroppedEvents());
+}
+
+std::string NodeMetrics::Text() {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace laburnumledge::control
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -5,6 +5,7 @@
 
 #include "laburnumledge/control/duty.hpp"
 #include "laburnumledge/control/follower.hpp"
+#include "laburnumledge/control/metrics.hpp"
 #include "laburnumledge/control/term.hpp"
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/random.hpp"
@@ -47,6 +48,7 @@
 constexpr core::Milliseconds kShutdownReserve{800};
 constexpr core::Milliseconds kShutdownPoll{50};
 
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 
@@ -64,6 +66,7 @@
   site::Deployment deployment_;
   core::Random random_;
   http::Client client_;
+  NodeMetrics metrics_;
   platform::Store store_;
   platform::Workers workers_;
   site::Rules rules_;
@@ -89,6 +92,8 @@
 
   void TakeRules(const std::vector<platform::StoredRecord>& records, bool all);
   void TakeJobs(const std::vector<platform::StoredRecord>& records, bool all);
+  void ObserveJob(const ledger::JobId& id);
+  [[nodiscard]] http::Reply ShowMetrics();
   void TakeTerm(const std::vector<platform::StoredRecord>& records);
   void StepTerm();
   void AppendTerm(ledger::Term term);
@@ -105,21 +110,19 @@
       deployment_(std::move(deployment)),
       random_(core::MakeRandom(core::EntropySeed(), "node")),
       client_(loop, 0),
-      store_(platform::MakeHttpStore(client_, deployment_.store_)),
-      workers_(platform::MakeHttpWorkers(client_)),
-      rules_follower_(
-          loop, store_,
-          {.stream_ = Stream::kOperators, .wait_ = kReadWait, .interval_ = {}},
-          {.loaded_ = [this](const auto& records) { TakeRules(records, true); },
-           .added_ = [this](const auto& records) { TakeRules(records, false); },
-           .caught_up_ = {}}),
+      store_(metrics_.Observe(platform::MakeHttpStore(client_, deployment_.store_))),
+      workers_(metrics_.Observe(platform::MakeHttpWorkers(client_))),
+      rules_follower_(loop, store_,
+                      {.stream_ = Stream::kOperators, .wait_ = kReadWait, .interval_ = {}},
+                      {.loaded_ = [this](const auto& records) { TakeRules(records, true); },
+                       .added_ = [this](const auto& records) { TakeRules(records, false); },
+                       .caught_up_ = {}}),
       jobs_follower_(loop, store_,
                      {.stream_ = Stream::kJobs, .wait_ = {}, .interval_ = kJobsInterval},
                      {.loaded_ = [this](const auto& records) { TakeJobs(records, true); },
                       .added_ = [this](const auto& records) { TakeJobs(records, false); },
                       .caught_up_ = {}}),
-      term_follower_(loop, store_,
-                     {.stream_ = Stream::kTerm, .wait_ = kReadWait, .interval_ = {}},
+      term_follower_(loop, store_, {.stream_ = Stream::kTerm, .wait_ = kReadWait, .interval_ = {}},
                      {.loaded_ = [this](const auto& records) { TakeTerm(records); },
                       .added_ = [this](const auto& records) { TakeTerm(records); },
                       .caught_up_ =
@@ -127,8 +130,7 @@
                             term_.loaded_ = true;
                             StepTerm();
                           }}),
-      peers_(loop, store_, client_, deployment_,
-             core::MakeRandom(core::EntropySeed(), "peers")),
+      peers_(loop, store_, client_, deployment_, core::MakeRandom(core::EntropySeed(), "peers")),
       calls_({.loop_ = loop,
               .store_ = store_,
               .deployment_ = deployment_,
@@ -141,8 +143,7 @@
   term_.incarnation_ = core::MakeUniqueId(random_);
 }
 
-void Node::Implementation::TakeRules(const std::vector<platform::StoredRecord>& records,
-                                     bool all) {
+void Node::Implementation::TakeRules(const std::vector<platform::StoredRecord>& records, bool all) {
   if (all) {
     rules_.zones_out_.clear();
   }
@@ -191,38 +192,60 @@
     const std::optional<ledger::JobChange> change =
         ledger::Apply(jobs_, record.record_.key_, record.record_.value_);
     if (!change.has_value()) {
-      core::Event(Level::kError, EventWeight::kDecisive, "store.record_unreadable",
-                  {{"stream", "jobs"},
-                   {"key", record.record_.key_},
-                   {"reason", core::LastReason()}});
+      core::Event(
+          Level::kError, EventWeight::kDecisive, "store.record_unreadable",
+          {{"stream", "jobs"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
       continue;
     }
+    if (change->state_changed_) {
+      ObserveJob(change->job_);
+    }
     if (duty_ != nullptr) {
       duty_->OnJob(change->job_);
     }
   }
 }
 
+void Node::Implementation::ObserveJob(const ledger::JobId& id) {
+  // The holder alone observes, so that each job counts once.
+  const ledger::JobEntry* entry = ledger::FindJob(jobs_, id);
+  if (duty_ != nullptr && entry != nullptr && entry->submission_ != nullptr &&
+      entry->state_ != ledger::JobState::kQueued) {
+    metrics_.ObserveJob(
+        *entry->submission_, entry->state_,
+        std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now()), rules_);
+  }
+}
+
+http::Reply Node::Implementation::ShowMetrics() {
+  metrics_.Update(calls_.Counts());
+  metrics_.UpdateTerm(term_.seen_.has_value() ? term_.seen_->number_ : 0, term_.holds_);
+  if (duty_ != nullptr && duty_->Decisions() != nullptr) {
+    metrics_.Update(*duty_->Decisions());
+  }
+  return {.status_ = kOk,
+          .headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
+          .body_ = metrics_.Text()};
+}
+
 void Node::Implementation::TakeTerm(const std::vector<platform::StoredRecord>& records) {
   for (const platform::StoredRecord& record : records) {
-    const std::optional<ledger::Term> term =
-        record.record_.value_.has_value() ? ledger::DecodeTerm(*record.record_.value_)
-                                          : std::nullopt;
+    const std::optional<ledger::Term> term = record.record_.value_.has_value()
+                                                 ? ledger::DecodeTerm(*record.record_.value_)
+                                                 : std::nullopt;
     if (!term.has_value()) {
-      core::Event(Level::kError, EventWeight::kDecisive, "store.record_unreadable",
-                  {{"stream", "term"},
-                   {"key", record.record_.key_},
-                   {"reason", core::LastReason()}});
+      core::Event(
+          Level::kError, EventWeight::kDecisive, "store.record_unreadable",
+          {{"stream", "term"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
       continue;
     }
     const bool changed = !term_.seen_.has_value() || term_.seen_->number_ != term->number_ ||
                          term_.seen_->released_ != term->released_;
     OnTermRead(term_, *term, record.offset_ + 1, loop_.Now());
     if (changed) {
-      core::Event(Level::kInfo, EventWeight::kDecisive, "term.seen",
-                  {{"term", term->number_},
-                   {"holder", term->holder_},
-                   {"released", term->released_}});
+      core::Event(
+          Level::kInfo, EventWeight::kDecisive, "term.seen",
+          {{"term", term->number_}, {"holder", term->holder_}, {"released", term->released_}});
     }
   }
   FollowDuty();
@@ -283,10 +306,10 @@
       claimed_over_ = term_.seen_.has_value() ? term_.seen_->holder_ : "";
       const ledger::Term claim =
           BeginClaim(term_, dispatch::LongestLease(deployment_.bounds_), now);
-      core::Event(Level::kInfo, EventWeight::kDecisive, "term.claim",
-                  {{"term", claim.number_},
-                   {"silence_ms",
-                    std::chrono::duration_cast<core::Milliseconds>(now - term_.heard_)}});
+      core::Event(
+          Level::kInfo, EventWeight::kDecisive, "term.claim",
+          {{"term", claim.number_},
+           {"silence_ms", std::chrono::duration_cast<core::Milliseconds>(now - term_.heard_)}});
       AppendTerm(claim);
       break;
     }
@@ -343,8 +366,8 @@
 
 bool Node::Implementation::IsReady() {
   const core::TimePoint now = loop_.Now();
-  const bool loaded = rules_follower_.Loaded() && jobs_follower_.Loaded() &&
-                      rules_.configuration_.version_ > 0;
+  const bool loaded =
+      rules_follower_.Loaded() && jobs_follower_.Loaded() && rules_.configuration_.version_ > 0;
   const bool reaches_store = rules_follower_.AnsweredAt() + kStoreSilence >= now;
   const bool ready = loaded && reaches_store && !draining_;
   if (ready != was_ready_) {
@@ -392,23 +415,29 @@
   const http::Handler handle = [&self](http::Request request, http::Respond respond) {
     self.calls_.Handle(std::move(request), std::move(respond));
   };
-  self.callers_server_ =
-      http::Server::Start(self.loop_, self.deployment_.callers_, limits, handle);
+  self.callers_server_ = http::Server::Start(self.loop_, self.deployment_.callers_, limits, handle);
   if (self.callers_server_ == nullptr) {
     return false;
   }
   if (self.deployment_.peers_.has_value()) {
     self.peers_server_ =
-        http::Server::Start(self.loop_, *self.deployment_.peers_, limits, handle);
+        http::Server::Start(self.loop_, *self.deployment_.peers_, limits,
+                            [&self, handle](http::Request request, http::Respond respond) {
+                              if (request.path_ == kMetricsPath) {
+                                respond(self.ShowMetrics());
+                              } else {
+                                handle(std::move(request), std::move(respond));
+                              }
+                            });
     if (self.peers_server_ == nullptr) {
       return false;
     }
   }
-  self.readiness_server_ = http::Server::Start(
-      self.loop_, self.deployment_.readiness_, {},
-      [&self](const http::Request& /*request*/, const http::Respond& respond) {
-        respond(http::JsonReply(self.IsReady() ? kOk : kUnavailable, "{}"));
-      });
+  self.readiness_server_ =
+      http::Server::Start(self.loop_, self.deployment_.readiness_, {},
+                          [&self](const http::Request& /*request*/, const http::Respond& respond) {
+                            respond(http::JsonReply(self.IsReady() ? kOk : kUnavailable, "{}"));
+                          });
   if (self.readiness_server_ == nullptr) {
     return false;
   }
@@ -427,9 +456,9 @@
   }
   self.draining_ = true;
   self.term_.retiring_ = true;
-  core::Event(Level::kInfo, EventWeight::kDecisive, "node.draining",
-              {{"calls_in_flight", self.callers_server_->InFlight()},
-               {"holds_term", self.term_.holds_}});
+  core::Event(
+      Level::kInfo, EventWeight::kDecisive, "node.draining",
+      {{"calls_in_flight", self.callers_server_->InFlight()}, {"holds_term", self.term_.holds_}});
   const core::TimePoint now = self.loop_.Now();
   self.leave_at_ = now + kLeaveNotice;
   self.leave_latest_ = now + self.deployment_.bounds_.shutdown_grace_ - kShutdownReserve;
--- a/src/laburnumledge/control/stream_writer.cpp
+++ b/src/laburnumledge/control/stream_writer.cpp
@@ -102,18 +102,17 @@
 }
 
 void StreamWriter::Implementation::Send() {
-  store_.append_({.stream_ = stream_,
-                  .records_ = records_,
-                  .expected_end_ = std::nullopt,
-                  .writer_ = platform::Writer{.name_ = kWriterName,
-                                              .epoch_ = epoch_,
-                                              .sequence_ = sequence_},
-                  .deadline_ = loop_.Now() + kAppendTimeout},
-                 [weak = weak_from_this()](const platform::AppendResult& result) {
-                   if (const auto self = weak.lock()) {
-                     self->OnResult(result);
-                   }
-                 });
+  store_.append_(
+      {.stream_ = stream_,
+       .records_ = records_,
+       .expected_end_ = std::nullopt,
+       .writer_ = platform::Writer{.name_ = kWriterName, .epoch_ = epoch_, .sequence_ = sequence_},
+       .deadline_ = loop_.Now() + kAppendTimeout},
+      [weak = weak_from_this()](const platform::AppendResult& result) {
+        if (const auto self = weak.lock()) {
+          self->OnResult(result);
+        }
+      });
 }
 
 void StreamWriter::Implementation::OnResult(const platform::AppendResult& result) {
@@ -123,10 +122,9 @@
       return;
     case AppendOutcome::kFenced:
       fenced_ = true;
-      core::Event(Level::kWarning, EventWeight::kDecisive, "store.superseded",
-                  {{"stream", platform::ToString(stream_)},
-                   {"epoch", epoch_},
-                   {"reason", result.reason_}});
+      core::Event(
+          Level::kWarning, EventWeight::kDecisive, "store.superseded",
+          {{"stream", platform::ToString(stream_)}, {"epoch", epoch_}, {"reason", result.reason_}});
       superseded_();
       return;
     case AppendOutcome::kOutOfSequence:
@@ -184,12 +182,11 @@
   });
 }
 
-StreamWriter::StreamWriter(loop::Loop& loop, const platform::Store& store,
-                           platform::Stream stream, std::uint64_t epoch,
-                           const site::StoreLimits& limits, std::function<void()> superseded)
-    : implementation_(std::make_shared<Implementation>(loop, store, stream, epoch,
-                                                       limits.max_call_bytes_,
-                                                       std::move(superseded))) {}
+StreamWriter::StreamWriter(loop::Loop& loop, const platform::Store& store, platform::Stream stream,
+                           std::uint64_t epoch, const site::StoreLimits& limits,
+                           std::function<void()> superseded)
+    : implementation_(std::make_shared<Implementation>(
+          loop, store, stream, epoch, limits.max_call_bytes_, std::move(superseded))) {}
 
 StreamWriter::~StreamWriter() { implementation_->loop_.Cancel(implementation_->timer_); }
 
--- a/src/laburnumledge/control/term.cpp
+++ b/src/laburnumledge/control/term.cpp
@@ -66,8 +66,8 @@
     return TermStep::kBeat;
   }
   if (state.retiring_) {
-    const bool open = state.seen_.has_value() && IsOwn(state, *state.seen_) &&
-                      !state.seen_->released_;
+    const bool open =
+        state.seen_.has_value() && IsOwn(state, *state.seen_) && !state.seen_->released_;
     return open ? TermStep::kRelease : TermStep::kNone;
   }
   if (state.answering_since_ == core::TimePoint{}) {
@@ -92,8 +92,7 @@
   return std::max({next, earliest, now});
 }
 
-ledger::Term BeginClaim(TermState& state, core::Clock::duration lease_length,
-                        core::TimePoint now) {
+ledger::Term BeginClaim(TermState& state, core::Clock::duration lease_length, core::TimePoint now) {
   const std::uint64_t number = state.seen_.has_value() ? state.seen_->number_ + 1 : 1;
   if (state.seen_.has_value()) {
     // A holder that is not known to have stopped may grant leases until it must give up. Its last
--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -38,26 +38,25 @@
  */
 struct TermState {
   std::string node_;
-  std::string incarnation_;           ///< Of this process.
-  std::optional<ledger::Term> seen_;  ///< Newest term that was read.
-  std::uint64_t end_{};               ///< Where the stream ends, as far as it was read.
-  core::TimePoint heard_{};           ///< When a record was last read.
+  std::string incarnation_;            ///< Of this process.
+  std::optional<ledger::Term> seen_;   ///< Newest term that was read.
+  std::uint64_t end_{};                ///< Where the stream ends, as far as it was read.
+  core::TimePoint heard_{};            ///< When a record was last read.
   core::TimePoint answering_since_{};  ///< Since when the store answers; zero while it does not.
   bool loaded_{};                      ///< The stream has been read to its end once.
   bool holds_{};
-  std::uint64_t abandoned_{};     ///< Highest term that this process has given up.
-  bool retiring_{};               ///< Shuts down: claims nothing.
+  std::uint64_t abandoned_{};  ///< Highest term that this process has given up.
+  bool retiring_{};            ///< Shuts down: claims nothing.
   bool append_in_flight_{};
-  core::TimePoint confirmed_{};   ///< When the last append that landed was sent, or earlier.
+  core::TimePoint confirmed_{};  ///< When the last append that landed was sent, or earlier.
   core::TimePoint earlier_leases_end_{};  ///< Of terms before the one seen, or claimed.
   std::uint64_t claim_number_{};          ///< Term that was last claimed.
   core::TimePoint claim_sent_{};          ///< When it was first claimed.
-  core::TimePoint next_append_{};  ///< Not before this time.
+  core::TimePoint next_append_{};         ///< Not before this time.
 };
 
 /** @brief Notes a record that was read from the stream. */
-void OnTermRead(TermState& state, const ledger::Term& term, std::uint64_t end,
-                core::TimePoint now);
+void OnTermRead(TermState& state, const ledger::Term& term, std::uint64_t end, core::TimePoint now);
 
 /**
  * @brief Gives up the term that this process holds.
--- a/src/laburnumledge/dispatch/board.cpp
+++ b/src/laburnumledge/dispatch/board.cpp
@@ -128,10 +128,9 @@
                                   const Durations& durations) {
   return LongestChain(*job.submission_, [&](std::uint32_t step) {
     const StepRun& run = occurrence.steps_[step];
-    return run.done_ == run.tasks_.size()
-               ? core::Milliseconds{}
-               : Predict(durations, job.submission_->route_, step,
-                         job.submission_->steps_[step].estimate_);
+    return run.done_ == run.tasks_.size() ? core::Milliseconds{}
+                                          : Predict(durations, job.submission_->route_, step,
+                                                    job.submission_->steps_[step].estimate_);
   });
 }
 
--- a/src/laburnumledge/dispatch/board.hpp
+++ b/src/laburnumledge/dispatch/board.hpp
@@ -65,9 +65,9 @@
   std::uint32_t next_occurrence_{};                    ///< First that is not created yet.
   std::uint32_t completed_{};                          ///< Occurrences of which all tasks are done.
   bool cancelled_{};
-  bool final_recorded_{};      ///< Its final state is on record.
+  bool final_recorded_{};         ///< Its final state is on record.
   core::TimePoint over_since_{};  ///< Since when it is final with no runs left; zero before.
-  std::uint32_t occupants_{};  ///< Runs of its tasks that may still exist.
+  std::uint32_t occupants_{};     ///< Runs of its tasks that may still exist.
 };
 
 /** @brief Jobs that the dispatcher looks after. */
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -9,8 +9,8 @@
 
 #include "laburnumledge/dispatch/actions.hpp"
 #include "laburnumledge/dispatch/board.hpp"
-#include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
+#include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
 #include "laburnumledge/dispatch/reserve.hpp"
 #include "laburnumledge/ledger/jobs.hpp"
@@ -90,8 +90,7 @@
                  core::TimePoint now);
 
   /** @brief Takes over the answer to a lease call. */
-  void OnLease(const LeaseAction& action, const platform::LeaseResult& result,
-               core::TimePoint now);
+  void OnLease(const LeaseAction& action, const platform::LeaseResult& result, core::TimePoint now);
 
   /**
    * @brief Plans, and issues what is due.
@@ -140,8 +139,8 @@
                                  RecordBatch& batch, core::TimePoint now);
   void TakeRunning(Worker& worker, const std::vector<platform::RunningRow>& rows,
                    core::TimePoint sent, core::TimePoint now);
-  void EndRun(Worker& worker, const RunId& run, platform::RunEnd end,
-              const std::string& checkpoint, RecordBatch& batch, core::TimePoint now);
+  void EndRun(Worker& worker, const RunId& run, platform::RunEnd end, const std::string& checkpoint,
+              RecordBatch& batch, core::TimePoint now);
   void RunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RunFailed(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RunOver(const RunId& run, platform::RunEnd end, const std::string& checkpoint,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -90,9 +90,8 @@
   worker.ends_handled_ = last;
   worker.next_lease_ = now + internal::kLeaseWhileRecording;
   AfterRecord after;
-  after.seen_.push_back({.worker_ = worker.entry_.id_,
-                         .incarnation_ = worker.incarnation_,
-                         .end_ = last});
+  after.seen_.push_back(
+      {.worker_ = worker.entry_.id_, .incarnation_ = worker.incarnation_, .end_ = last});
   Issue(std::move(batch), std::move(after), now);
   plan_due_ = true;
 }
@@ -103,8 +102,8 @@
   Task* task = FindTask(board_, run.task_);
   const bool newest = task == nullptr || task->run_ == run.run_;
   const bool decisive = row.end_ == RunEnd::kDone || row.end_ == RunEnd::kFailed;
-  const bool counted = task != nullptr && (task->phase_ == TaskPhase::kDone ||
-                                           task->failed_run_ >= run.run_);
+  const bool counted =
+      task != nullptr && (task->phase_ == TaskPhase::kDone || task->failed_run_ >= run.run_);
   core::Event(Level::kInfo, EventWeight::kFrequent, "task.end_late",
               {{"task", ledger::ToString(run.task_)},
                {"run", run.run_},
@@ -180,8 +179,8 @@
   }
 }
 
-void Dispatcher::EndRun(Worker& worker, const RunId& run, RunEnd end,
-                        const std::string& checkpoint, RecordBatch& batch, core::TimePoint now) {
+void Dispatcher::EndRun(Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint,
+                        RecordBatch& batch, core::TimePoint now) {
   const Occupant occupant = worker.occupants_.at(run);
   RemoveOccupant(worker, run);
   Job* job = FindJob(board_, run.task_.job_);
@@ -291,14 +290,13 @@
     }
   }
   MarkWaiting(*step, *task);
-  batch.tasks_.emplace_back(run.task_,
-                            ledger::TaskRecord{.outcome_ = ledger::TaskOutcome::kWaiting,
-                                               .run_ = run.run_,
-                                               .worker_ = {},
-                                               .incarnation_ = 0,
-                                               .failures_ = task->failures_,
-                                               .checkpoint_ = task->checkpoint_,
-                                               .failed_run_ = task->failed_run_});
+  batch.tasks_.emplace_back(run.task_, ledger::TaskRecord{.outcome_ = ledger::TaskOutcome::kWaiting,
+                                                          .run_ = run.run_,
+                                                          .worker_ = {},
+                                                          .incarnation_ = 0,
+                                                          .failures_ = task->failures_,
+                                                          .checkpoint_ = task->checkpoint_,
+                                                          .failed_run_ = task->failed_run_});
   if (end != RunEnd::kStopped) {
     step->retry_at_ = std::max(step->retry_at_, now + kRetryPause);
   }
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -43,16 +43,15 @@
   }
   worker.next_lease_ = std::min(worker.next_lease_, now);
   ++counts_.starts_;
-  actions_.starts_.push_back(
-      {.worker_ = internal::AddressOf(worker),
-       .order_ = {.task_ = run.task_,
-                  .run_ = run.run_,
-                  .text_ = job.submission_->text_,
-                  .checkpoint_ = task.checkpoint_,
-                  .ticket_ = {},
-                  .lease_deadline_ = occupant.lease_deadline_,
-                  .fence_ = worker.fence_},
-       .deadline_ = now + internal::kOrderTimeout});
+  actions_.starts_.push_back({.worker_ = internal::AddressOf(worker),
+                              .order_ = {.task_ = run.task_,
+                                         .run_ = run.run_,
+                                         .text_ = job.submission_->text_,
+                                         .checkpoint_ = task.checkpoint_,
+                                         .ticket_ = {},
+                                         .lease_deadline_ = occupant.lease_deadline_,
+                                         .fence_ = worker.fence_},
+                              .deadline_ = now + internal::kOrderTimeout});
 }
 
 void Dispatcher::SendStop(Worker& worker, const RunId& run, Occupant& occupant,
@@ -60,11 +59,10 @@
   ++occupant.order_attempts_;
   occupant.order_in_flight_ = true;
   occupant.next_order_ = core::TimePoint::max();
-  actions_.stops_.push_back({.worker_ = internal::AddressOf(worker),
-                             .order_ = {.task_ = run.task_,
-                                        .run_ = run.run_,
-                                        .fence_ = worker.fence_},
-                             .deadline_ = now + internal::kOrderTimeout});
+  actions_.stops_.push_back(
+      {.worker_ = internal::AddressOf(worker),
+       .order_ = {.task_ = run.task_, .run_ = run.run_, .fence_ = worker.fence_},
+       .deadline_ = now + internal::kOrderTimeout});
 }
 
 void Dispatcher::StopRun(Worker& worker, const RunId& run, core::TimePoint now) {
@@ -252,14 +250,13 @@
   }
   // A worker that gives no answers may get every call: extending its lease again and again would
   // keep its runs from ever being given up.
-  actions_.leases_.push_back(
-      {.worker_ = internal::AddressOf(worker),
-       .call_ = {.fence_ = worker.fence_,
-                 .last_seen_ = last_seen,
-                 .lease_deadline_ = worker.lease_deadline_,
-                 .wait_ = wait,
-                 .deadline_ = now + wait + internal::kLeaseSlack},
-       .number_ = worker.lease_call_});
+  actions_.leases_.push_back({.worker_ = internal::AddressOf(worker),
+                              .call_ = {.fence_ = worker.fence_,
+                                        .last_seen_ = last_seen,
+                                        .lease_deadline_ = worker.lease_deadline_,
+                                        .wait_ = wait,
+                                        .deadline_ = now + wait + internal::kLeaseSlack},
+                              .number_ = worker.lease_call_});
 }
 
 void Dispatcher::OnLease(const LeaseAction& action, const platform::LeaseResult& result,
--- a/src/laburnumledge/dispatch/durations.cpp
+++ b/src/laburnumledge/dispatch/durations.cpp
@@ -42,8 +42,8 @@
   Add(history.errors_, Log(estimate) - Log(actual));
 }
 
-core::Milliseconds Predict(const Durations& durations, const std::string& route,
-                           std::uint32_t step, core::Milliseconds estimate) {
+core::Milliseconds Predict(const Durations& durations, const std::string& route, std::uint32_t step,
+                           core::Milliseconds estimate) {
   const auto found = durations.histories_.find({route, step});
   if (found == durations.histories_.end()) {
     return estimate;
@@ -51,7 +51,8 @@
   const DurationHistory& history = found->second;
   const double spread = Variance(history.durations_, kDurationVariance);
   const double error = Variance(history.errors_, kErrorVariance);
-  const double typical_weight = history.durations_.count_ / (history.durations_.count_ + 1) / spread;
+  const double typical_weight =
+      history.durations_.count_ / (history.durations_.count_ + 1) / spread;
   const double estimate_weight = 1.0 / error;
   const double unbiased = Log(estimate) - history.errors_.mean_;
   const double value = (typical_weight * history.durations_.mean_ + estimate_weight * unbiased) /
@@ -59,8 +60,7 @@
   return core::Milliseconds(static_cast<std::int64_t>(std::exp(value)));
 }
 
-core::Milliseconds PredictChain(const Durations& durations,
-                                const ledger::Submission& submission) {
+core::Milliseconds PredictChain(const Durations& durations, const ledger::Submission& submission) {
   return LongestChain(submission, [&](std::uint32_t step) {
     return Predict(durations, submission.route_, step, submission.steps_[step].estimate_);
   });
--- a/src/laburnumledge/dispatch/durations.hpp
+++ b/src/laburnumledge/dispatch/durations.hpp
@@ -47,8 +47,7 @@
 
 /** @brief Longest chain of steps, each as long as a function says. */
 template <typename Length>
-[[nodiscard]] core::Milliseconds LongestChain(const ledger::Submission& submission,
-                                              Length length) {
+[[nodiscard]] core::Milliseconds LongestChain(const ledger::Submission& submission, Length length) {
   std::vector<core::Milliseconds> ends(submission.steps_.size());
   core::Milliseconds longest{};
   for (std::uint32_t index = 0; index < submission.steps_.size(); ++index) {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -39,13 +39,13 @@
   std::uint32_t order_attempts_{};  ///< Orders that went out for the present phase.
   bool order_in_flight_{};
   bool gang_{};
-  bool resumed_{};                  ///< Began from a checkpoint.
-  std::uint32_t gang_size_{1};      ///< Tasks that are lost with this one.
-  core::TimePoint settled_{};       ///< Since when the worker is known to have acted on the order.
-  core::TimePoint started_{};       ///< When the run was confirmed.
+  bool resumed_{};              ///< Began from a checkpoint.
+  std::uint32_t gang_size_{1};  ///< Tasks that are lost with this one.
+  core::TimePoint settled_{};   ///< Since when the worker is known to have acted on the order.
+  core::TimePoint started_{};   ///< When the run was confirmed.
   core::WorkerTime lease_deadline_{};  ///< That its start asks for, on the worker's clock.
-  core::TimePoint next_order_{};    ///< When an order without an answer goes out again.
-  core::TimePoint progressed_{};    ///< When its progress was last seen to change.
+  core::TimePoint next_order_{};       ///< When an order without an answer goes out again.
+  core::TimePoint progressed_{};       ///< When its progress was last seen to change.
   std::int64_t progress_percent_{};
   std::string checkpoint_;          ///< Newest that the worker listed.
   core::TimePoint checkpointed_{};  ///< When that checkpoint was first seen.
@@ -59,9 +59,9 @@
 
 /** @brief What has been seen of a worker's health. */
 struct Health {
-  std::uint32_t failures_in_row_{};      ///< Runs that failed since one succeeded.
-  core::TimePoint suspected_until_{};    ///< Gets no work before; then one run as a probe.
-  std::uint32_t suspicions_{};           ///< In a row; lengthens the next.
+  std::uint32_t failures_in_row_{};    ///< Runs that failed since one succeeded.
+  core::TimePoint suspected_until_{};  ///< Gets no work before; then one run as a probe.
+  std::uint32_t suspicions_{};         ///< In a row; lengthens the next.
 };
 
 /** @brief Limit of Worker::ends_to_forget_ that holds none back. */
@@ -70,23 +70,23 @@
 /** @brief Worker with its books. */
 struct Worker {
   site::WorkerEntry entry_;
-  bool listed_{};                   ///< Stands in the platform's list.
-  core::TimePoint entry_seen_{};    ///< When its entry was last read.
+  bool listed_{};                    ///< Stands in the platform's list.
+  core::TimePoint entry_seen_{};     ///< When its entry was last read.
   site::Incarnation incarnation_{};  ///< As its answers say; 0 before the first.
-  std::uint64_t fence_{};           ///< Of the orders that go out now.
+  std::uint64_t fence_{};            ///< Of the orders that go out now.
   std::optional<ClockReference> clock_;
-  std::uint64_t ends_handled_{};    ///< Ends up to this number have been taken into the books.
-  std::uint64_t ends_recorded_{};   ///< Ends up to this number are on record.
-  std::uint64_t ends_to_forget_{kAllEnds};  ///< The worker must keep ends beyond this number.
+  std::uint64_t ends_handled_{};   ///< Ends up to this number have been taken into the books.
+  std::uint64_t ends_recorded_{};  ///< Ends up to this number are on record.
+  std::uint64_t ends_to_forget_{kAllEnds};     ///< The worker must keep ends beyond this number.
   std::map<RunId, core::TimePoint> given_up_;  ///< Runs that may yet turn out to have ended well.
   bool lease_in_flight_{};
-  std::uint64_t lease_call_{};      ///< Number of the lease call in flight.
+  std::uint64_t lease_call_{};  ///< Number of the lease call in flight.
   core::TimePoint lease_sent_{};
-  core::TimePoint next_lease_{};    ///< When the next lease call goes out.
-  core::TimePoint leased_until_{};  ///< Nothing runs there after it, whatever was ordered.
+  core::TimePoint next_lease_{};       ///< When the next lease call goes out.
+  core::TimePoint leased_until_{};     ///< Nothing runs there after it, whatever was ordered.
   core::WorkerTime lease_deadline_{};  ///< Of the newest lease call, on the worker's clock.
-  core::TimePoint reached_{};       ///< When it last answered.
-  std::uint32_t failed_calls_{};    ///< In a row.
+  core::TimePoint reached_{};          ///< When it last answered.
+  std::uint32_t failed_calls_{};       ///< In a row.
   Health health_;
   site::Resources used_;
   std::map<RunId, Occupant> occupants_;
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -28,9 +28,9 @@
 /** Room of a worker during one plan. */
 struct Slot {
   Worker* worker_{};
-  site::Resources now_;    ///< Free for a start at once.
-  site::Resources total_;  ///< Free now or soon, less what is kept for units that wait for it.
-  bool probe_only_{};      ///< Takes one run at a time until it has proved itself.
+  site::Resources now_;      ///< Free for a start at once.
+  site::Resources total_;    ///< Free now or soon, less what is kept for units that wait for it.
+  bool probe_only_{};        ///< Takes one run at a time until it has proved itself.
   std::set<RunId> evicted_;  ///< Runs that this plan has made give way.
   std::uint32_t taken_{};    ///< Tasks of the unit that is being placed.
   bool reserved_{};          ///< Held ready for urgent jobs.
@@ -85,8 +85,7 @@
   const ledger::WallTime due = DueTime(*job.submission_, number);
   const ledger::WallTime objective = Objective(job, number, context.durations_);
   const core::Milliseconds chain = RemainingChain(job, occurrence, context.durations_);
-  unit.duration_ =
-      Predict(context.durations_, job.submission_->route_, index, spec.estimate_);
+  unit.duration_ = Predict(context.durations_, job.submission_->route_, index, spec.estimate_);
   unit.latest_start_ = objective - chain;
   unit.hopeless_ = time.wall_ + chain > due + (objective - due) * kLateLimit;
   unit.ready_since_ = run.ready_since_;
@@ -247,8 +246,8 @@
     if (!Matches(planner, slot, unit)) {
       continue;
     }
-    const std::uint32_t count = CountFits(unit.spec_->each_, Smaller(slot.now_, slot.total_),
-                                          SiblingsLeft(slot, unit));
+    const std::uint32_t count =
+        CountFits(unit.spec_->each_, Smaller(slot.now_, slot.total_), SiblingsLeft(slot, unit));
     if (count > 0) {
       offers.push_back({&slot, count});
     }
@@ -265,7 +264,7 @@
 /** Order of offers: room held ready for the unit first, then the GPUs and the processors that stay
  * free when as many tasks as possible are placed. */
 std::tuple<bool, std::int64_t, std::int64_t> LeftOver(const Offer& offer, const Unit& unit,
-                                               std::uint32_t wanted) noexcept {
+                                                      std::uint32_t wanted) noexcept {
   const site::Resources left =
       offer.slot_->now_ - Times(unit.spec_->each_, std::min(offer.count_, wanted));
   return {!offer.slot_->reserved_, left.gpus_, left.cpu_millis_};
@@ -276,10 +275,10 @@
   slot.total_ -= unit.spec_->each_;
   ++slot.taken_;
   planned.push_back({.task_ = {.job_ = unit.job_->id_,
-                                .occurrence_ = unit.occurrence_,
-                                .step_ = unit.step_,
-                                .index_ = task},
-                      .worker_ = slot.worker_});
+                               .occurrence_ = unit.occurrence_,
+                               .step_ = unit.step_,
+                               .index_ = task},
+                     .worker_ = slot.worker_});
 }
 
 /** Fills offers in order of the least that stays free, with all tasks of a unit. */
@@ -312,13 +311,12 @@
   std::map<std::string_view, std::uint64_t> counts;
   for (const Slot& slot : planner.slots_) {
     if (Matches(planner, slot, unit)) {
-      counts[slot.worker_->entry_.rack_] += CountFits(
-          unit.spec_->each_, slot.worker_->entry_.capacity_, SiblingsLeft(slot, unit));
+      counts[slot.worker_->entry_.rack_] +=
+          CountFits(unit.spec_->each_, slot.worker_->entry_.capacity_, SiblingsLeft(slot, unit));
     }
   }
-  return std::any_of(counts.begin(), counts.end(), [&unit](const auto& entry) {
-    return entry.second >= unit.tasks_.size();
-  });
+  return std::any_of(counts.begin(), counts.end(),
+                     [&unit](const auto& entry) { return entry.second >= unit.tasks_.size(); });
 }
 
 std::map<std::string_view, std::vector<Offer>> ByRack(const std::vector<Offer>& offers) {
@@ -386,9 +384,8 @@
       return offer.slot_->worker_->entry_.rack_ == rack;
     });
     if (rack_only || rack_has_room) {
-      std::erase_if(offers, [&](const Offer& offer) {
-        return offer.slot_->worker_->entry_.rack_ != rack;
-      });
+      std::erase_if(offers,
+                    [&](const Offer& offer) { return offer.slot_->worker_->entry_.rack_ != rack; });
     }
   }
   const auto best = std::min_element(offers.begin(), offers.end(),
@@ -489,8 +486,8 @@
 }
 
 ledger::TaskId FirstTask(const Unit& unit) {
-  return {.job_ = unit.job_->id_, .occurrence_ = unit.occurrence_, .step_ = unit.step_,
-          .index_ = 0};
+  return {
+      .job_ = unit.job_->id_, .occurrence_ = unit.occurrence_, .step_ = unit.step_, .index_ = 0};
 }
 
 /** Takes the room for a unit that waits for it, so that later units leave it alone. */
@@ -514,13 +511,10 @@
 }
 
 Slot* FindSlot(Planner& planner, const std::string& worker) {
-  const auto found =
-      std::lower_bound(planner.slots_.begin(), planner.slots_.end(), worker,
-                       [](const Slot& slot, const std::string& id) {
-                         return slot.worker_->entry_.id_ < id;
-                       });
-  return found == planner.slots_.end() || found->worker_->entry_.id_ != worker ? nullptr
-                                                                               : &*found;
+  const auto found = std::lower_bound(
+      planner.slots_.begin(), planner.slots_.end(), worker,
+      [](const Slot& slot, const std::string& id) { return slot.worker_->entry_.id_ < id; });
+  return found == planner.slots_.end() || found->worker_->entry_.id_ != worker ? nullptr : &*found;
 }
 
 /** Takes the room of the claims that a step holds; false, with nothing taken, if it is gone. */
@@ -617,12 +611,10 @@
 
 bool IsEligible(const Worker& worker, const site::Rules& rules, core::TimePoint now) noexcept {
   return worker.listed_ && !worker.entry_.draining_ && worker.failed_calls_ == 0 &&
-         worker.health_.suspected_until_ <= now &&
-         !rules.zones_out_.contains(worker.entry_.zone_);
+         worker.health_.suspected_until_ <= now && !rules.zones_out_.contains(worker.entry_.zone_);
 }
 
-ledger::WallTime Objective(const Job& job, std::uint32_t occurrence,
-                           const Durations& durations) {
+ledger::WallTime Objective(const Job& job, std::uint32_t occurrence, const Durations& durations) {
   const auto chain = std::chrono::duration_cast<core::Milliseconds>(
       PredictChain(durations, *job.submission_) * job.treatment_.stretch_);
   return DueTime(*job.submission_, occurrence) + chain + job.treatment_.target_latency_;
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -105,8 +105,8 @@
                {"status", told},
                {"version", context_.rules_.configuration_.version_},
                {"reason", reason}});
-  exchange->respond_(platform::RefusalReply(told, reason, in_doubt ? core::Milliseconds{}
-                                                                   : retry_after));
+  exchange->respond_(
+      platform::RefusalReply(told, reason, in_doubt ? core::Milliseconds{} : retry_after));
 }
 
 void JobCalls::Implementation::PassOn(const ExchangePointer& exchange, unsigned status,
@@ -117,13 +117,13 @@
   }
   ++counts_.forwarded_;
   const std::uint64_t version = std::max(OwnVersion(), newest_version_);
-  context_.peers_.Ask(exchange->request_, version, exchange->deadline_,
-                      [weak = weak_from_this(), exchange, status,
-                       reason = std::string(reason)](PeerAnswer answer) {
-                        if (const auto self = weak.lock()) {
-                          self->OnPeerAnswer(exchange, status, reason, std::move(answer));
-                        }
-                      });
+  context_.peers_.Ask(
+      exchange->request_, version, exchange->deadline_,
+      [weak = weak_from_this(), exchange, status, reason = std::string(reason)](PeerAnswer answer) {
+        if (const auto self = weak.lock()) {
+          self->OnPeerAnswer(exchange, status, reason, std::move(answer));
+        }
+      });
 }
 
 std::uint64_t JobCalls::Implementation::OwnVersion() const noexcept {
@@ -131,8 +131,7 @@
 }
 
 void JobCalls::Implementation::OnPeerAnswer(const ExchangePointer& exchange, unsigned status,
-                                            std::string_view reason,
-                                            PeerAnswer answer) {
+                                            std::string_view reason, PeerAnswer answer) {
   const bool changes = exchange->call_.verb_ != CallerVerb::kShow;
   exchange->may_have_landed_ = exchange->may_have_landed_ || (changes && answer.unanswered_);
   if (!answer.reply_.has_value()) {
@@ -147,8 +146,8 @@
                {"status", reply.status_},
                {"version", answer.reply_->version_},
                {"reason", reason},
-               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                  context_.loop_.Now() - exchange->begun_)}});
+               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(context_.loop_.Now() -
+                                                                             exchange->begun_)}});
   const bool rejected = reply.status_ >= kBadRequest && reply.status_ != kGatewayTimeout;
   if (rejected && exchange->may_have_landed_) {
     Refuse(exchange, kUnavailable, reason);
@@ -313,8 +312,8 @@
                {"route", exchange->route_},
                {"organisation", exchange->organisation_},
                {"forwarded", exchange->forwarded_},
-               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                  context_.loop_.Now() - exchange->begun_)}});
+               {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(context_.loop_.Now() -
+                                                                             exchange->begun_)}});
   exchange->respond_(platform::DoneReply());
 }
 
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -112,24 +112,24 @@
   if (!withdrawn_) {
     records.front().value_ = config::ToString(*deployment_.peers_);
   }
-  store_.append_({.stream_ = platform::Stream::kNodes,
-                  .records_ = std::move(records),
-                  .expected_end_ = std::nullopt,
-                  .writer_ = std::nullopt,
-                  .deadline_ = loop_.Now() + kAnnounceTimeout},
-                 [weak = weak_from_this(), withdrawn = withdrawn_](
-                     const platform::AppendResult& result) {
-                   const auto self = weak.lock();
-                   if (self == nullptr || result.outcome_ == AppendOutcome::kDone ||
-                       withdrawn != self->withdrawn_) {
-                     return;
-                   }
-                   self->timer_ = self->loop_.At(self->loop_.Now() + kAnnouncePause, [weak] {
-                     if (const auto held = weak.lock()) {
-                       held->Announce();
-                     }
-                   });
-                 });
+  store_.append_(
+      {.stream_ = platform::Stream::kNodes,
+       .records_ = std::move(records),
+       .expected_end_ = std::nullopt,
+       .writer_ = std::nullopt,
+       .deadline_ = loop_.Now() + kAnnounceTimeout},
+      [weak = weak_from_this(), withdrawn = withdrawn_](const platform::AppendResult& result) {
+        const auto self = weak.lock();
+        if (self == nullptr || result.outcome_ == AppendOutcome::kDone ||
+            withdrawn != self->withdrawn_) {
+          return;
+        }
+        self->timer_ = self->loop_.At(self->loop_.Now() + kAnnouncePause, [weak] {
+          if (const auto held = weak.lock()) {
+            held->Announce();
+          }
+        });
+      });
 }
 
 Peer* Peers::Implementation::Choose(core::TimePoint now) {
@@ -150,9 +150,7 @@
   const core::TimePoint now = loop_.Now();
   Peer* peer = left > 0 && now < deadline ? Choose(now) : nullptr;
   if (peer == nullptr) {
-    loop_.Soon([done, unanswered] {
-      done({.reply_ = std::nullopt, .unanswered_ = unanswered});
-    });
+    loop_.Soon([done, unanswered] { done({.reply_ = std::nullopt, .unanswered_ = unanswered}); });
     return;
   }
   const config::Address address = peer->address_;
@@ -186,8 +184,8 @@
 
 Peers::Peers(loop::Loop& loop, const platform::Store& store, http::Client& client,
              const site::Deployment& deployment, core::Random random)
-    : implementation_(std::make_shared<Implementation>(loop, store, client, deployment,
-                                                       std::move(random))) {}
+    : implementation_(
+          std::make_shared<Implementation>(loop, store, client, deployment, std::move(random))) {}
 
 Peers::~Peers() { implementation_->loop_.Cancel(implementation_->timer_); }
 
@@ -211,8 +209,8 @@
                   .url_ = request.target_,
                   .headers_ = platform::HeadersToPass(request),
                   .body_ = request.body_};
-  call.headers_.push_back({std::string(kForwardedHeader),
-                           fmt::format("by={}", implementation_->deployment_.node_)});
+  call.headers_.push_back(
+      {std::string(kForwardedHeader), fmt::format("by={}", implementation_->deployment_.node_)});
   call.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
   implementation_->AskOne(call, deadline, kMostAsked, false, done);
 }
--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -202,8 +202,7 @@
     response.timed_out_ = code == CURLE_OPERATION_TIMEDOUT;
     response.malformed_ = IsMalformed(*transfer, code);
     response.reason_ = transfer->too_large_ ? "answer is too large" : curl_easy_strerror(code);
-    response.verdict_ =
-        NeverSent(*transfer) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
+    response.verdict_ = NeverSent(*transfer) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
   }
   const Received received = std::move(transfer->received_);
   const CallId id = transfer->id_;
--- a/src/laburnumledge/ledger/jobs.cpp
+++ b/src/laburnumledge/ledger/jobs.cpp
@@ -78,6 +78,7 @@
   const bool known = jobs.entries_.contains(job);
   JobEntry& entry = jobs.entries_[job];
   Count(jobs, entry, -1);
+  const JobState before = entry.state_;
   const bool changed = Change(entry, kind, *value);
   Count(jobs, entry, 1);
   if (!changed) {
@@ -86,7 +87,7 @@
     }
     return std::nullopt;
   }
-  return JobChange{.job_ = job, .dropped_ = false};
+  return JobChange{.job_ = job, .dropped_ = false, .state_changed_ = entry.state_ != before};
 }
 
 const JobEntry* FindJob(const Jobs& jobs, std::string_view job) {
--- a/src/laburnumledge/ledger/jobs.hpp
+++ b/src/laburnumledge/ledger/jobs.hpp
@@ -33,6 +33,7 @@
 struct JobChange {
   JobId job_;
   bool dropped_{};
+  bool state_changed_{};
 };
 
 /**
--- a/src/laburnumledge/operators/node.cpp
+++ b/src/laburnumledge/operators/node.cpp
@@ -1,10 +1,11 @@
+#include "laburnumledge/control/node.hpp"
+
 #include <fmt/core.h>
 
 #include <csignal>
 #include <cstdlib>
 #include <optional>
 
-#include "laburnumledge/control/node.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/operators/commands.hpp"
@@ -20,8 +21,9 @@
 constexpr CommandHelp kHelp = {
     .name_ = "node",
     .positional_ = "[SETTINGS]",
-    .summary_ = "Runs a node on the platform, with settings that the platform has rendered.\n"
-                "Without SETTINGS, the path is taken from LABURNUMLEDGE_SETTINGS.",
+    .summary_ =
+        "Runs a node on the platform, with settings that the platform has rendered.\n"
+        "Without SETTINGS, the path is taken from LABURNUMLEDGE_SETTINGS.",
     .examples_ = "  laburnumledge node /etc/laburnumledge/settings.toml\n",
     .least_ = 0,
     .most_ = 1,
--- a/src/laburnumledge/platform/callers.cpp
+++ b/src/laburnumledge/platform/callers.cpp
@@ -85,14 +85,13 @@
 
 http::Reply DoneReply() { return http::JsonReply(kOk, "{}"); }
 
-http::Reply RefusalReply(unsigned status, std::string_view reason,
-                         core::Milliseconds retry_after) {
+http::Reply RefusalReply(unsigned status, std::string_view reason, core::Milliseconds retry_after) {
   nlohmann::json body = {{"error", reason}};
   if (retry_after.count() > 0) {
     body["retry_after_ms"] = retry_after.count();
   }
-  http::Reply reply = http::JsonReply(
-      status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  http::Reply reply =
+      http::JsonReply(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   if (retry_after.count() > 0) {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
     reply.headers_.push_back({"Retry-After", fmt::format("{}", seconds.count())});
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -72,7 +72,8 @@
       .reclaim_time_ = Ms(object, "reclaim_ms"),
       .configuration_time_ = Ms(object, "config_apply_ms"),
       .order_interval_ = Ms(object, "lease_ms"),
-      .remote_penalty_ = std::max(kNoPenalty, Number(object, "remote_penalty").value_or(kNoPenalty)),
+      .remote_penalty_ =
+          std::max(kNoPenalty, Number(object, "remote_penalty").value_or(kNoPenalty)),
   };
 }
 
@@ -88,7 +89,8 @@
       .host_ = Text(object, "host").value_or(""),
       .path_prefix_ = *prefix,
       .treatment_ = {.service_ = *service,
-                     .priority_ = static_cast<std::uint32_t>(Unsigned(object, "priority").value_or(0)),
+                     .priority_ =
+                         static_cast<std::uint32_t>(Unsigned(object, "priority").value_or(0)),
                      .max_attempts_ =
                          static_cast<std::uint32_t>(Unsigned(object, "max_attempts").value_or(1)),
                      .stretch_ = Number(object, "stretch").value_or(1.0),
@@ -200,10 +202,10 @@
       .machines_ = std::nullopt,
       .heartbeat_interval_ = Ms(*object, "heartbeat_ms"),
       .max_connections_ = 0,
-      .store_limits_ = {.max_record_bytes_ =
-                            static_cast<std::uint32_t>(Unsigned(*store, "max_record_bytes").value_or(0)),
-                        .max_call_bytes_ =
-                            static_cast<std::uint32_t>(Unsigned(*store, "max_call_bytes").value_or(0))},
+      .store_limits_ = {.max_record_bytes_ = static_cast<std::uint32_t>(
+                            Unsigned(*store, "max_record_bytes").value_or(0)),
+                        .max_call_bytes_ = static_cast<std::uint32_t>(
+                            Unsigned(*store, "max_call_bytes").value_or(0))},
       .bounds_ = BoundsOf(*bounds),
   };
   if (const Json* limits = Member(*object, "limits")) {
@@ -361,10 +363,9 @@
     return core::Fail("\"repeats\" is out of range");
   }
   if (occurrences > 0) {
-    submission.schedule_ = {
-        .occurrences_ = static_cast<std::uint32_t>(occurrences),
-        .first_ = ledger::WallTime(Ms(*object, "start_at_ms")),
-        .interval_ = Ms(*object, "interval_ms")};
+    submission.schedule_ = {.occurrences_ = static_cast<std::uint32_t>(occurrences),
+                            .first_ = ledger::WallTime(Ms(*object, "start_at_ms")),
+                            .interval_ = Ms(*object, "interval_ms")};
   }
   return submission;
 }
--- a/src/laburnumledge/platform/json.hpp
+++ b/src/laburnumledge/platform/json.hpp
@@ -16,8 +16,7 @@
 
 [[nodiscard]] std::optional<std::string> Text(const nlohmann::json& object, const char* name);
 [[nodiscard]] std::optional<std::int64_t> Integer(const nlohmann::json& object, const char* name);
-[[nodiscard]] std::optional<std::uint64_t> Unsigned(const nlohmann::json& object,
-                                                    const char* name);
+[[nodiscard]] std::optional<std::uint64_t> Unsigned(const nlohmann::json& object, const char* name);
 [[nodiscard]] std::optional<double> Number(const nlohmann::json& object, const char* name);
 [[nodiscard]] bool Flag(const nlohmann::json& object, const char* name);
 
--- a/src/laburnumledge/platform/store.cpp
+++ b/src/laburnumledge/platform/store.cpp
@@ -290,13 +290,12 @@
                        .headers_ = {{"Content-Type", "application/octet-stream"}},
                        .body_ = internal::Frame(call.records_),
                        .deadline_ = call.deadline_};
-    client.Send(std::move(request), [done](const http::Response& response) {
-      done(internal::JudgeAppend(response));
-    });
+    client.Send(std::move(request),
+                [done](const http::Response& response) { done(internal::JudgeAppend(response)); });
   };
   store.read_ = [&client, base](const ReadCall& call, const ReadDoneCallback& done) {
-    std::string url = fmt::format("{}/-/log-read?topic={}&part=0&from={}", base,
-                                  Topic(call.stream_), call.from_);
+    std::string url =
+        fmt::format("{}/-/log-read?topic={}&part=0&from={}", base, Topic(call.stream_), call.from_);
     if (call.wait_.count() > 0) {
       url += fmt::format("&wait_ms={}", call.wait_.count());
     }
@@ -306,8 +305,7 @@
     });
   };
   store.newest_ = [&client, base](const NewestCall& call, const NewestDone& done) {
-    std::string url =
-        fmt::format("{}/-/log-newest?topic={}&part=0", base, Topic(call.stream_));
+    std::string url = fmt::format("{}/-/log-newest?topic={}&part=0", base, Topic(call.stream_));
     if (!call.after_.empty()) {
       url += fmt::format("&after={}", http::EscapeQuery(call.after_));
     }
--- a/src/laburnumledge/platform/workers.cpp
+++ b/src/laburnumledge/platform/workers.cpp
@@ -83,8 +83,8 @@
       {"broken", RunEnd::kBroken},
       {"alone", RunEnd::kAlone},
   }};
-  const auto* found =
-      std::find_if(kWords.begin(), kWords.end(), [&](const auto& entry) { return entry.first == word; });
+  const auto* found = std::find_if(kWords.begin(), kWords.end(),
+                                   [&](const auto& entry) { return entry.first == word; });
   return found == kWords.end() ? RunEnd::kUnknown : found->second;
 }
 
--- a/src/laburnumledge/platform/workers.hpp
+++ b/src/laburnumledge/platform/workers.hpp
@@ -41,10 +41,10 @@
 
 /** @brief What became of an order to a worker. */
 enum class OrderOutcome : unsigned char {
-  kDone,        ///< For a start: the run is there, from this order or an earlier one.
-  kFenced,      ///< The worker has seen a higher fence.
-  kOldRun,      ///< A run as high or higher has ended or was stopped there.
-  kLate,        ///< The lease had passed when the order arrived.
+  kDone,    ///< For a start: the run is there, from this order or an earlier one.
+  kFenced,  ///< The worker has seen a higher fence.
+  kOldRun,  ///< A run as high or higher has ended or was stopped there.
+  kLate,    ///< The lease had passed when the order arrived.
   kNoRoom,
   kNoTicket,
   kInvalid,
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -20,7 +20,7 @@
   Dispatcher dispatcher_{MakeBounds(), 1};
   core::TimePoint now_ = kNow;
   Actions actions_;
-  std::vector<LeaseAction> leases_;  ///< Calls that went out with the last starts.
+  std::vector<LeaseAction> leases_;          ///< Calls that went out with the last starts.
   std::map<std::string, LeaseAction> open_;  ///< Newest call to each worker.
 
   Scene() {
@@ -37,7 +37,9 @@
   /** @brief Lets the dispatcher run and collects what it wants. */
   Actions& Run(core::Milliseconds later = {}) {
     now_ += later;
-    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - kNow)});
+    (void)dispatcher_.Run(
+        {.now_ = now_,
+         .wall_ = kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - kNow)});
     actions_ = dispatcher_.TakeActions();
     for (const LeaseAction& lease : actions_.leases_) {
       open_[lease.worker_.id_] = lease;
@@ -135,10 +137,8 @@
   const std::vector<LeaseAction> calls = scene.leases_;
   REQUIRE(calls.size() == 1);
   platform::LeaseResult ended{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
-  ended.finished_.push_back({.number_ = 1,
-                             .task_ = starts[0].order_.task_,
-                             .run_ = 1,
-                             .end_ = RunEnd::kDone});
+  ended.finished_.push_back(
+      {.number_ = 1, .task_ = starts[0].order_.task_, .run_ = 1, .end_ = RunEnd::kDone});
   scene.dispatcher_.OnLease(calls[0], ended, scene.now_);
   scene.Run();
   CHECK(scene.dispatcher_.Workers().workers_.at("w1").ends_recorded_ == 0);
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -41,14 +41,15 @@
     deployment_.node_ = "node-1";
     deployment_.peers_ = config::Address{.ip_ = "127.0.0.1", .port_ = 1};
     site::Configuration configuration{.version_ = 7};
-    configuration.routes_.push_back({.name_ = "survey", .host_ = "a.example", .path_prefix_ = "/s/"});
+    configuration.routes_.push_back(
+        {.name_ = "survey", .host_ = "a.example", .path_prefix_ = "/s/"});
     configuration.organisations_.push_back({.name_ = "crew", .keys_ = {"secret"}});
     site::Adopt(rules_, std::move(configuration));
     PlayStore();
-    rules_follower_.emplace(loop_, store_,
-                            control::FollowerOptions{.stream_ = Stream::kOperators,
-                                                     .wait_ = core::Milliseconds(1000)},
-                            Ignore());
+    rules_follower_.emplace(
+        loop_, store_,
+        control::FollowerOptions{.stream_ = Stream::kOperators, .wait_ = core::Milliseconds(1000)},
+        Ignore());
     jobs_follower_.emplace(loop_, store_, control::FollowerOptions{.stream_ = Stream::kJobs},
                            Ignore());
     peers_.emplace(loop_, store_, client_, deployment_, core::MakeRandom(1, "test"));
@@ -116,9 +117,8 @@
 };
 
 std::string AnswerOf(unsigned status, int version) {
-  return fmt::format(
-      "HTTP/1.1 {} X\r\nContent-Length: 2\r\nConfiguration-Version: {}\r\n\r\n{{}}", status,
-      version);
+  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: 2\r\nConfiguration-Version: {}\r\n\r\n{{}}",
+                     status, version);
 }
 
 std::string AddressOf(const http::RawServer& server) {
@@ -176,7 +176,8 @@
 
 TEST_CASE("a node that the store refuses passes the call on, and the next ones at once") {
   loop::Loop loop;
-  http::RawServer peer(loop, [](int) { return AnswerOf(200, 7); }, true);
+  http::RawServer peer(
+      loop, [](int) { return AnswerOf(200, 7); }, true);
   Scene scene(loop, {{"node-2", AddressOf(peer)}});
   scene.outcomes_ = {AppendOutcome::kRefused};
   CHECK(scene.Submit().status_ == 200);
@@ -188,19 +189,22 @@
 
 TEST_CASE("a call that came from another node is not passed on again") {
   loop::Loop loop;
-  http::RawServer peer(loop, [](int) { return AnswerOf(200, 7); }, true);
+  http::RawServer peer(
+      loop, [](int) { return AnswerOf(200, 7); }, true);
   Scene scene(loop, {{"node-2", AddressOf(peer)}});
   scene.outcomes_ = {AppendOutcome::kRefused};
-  const http::Reply reply = scene.Call("POST", std::string("/s/") + kJob, kBody, "secret",
-                                       {{"Forwarded", "by=node-2"}});
+  const http::Reply reply =
+      scene.Call("POST", std::string("/s/") + kJob, kBody, "secret", {{"Forwarded", "by=node-2"}});
   CHECK(reply.status_ == 503);
   CHECK(peer.Requests() == 0);
 }
 
 TEST_CASE("a refusal after a node that gave no answer does not say that nothing has run") {
   loop::Loop loop;
-  http::RawServer silent(loop, [](int) { return std::string(); }, true);
-  http::RawServer refusing(loop, [](int) { return AnswerOf(503, 7); }, true);
+  http::RawServer silent(
+      loop, [](int) { return std::string(); }, true);
+  http::RawServer refusing(
+      loop, [](int) { return AnswerOf(503, 7); }, true);
   bool asked_both = false;
   for (int attempt = 0; attempt < 20 && !asked_both; ++attempt) {
     // Which node is asked first is drawn; the case is the one in which it is the silent one.
@@ -216,7 +220,8 @@
 TEST_CASE("a call whose append may still land is not said to be rejected, whatever a peer says") {
   for (const unsigned status : {401U, 404U, 410U, 503U}) {
     loop::Loop loop;
-    http::RawServer peer(loop, [status](int) { return AnswerOf(status, 9); }, true);
+    http::RawServer peer(
+        loop, [status](int) { return AnswerOf(status, 9); }, true);
     Scene scene(loop, {{"node-2", AddressOf(peer)}});
     scene.outcomes_ = {AppendOutcome::kUnknown};
     CHECK(scene.Submit().status_ == 504);
@@ -225,8 +230,8 @@
 
 TEST_CASE("what another node answered by a newer configuration is not taken back") {
   loop::Loop loop;
-  http::RawServer peer(loop, [](int request) { return AnswerOf(request == 1 ? 200 : 503, 9); },
-                       true);
+  http::RawServer peer(
+      loop, [](int request) { return AnswerOf(request == 1 ? 200 : 503, 9); }, true);
   Scene scene(loop, {{"node-2", AddressOf(peer)}});
   scene.outcomes_ = {AppendOutcome::kRefused};
   CHECK(scene.Submit().status_ == 200);
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -8,9 +8,11 @@
 
 #include "audit.hpp"
 #include "instance.hpp"
+#include "keyed_store.hpp"
 #include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "platform.hpp"
+#include "task_worker.hpp"
 #include "worker.hpp"
 
 namespace laburnumledge::standin {
@@ -107,6 +109,40 @@
   return 0;
 }
 
+/** Plays the platform: a store at an address, and workers on the ports after it. */
+int RunPlatform(const std::string& store_text, int workers, int run_ms) {
+  const std::optional<config::Address> address = config::ParseAddress(store_text);
+  if (!address.has_value()) {
+    fmt::print(stderr, "{}\n", core::LastReason());
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  loop::Loop loop;
+  World world;
+  KeyedStore store(loop);
+  RunBook book;
+  std::vector<std::unique_ptr<TaskWorker>> task_workers;
+  constexpr unsigned kPlenty = 1024;
+  if (!Listen(loop, world, *address, kPlenty, &store)) {
+    return 1;
+  }
+  for (int number = 1; number <= workers; ++number) {
+    const config::Address own{.ip_ = address->ip_,
+                              .port_ = static_cast<std::uint16_t>(address->port_ + number)};
+    task_workers.push_back(std::make_unique<TaskWorker>(
+        loop, store, book, fmt::format("w-{}", number), config::ToString(own),
+        number % 2 == 0 ? "zone-a" : "zone-b", fmt::format("r-{}", (number + 1) / 2),
+        core::Milliseconds(run_ms)));
+    if (!Listen(loop, world, own, kPlenty, task_workers.back().get())) {
+      return 1;
+    }
+  }
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
 /** Prints free loopback ports; all are held until the last one is known, so that none repeats. */
 int PrintFreePorts(int first, int count) {
   constexpr int kLastPort = 65535;
@@ -135,10 +171,14 @@
   if (argc == 4 && std::string(argv[1]) == "free-ports") {
     return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]), std::atoi(argv[3]));
   }
+  if (argc == 5 && std::string(argv[1]) == "platform") {
+    return laburnumledge::standin::RunPlatform(argv[2], std::atoi(argv[3]), std::atoi(argv[4]));
+  }
   if (argc != 3) {
-    fmt::print(
-        stderr,
-        "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION | free-ports FIRST COUNT\n");
+    fmt::print(stderr,
+               "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION\n"
+               "       laburnumledge_standin platform STORE_ADDRESS WORKERS RUN_MS\n"
+               "       laburnumledge_standin free-ports FIRST COUNT\n");
     return 2;
   }
   return laburnumledge::standin::Run(argv[1], argv[2]);
--- /dev/null
+++ b/test/standin/task_worker.cpp
@@ -0,0 +1,203 @@
+#include "task_worker.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace laburnumledge::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr core::Milliseconds kBeatInterval{500};
+constexpr core::Milliseconds kTick{10};
+constexpr std::int64_t kLongestLeaseMs = 6000;
+
+}  // namespace
+
+TaskWorker::TaskWorker(loop::Loop& loop, KeyedStore& store, RunBook& book, std::string id,
+                       std::string address, std::string zone, std::string rack,
+                       core::Milliseconds run_time)
+    : loop_(loop),
+      store_(store),
+      book_(book),
+      id_(std::move(id)),
+      address_(std::move(address)),
+      zone_(std::move(zone)),
+      rack_(std::move(rack)),
+      run_time_(run_time),
+      started_(loop.Now()),
+      born_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count()) {
+  Beat();
+  loop_.Every(kBeatInterval, [this] { Beat(); });
+  loop_.Every(kTick, [this] { Advance(); });
+}
+
+std::int64_t TaskWorker::Clock() const {
+  return std::chrono::duration_cast<core::Milliseconds>(loop_.Now() - started_).count() + 1;
+}
+
+void TaskWorker::Beat() {
+  const Json entry = {{"service", "grinding"},
+                      {"address", address_},
+                      {"zone", zone_},
+                      {"version", "v1"},
+                      {"slots", 8},
+                      {"state", "ready"},
+                      {"cold_left_ms", 0},
+                      {"seq", ++beats_},
+                      {"born", born_},
+                      {"clock_ms", Clock()},
+                      {"labels", {"a", rack_}},
+                      {"capacity", {{"cpu", 128000}, {"mem_mb", 262144}, {"gpus", 8}}}};
+  store_.Put("keyed.servers", id_, entry.dump());
+}
+
+void TaskWorker::Advance() {
+  if (Clock() > lease_deadline_) {
+    while (!runs_.empty()) {
+      End(runs_.begin()->first, "lapsed");
+    }
+    return;
+  }
+  std::vector<std::string> over;
+  for (const auto& [task, run] : runs_) {
+    if (run.ends_ <= loop_.Now()) {
+      over.push_back(task);
+    }
+  }
+  for (const std::string& task : over) {
+    End(task, "done");
+  }
+}
+
+void TaskWorker::End(const std::string& task, const char* how) {
+  const Run run = runs_.at(task);
+  runs_.erase(task);
+  --book_.running_[task];
+  book_.done_[task] += std::string(how) == "done" ? 1 : 0;
+  finished_.push_back(Json::array({++ends_, task, run.number_, how, ""}));
+  WakeWaiters();
+}
+
+void TaskWorker::WakeWaiters() {
+  for (auto& [number, waiter] : std::exchange(waiters_, {})) {
+    waiter.respond_(Lists(waiter.last_seen_));
+  }
+}
+
+http::Reply TaskWorker::Lists(std::uint64_t last_seen) const {
+  Json running = Json::array();
+  for (const auto& [task, run] : runs_) {
+    running.push_back(Json::array({task, run.number_, "", 50, 1000}));
+  }
+  Json finished = Json::array();
+  for (const Json& row : finished_) {
+    if (row[0].get<std::uint64_t>() > last_seen) {
+      finished.push_back(row);
+    }
+  }
+  return http::JsonReply(
+      200,
+      Json{{"clock_ms", Clock()}, {"born", born_}, {"running", running}, {"finished", finished}}
+          .dump());
+}
+
+http::Reply TaskWorker::Start(const Json& body) {
+  const std::string task = body.at("task");
+  const std::uint64_t run = body.at("run");
+  const std::int64_t deadline = body.at("deadline_ms");
+  const auto refuse = [this](const char* reason) {
+    return http::JsonReply(409, Json{{"clock_ms", Clock()}, {"reason", reason}}.dump());
+  };
+  if (deadline < Clock()) {
+    return refuse("late");
+  }
+  const auto present = runs_.find(task);
+  if (present != runs_.end() && present->second.number_ == run) {
+    return http::JsonReply(200, Json{{"clock_ms", Clock()}}.dump());
+  }
+  if (highest_[task] >= run) {
+    return refuse("old");
+  }
+  if (book_.running_[task] > 0) {
+    book_.broken_.push_back("TWICE " + task);
+  }
+  if (book_.done_[task] > 0) {
+    book_.broken_.push_back("started after its end " + task);
+  }
+  if (runs_.size() >= 8) {
+    book_.broken_.push_back("LIMIT at " + id_);
+  }
+  lease_deadline_ = std::max(lease_deadline_, std::min(deadline, Clock() + kLongestLeaseMs));
+  highest_[task] = run;
+  ++book_.running_[task];
+  runs_[task] = {.task_ = task, .number_ = run, .ends_ = loop_.Now() + run_time_};
+  return http::JsonReply(200, Json{{"clock_ms", Clock()}}.dump());
+}
+
+http::Reply TaskWorker::Stop(const Json& body) {
+  const std::string task = body.at("task");
+  const std::uint64_t run = body.at("run");
+  highest_[task] = std::max(highest_[task], run);
+  const auto present = runs_.find(task);
+  if (present != runs_.end() && present->second.number_ == run) {
+    End(task, "stopped");
+  }
+  return http::JsonReply(200, Json{{"clock_ms", Clock()}}.dump());
+}
+
+void TaskWorker::Hold(const Json& body, const http::Respond& respond) {
+  const std::uint64_t last_seen = body.at("last_seen");
+  lease_deadline_ =
+      std::max(lease_deadline_, std::min<std::int64_t>(body.value("deadline_ms", std::int64_t{0}),
+                                                       Clock() + kLongestLeaseMs));
+  std::erase_if(finished_,
+                [last_seen](const Json& row) { return row[0].get<std::uint64_t>() <= last_seen; });
+  const core::Milliseconds wait(body.value("wait_ms", std::int64_t{0}));
+  if (!finished_.empty() || wait.count() == 0) {
+    respond(Lists(last_seen));
+    return;
+  }
+  const std::uint64_t number = next_waiter_++;
+  waiters_.emplace(number, Waiter{.last_seen_ = last_seen, .respond_ = respond});
+  loop_.At(loop_.Now() + wait, [this, number] {
+    const auto found = waiters_.find(number);
+    if (found != waiters_.end()) {
+      const Waiter waiter = std::move(found->second);
+      waiters_.erase(found);
+      waiter.respond_(Lists(waiter.last_seen_));
+    }
+  });
+}
+
+void TaskWorker::Handle(http::Request request, http::Respond respond) {
+  if (request.path_ == "/standin/runs") {
+    respond(http::JsonReply(200, Json{{"broken", book_.broken_}, {"done", book_.done_}}.dump()));
+    return;
+  }
+  const Json body = Json::parse(request.body_, nullptr, false);
+  if (body.is_discarded() || !body.is_object()) {
+    respond(http::JsonReply(400, "{}"));
+    return;
+  }
+  const std::uint64_t fence = body.value("fencing_token", std::uint64_t{0});
+  if (fence < fence_) {
+    respond(http::JsonReply(409, Json{{"clock_ms", Clock()}, {"reason", "fence"}}.dump()));
+    return;
+  }
+  fence_ = fence;
+  if (request.path_ == "/-/run-start") {
+    respond(Start(body));
+  } else if (request.path_ == "/-/run-stop") {
+    respond(Stop(body));
+  } else if (request.path_ == "/-/hold") {
+    Hold(body, respond);
+  } else {
+    respond(http::JsonReply(404, "{}"));
+  }
+}
+
+}  // namespace laburnumledge::standin
