--- a/src/laburnumledge/operators/node.cpp
+++ b/src/laburnumledge/operators/node.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <optional>
 
+#include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/loop/loop.hpp"
 #include "laburnumledge/operators/commands.hpp"
@@ -63,6 +64,7 @@
   loop.OnSignal(SIGINT, [&node] { node.Drain(); });
   loop.OnSignal(SIGHUP, [] {});
   loop.Run();
+  core::FlushEvents();
   return ExitCode::kOk;
 }
 
