--- a/src/laburnumledge/control/duty.cpp
+++ b/src/laburnumledge/control/duty.cpp
@@ -72,8 +72,8 @@
   void BeginWhenLoaded();
   void Pump();
   void PumpSoon();
-  void Perform(dispatch::Actions actions);
-  void Store(dispatch::RecordBatch batch);
+  void Perform(const dispatch::Actions& actions);
+  void Store(const dispatch::RecordBatch& batch);
   void Store(const dispatch::StatusChange& change);
 };
 
@@ -295,9 +295,9 @@
     return;
   }
   const core::TimePoint next = dispatcher_->Run({.now_ = context_.loop_.Now(), .wall_ = WallNow()});
-  dispatch::Actions actions = dispatcher_->TakeActions();
+  const dispatch::Actions actions = dispatcher_->TakeActions();
   const bool superseded = actions.superseded_;
-  Perform(std::move(actions));
+  Perform(actions);
   if (superseded) {
     core::Event(Level::kWarning, EventWeight::kDecisive, "term.superseded_by_fence",
                 {{"term", term_}});
@@ -312,7 +312,7 @@
   });
 }
 
-void Duty::Implementation::Store(dispatch::RecordBatch batch) {
+void Duty::Implementation::Store(const dispatch::RecordBatch& batch) {
   std::vector<platform::KeyedRecord> records;
   for (const auto& [id, record] : batch.tasks_) {
     records.push_back({.key_ = ledger::ToString(id), .value_ = ledger::Encode(record)});
@@ -342,10 +342,10 @@
   });
 }
 
-void Duty::Implementation::Perform(dispatch::Actions actions) {
+void Duty::Implementation::Perform(const dispatch::Actions& actions) {
   const auto weak = weak_from_this();
-  for (dispatch::RecordBatch& batch : actions.records_) {
-    Store(std::move(batch));
+  for (const dispatch::RecordBatch& batch : actions.records_) {
+    Store(batch);
   }
   for (const dispatch::StatusChange& change : actions.statuses_) {
     Store(change);
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -96,7 +96,7 @@
   [[nodiscard]] http::Reply ShowMetrics();
   void TakeTerm(const std::vector<platform::StoredRecord>& records);
   void StepTerm();
-  void AppendTerm(ledger::Term term);
+  void AppendTerm(const ledger::Term& term);
   void OnTermAppended(const ledger::Term& term, core::TimePoint sent,
                       const platform::AppendResult& result);
   void FollowDuty();
@@ -319,7 +319,7 @@
     case TermStep::kRelease: {
       ledger::Term released = MakeBeat(term_, now);
       released.released_ = true;
-      AppendTerm(std::move(released));
+      AppendTerm(released);
       break;
     }
   }
@@ -327,7 +327,7 @@
   term_timer_ = loop_.At(NextTermTime(term_, now), [this] { StepTerm(); });
 }
 
-void Node::Implementation::AppendTerm(ledger::Term term) {
+void Node::Implementation::AppendTerm(const ledger::Term& term) {
   term_.append_in_flight_ = true;
   const core::TimePoint sent = loop_.Now();
   term_.next_append_ = sent + kBeatInterval;
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -60,7 +60,7 @@
 bool IsBefore(const Unit& left, const Unit& right) noexcept {
   const auto key = [](const Unit& unit) {
     return std::tuple(unit.job_->treatment_.priority_, unit.hopeless_, unit.latest_start_,
-                      std::string_view(unit.job_->id_), unit.occurrence_, unit.step_);
+                      std::string_view{unit.job_->id_}, unit.occurrence_, unit.step_);
   };
   return key(left) < key(right);
 }
@@ -150,6 +150,7 @@
 /** Marks whole racks, and part of one more, as held ready. */
 void Reserve(std::vector<Slot>& slots, std::int64_t gpus) {
   std::vector<Slot*> order;
+  order.reserve(slots.size());
   for (Slot& slot : slots) {
     order.push_back(&slot);
   }
@@ -628,6 +629,7 @@
   Reserve(planner.slots_, context.reserved_gpus_);
   const std::vector<Unit> units = CollectUnits(board, context);
   std::vector<bool> holds_claims;
+  holds_claims.reserve(units.size());
   for (const Unit& unit : units) {
     holds_claims.push_back(!unit.run_->claims_.empty() && TakeClaims(planner, unit));
   }
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -68,7 +68,7 @@
         store_(store),
         client_(client),
         deployment_(deployment),
-        random_(std::move(random)),
+        random_(random),
         follower_(loop, store,
                   {.stream_ = platform::Stream::kNodes, .wait_ = {}, .interval_ = kLookUpInterval},
                   {.loaded_ =
@@ -184,8 +184,7 @@
 
 Peers::Peers(loop::Loop& loop, const platform::Store& store, http::Client& client,
              const site::Deployment& deployment, core::Random random)
-    : implementation_(
-          std::make_shared<Implementation>(loop, store, client, deployment, std::move(random))) {}
+    : implementation_(std::make_shared<Implementation>(loop, store, client, deployment, random)) {}
 
 Peers::~Peers() { implementation_->loop_.Cancel(implementation_->timer_); }
 
@@ -204,7 +203,7 @@
 }
 
 void Peers::Ask(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
-                PeerDone done) {
+                const PeerDone& done) {
   http::Call call{.method_ = request.method_,
                   .url_ = request.target_,
                   .headers_ = platform::HeadersToPass(request),
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -61,7 +61,7 @@
    * @param done Gets the answer.
    */
   void Ask(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
-           PeerDone done);
+           const PeerDone& done);
 
   /** @brief Whether a call has come from another node. */
   [[nodiscard]] static bool IsForwarded(const http::Request& request) noexcept;
--- /dev/null
+++ b/test/randomised/dispatch/world.cpp
@@ -0,0 +1,512 @@
+#include "world.hpp"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+
+#include "laburnumledge/control/term.hpp"
+#include "laburnumledge/core/event.hpp"
+#include "laburnumledge/core/hash.hpp"
+#include "laburnumledge/dispatch/fixture.hpp"
+#include "laburnumledge/ledger/codec.hpp"
+
+namespace laburnumledge::randomised {
+
+using platform::OrderOutcome;
+using platform::RunEnd;
+
+namespace {
+
+constexpr int kWorkers = 4;
+constexpr int kJobs = 12;
+constexpr std::uint32_t kMaxAttempts = 3;
+constexpr double kWorkerClock = 0.98;  ///< The slowest that the platform allows.
+
+}  // namespace
+
+World::World(std::uint64_t seed, const Trouble& trouble)
+    : random_(core::MakeRandom(seed, "dispatch")),
+      trouble_(trouble),
+      bounds_(fixture::MakeBounds()) {
+  for (int number = 1; number <= kWorkers; ++number) {
+    FakeWorker worker;
+    worker.id_ = fmt::format("w{}", number);
+    worker.started_ = now_ - std::chrono::seconds(number);
+    workers_.emplace(worker.id_, worker);
+  }
+  for (int number = 1; number <= kJobs; ++number) {
+    At(now_ + Between(0, 15000), [this, number] { Submit(number); });
+  }
+}
+
+void World::At(core::TimePoint time, std::function<void()> function) {
+  events_.emplace(time, std::move(function));
+}
+
+bool World::Chance(std::uint32_t thousandths) { return random_(1000) < thousandths; }
+
+core::Milliseconds World::Between(int least, int most) {
+  return core::Milliseconds(
+      least + static_cast<int>(random_(static_cast<std::uint32_t>(most - least + 1))));
+}
+
+ledger::WallTime World::Wall() const {
+  return fixture::kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - fixture::kNow);
+}
+
+void World::Break(const std::string& rule) {
+  broken_.push_back(
+      fmt::format("{:.3f}: {}", std::chrono::duration<double>(now_ - fixture::kNow).count(), rule));
+}
+
+void World::Submit(int number) {
+  std::vector<ledger::Step> steps;
+  ledger::Step first = fixture::MakeStep(1 + random_(4), 1 + random_(4));
+  first.gang_ = random_(2) == 0;
+  first.anti_affinity_ = !first.gang_ && random_(3) == 0 ? 1 : 0;
+  steps.push_back(first);
+  if (random_(2) == 0) {
+    ledger::Step second = fixture::MakeStep(1 + random_(3), 1);
+    second.after_ = {0};
+    steps.push_back(second);
+  }
+  const std::string id = fixture::JobId(number);
+  jobs_.entries_[id].submission_ = fixture::MakeSubmission(std::move(steps), random_(3));
+  if (holder_ != nullptr) {
+    holder_->dispatcher_->OnJob(id, &jobs_.entries_[id], now_);
+    Pump(holder_);
+  }
+}
+
+void World::CancelJob(const std::string& id) {
+  jobs_.entries_.at(id).cancelled_ = true;
+  if (holder_ != nullptr) {
+    holder_->dispatcher_->OnJob(id, &jobs_.entries_.at(id), now_);
+    Pump(holder_);
+  }
+}
+
+std::int64_t World::ClockOf(const FakeWorker& worker) const {
+  const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(now_ - worker.started_);
+  return static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kWorkerClock) + 1;
+}
+
+bool World::Reachable(const FakeWorker& worker, std::uint64_t term) const {
+  const bool on_its_side =
+      now_ >= worker.split_until_ ||
+      (term >= worker.first_term_that_reaches_ && term <= worker.last_term_that_reaches_);
+  return now_ >= worker.down_until_ && now_ >= worker.cut_until_ && on_its_side;
+}
+
+void World::Advance(FakeWorker& worker) {
+  if (now_ < worker.down_until_) {
+    return;
+  }
+  while (true) {
+    // What ends first: a run by itself, or all of them by their lease.
+    auto next = worker.runs_.end();
+    for (auto run = worker.runs_.begin(); run != worker.runs_.end(); ++run) {
+      if (run->second.ends_ <= now_ &&
+          (next == worker.runs_.end() || run->second.ends_ < next->second.ends_)) {
+        next = run;
+      }
+    }
+    if (next == worker.runs_.end()) {
+      break;
+    }
+    EndRun(worker, next->first, next->second.fails_ ? RunEnd::kFailed : RunEnd::kDone);
+  }
+  if (ClockOf(worker) > worker.lease_deadline_) {
+    while (!worker.runs_.empty()) {
+      EndRun(worker, worker.runs_.begin()->first, RunEnd::kLapsed);
+    }
+  }
+}
+
+void World::EndRun(FakeWorker& worker, const ledger::TaskId& id, RunEnd end) {
+  const ledger::TaskId task = id;
+  const std::uint64_t number = worker.runs_.at(task).number_;
+  worker.runs_.erase(task);
+  if (end == RunEnd::kDone) {
+    done_at_.try_emplace(task, now_);
+  }
+  worker.finished_.push_back(
+      {.number_ = ++worker.ends_, .task_ = task, .run_ = number, .end_ = end});
+}
+
+void World::Crash(FakeWorker& worker) {
+  const std::string id = worker.id_;
+  const site::Incarnation next = worker.incarnation_ + 1;
+  worker = FakeWorker{.id_ = id, .incarnation_ = next};
+  worker.down_until_ = now_ + Between(500, 4000);
+  worker.started_ = worker.down_until_;
+}
+
+/** Members of a gang end alike: all done, or none. */
+bool World::Fails(const platform::StartOrder& order) {
+  const ledger::Submission& submission = *jobs_.entries_.at(order.task_.job_).submission_;
+  if (!submission.steps_[order.task_.step_].gang_) {
+    return Chance(trouble_.failing_run_);
+  }
+  const std::string run = fmt::format("{} {} {}", order.task_.job_, order.task_.step_, order.run_);
+  return core::Hash(run) % 1000 < trouble_.failing_run_;
+}
+
+platform::OrderResult World::DoStart(FakeWorker& worker, const platform::StartOrder& order) {
+  const auto refuse = [&](OrderOutcome outcome) {
+    return platform::OrderResult{.outcome_ = outcome,
+                                 .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker))};
+  };
+  if (order.fence_ < worker.fence_) {
+    return refuse(OrderOutcome::kFenced);
+  }
+  worker.fence_ = order.fence_;
+  const std::int64_t deadline = core::ToMs(order.lease_deadline_);
+  if (deadline < ClockOf(worker)) {
+    return refuse(OrderOutcome::kLate);
+  }
+  const auto present = worker.runs_.find(order.task_);
+  if (present != worker.runs_.end() && present->second.number_ == order.run_) {
+    return refuse(OrderOutcome::kDone);
+  }
+  if (worker.highest_[order.task_] >= order.run_) {
+    return refuse(OrderOutcome::kOldRun);
+  }
+  for (auto& [id, other] : workers_) {
+    Advance(other);
+    if (now_ >= other.down_until_ && other.runs_.contains(order.task_)) {
+      Break("TWICE " + ledger::ToString(order.task_));
+    }
+  }
+  if (noted_done_[order.task_] > 0) {
+    Break("started after its end was noted " + ledger::ToString(order.task_));
+  }
+  if (noted_failed_[order.task_] >= static_cast<int>(kMaxAttempts)) {
+    Break("BUDGET " + ledger::ToString(order.task_));
+  }
+  const ledger::Submission& submission = *jobs_.entries_.at(order.task_.job_).submission_;
+  for (const std::uint32_t earlier : submission.steps_[order.task_.step_].after_) {
+    const bool any = std::any_of(done_at_.begin(), done_at_.end(), [&](const auto& entry) {
+      return entry.first.job_ == order.task_.job_ && entry.first.step_ == earlier;
+    });
+    if (!any) {
+      Break("ORDER " + ledger::ToString(order.task_));
+    }
+  }
+  const std::int64_t gpus = submission.steps_[order.task_.step_].each_.gpus_;
+  std::int64_t used = gpus;
+  for (const auto& [task, run] : worker.runs_) {
+    used += run.gpus_;
+  }
+  if (used > fixture::kWorkerCapacity.gpus_) {
+    Break("LIMIT at " + worker.id_);
+  }
+  worker.highest_[order.task_] = order.run_;
+  worker.lease_deadline_ = std::max(
+      worker.lease_deadline_, std::min(deadline, ClockOf(worker) + bounds_.longest_lease_.count()));
+  worker.runs_[order.task_] = {.number_ = order.run_,
+                               .gpus_ = gpus,
+                               .ends_ = now_ + Between(200, 6000),
+                               .fails_ = Fails(order)};
+  return refuse(OrderOutcome::kDone);
+}
+
+platform::OrderResult World::DoStop(FakeWorker& worker, const platform::StopOrder& order) {
+  if (order.fence_ < worker.fence_) {
+    return {.outcome_ = OrderOutcome::kFenced};
+  }
+  worker.fence_ = order.fence_;
+  worker.highest_[order.task_] = std::max(worker.highest_[order.task_], order.run_);
+  const auto present = worker.runs_.find(order.task_);
+  if (present != worker.runs_.end() && present->second.number_ == order.run_) {
+    EndRun(worker, order.task_, RunEnd::kStopped);
+  }
+  return {.outcome_ = OrderOutcome::kDone};
+}
+
+platform::LeaseResult World::DoLease(FakeWorker& worker, const platform::LeaseCall& call) {
+  if (call.fence_ < worker.fence_) {
+    return {.outcome_ = OrderOutcome::kFenced};
+  }
+  worker.fence_ = call.fence_;
+  if (call.lease_deadline_.has_value()) {
+    worker.lease_deadline_ = std::max(worker.lease_deadline_,
+                                      std::min(core::ToMs(*call.lease_deadline_),
+                                               ClockOf(worker) + bounds_.longest_lease_.count()));
+  }
+  for (const platform::FinishedRow& row : worker.finished_) {
+    if (row.number_ <= call.last_seen_ && row.number_ > worker.forgotten_) {
+      noted_done_[row.task_] += row.end_ == RunEnd::kDone ? 1 : 0;
+      noted_failed_[row.task_] += row.end_ == RunEnd::kFailed ? 1 : 0;
+    }
+  }
+  worker.forgotten_ = std::max(worker.forgotten_, call.last_seen_);
+  std::erase_if(worker.finished_,
+                [&](const platform::FinishedRow& row) { return row.number_ <= worker.forgotten_; });
+  platform::LeaseResult result{.outcome_ = OrderOutcome::kDone,
+                               .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker)),
+                               .incarnation_ = worker.incarnation_,
+                               .running_ = {},
+                               .finished_ = worker.finished_};
+  for (const auto& [task, run] : worker.runs_) {
+    result.running_.push_back({.task_ = task, .run_ = run.number_});
+  }
+  return result;
+}
+
+/** Carries a call out now, or later without an answer; answers, or lets it time out. */
+void World::Deliver(std::uint64_t term, const std::string& id, core::TimePoint deadline,
+                    const std::function<std::function<void()>(FakeWorker*)>& carry_out) {
+  const bool late = Chance(trouble_.late_order_);
+  const bool lost = late || Chance(trouble_.lost_answer_);
+  const core::TimePoint arrives = now_ + (late ? Between(1000, 8000) : Between(1, 4));
+  const site::Incarnation incarnation = workers_.at(id).incarnation_;
+  At(arrives, [this, term, id, deadline, carry_out, late, lost, incarnation] {
+    FakeWorker& worker = workers_.at(id);
+    const bool carried = Reachable(worker, term) && (!late || worker.incarnation_ == incarnation);
+    std::function<void()> answer;
+    if (carried) {
+      Advance(worker);
+      answer = carry_out(&worker);
+    }
+    if (late) {
+      return;
+    }
+    const bool answers = carried && !lost;
+    const core::TimePoint at = answers ? now_ + Between(1, 4) : std::max(now_, deadline);
+    At(at, answers ? answer : carry_out(nullptr));
+  });
+  if (late) {
+    At(deadline, carry_out(nullptr));
+  }
+}
+
+void World::StoreBatch(const HolderPointer& holder, const dispatch::RecordBatch& batch) {
+  const core::TimePoint lands =
+      std::max(holder->last_batch_, std::max(now_, outage_until_) + Between(2, 8));
+  holder->last_batch_ = lands;
+  At(lands, [this, holder, batch] {
+    if (holder->fenced_) {
+      return;
+    }
+    for (const auto& [id, record] : batch.tasks_) {
+      records_.insert_or_assign(id, record);
+    }
+    for (const ledger::TaskId& id : batch.dropped_) {
+      records_.erase(id);
+    }
+    // The answer of an append may be lost with its sender.
+    At(now_ + Between(1, 3), [this, holder, number = batch.number_] {
+      if (holder == holder_) {
+        holder->dispatcher_->OnRecorded(number, now_);
+        Pump(holder);
+      }
+    });
+  });
+}
+
+void World::StoreStatus(const HolderPointer& holder, const dispatch::StatusChange& change) {
+  const core::TimePoint lands =
+      std::max(holder->last_status_, std::max(now_, outage_until_) + Between(2, 8));
+  holder->last_status_ = lands;
+  At(lands, [this, holder, change] {
+    if (holder->fenced_) {
+      return;
+    }
+    jobs_.entries_.at(change.job_).state_ = change.state_;
+    if (holder == holder_) {
+      holder->dispatcher_->OnStatusRecorded(change.job_, change.state_);
+    }
+  });
+}
+
+void World::Perform(const HolderPointer& holder, dispatch::Actions actions) {
+  const auto active = [this, holder] { return holder == holder_ || now_ < holder->stops_at_; };
+  for (const dispatch::RecordBatch& batch : actions.records_) {
+    StoreBatch(holder, batch);
+  }
+  for (const dispatch::StatusChange& change : actions.statuses_) {
+    StoreStatus(holder, change);
+  }
+  for (const dispatch::StartAction& start : actions.starts_) {
+    Deliver(holder->term_, start.worker_.id_, start.deadline_,
+            [this, holder, start, active](FakeWorker* worker) {
+              const platform::OrderResult result =
+                  worker == nullptr ? platform::OrderResult{.outcome_ = OrderOutcome::kUnknown}
+                                    : DoStart(*worker, start.order_);
+              return std::function<void()>([this, holder, start, active, result] {
+                if (active()) {
+                  holder->dispatcher_->OnStarted(start, result, now_);
+                  Pump(holder);
+                }
+              });
+            });
+  }
+  for (const dispatch::StopAction& stop : actions.stops_) {
+    Deliver(holder->term_, stop.worker_.id_, stop.deadline_,
+            [this, holder, stop, active](FakeWorker* worker) {
+              const platform::OrderResult result =
+                  worker == nullptr ? platform::OrderResult{.outcome_ = OrderOutcome::kUnknown}
+                                    : DoStop(*worker, stop.order_);
+              return std::function<void()>([this, holder, stop, active, result] {
+                if (active()) {
+                  holder->dispatcher_->OnStopped(stop, result, now_);
+                  Pump(holder);
+                }
+              });
+            });
+  }
+  for (const dispatch::LeaseAction& lease : actions.leases_) {
+    Deliver(holder->term_, lease.worker_.id_, lease.call_.deadline_,
+            [this, holder, lease, active](FakeWorker* worker) {
+              const platform::LeaseResult result =
+                  worker == nullptr ? platform::LeaseResult{.outcome_ = OrderOutcome::kUnknown}
+                                    : DoLease(*worker, lease.call_);
+              return std::function<void()>([this, holder, lease, active, result] {
+                if (active()) {
+                  holder->dispatcher_->OnLease(lease, result, now_);
+                  Pump(holder);
+                }
+              });
+            });
+  }
+}
+
+void World::Pump(const HolderPointer& holder) {
+  const core::TimePoint next = holder->dispatcher_->Run({.now_ = now_, .wall_ = Wall()});
+  dispatch::Actions actions = holder->dispatcher_->TakeActions();
+  const bool superseded = actions.superseded_;
+  Perform(holder, std::move(actions));
+  if (superseded && holder != holder_) {
+    holder->stops_at_ = now_;
+  }
+  At(std::max(next, now_ + core::Milliseconds(1)), [this, holder, next] {
+    const bool active = holder == holder_ || now_ < holder->stops_at_;
+    if (active && now_ >= next) {
+      dispatch::Actions due;
+      (void)holder->dispatcher_->Run({.now_ = now_, .wall_ = Wall()});
+      due = holder->dispatcher_->TakeActions();
+      if (due.superseded_ && holder != holder_) {
+        holder->stops_at_ = now_;
+      }
+      Perform(holder, std::move(due));
+    }
+  });
+}
+
+void World::TakeOver(core::Clock::duration unconfirmed) {
+  const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(now_ - fixture::kNow);
+  core::Event(core::Level::kInfo, core::EventWeight::kDecisive, "world.take_over",
+              {{"at_ms", elapsed}, {"term", term_ + 1}});
+  if (holder_ != nullptr) {
+    holder_->fenced_ = true;
+    holder_->stops_at_ = now_ + unconfirmed;
+  }
+  earlier_leases_end_ =
+      std::max(earlier_leases_end_, now_ + unconfirmed + dispatch::LongestLease(bounds_));
+  auto holder = std::make_shared<Holder>();
+  holder->term_ = ++term_;
+  holder->dispatcher_ = std::make_unique<dispatch::Dispatcher>(bounds_, term_);
+  holder->dispatcher_->SetRules(rules_);
+  for (const auto& [id, entry] : jobs_.entries_) {
+    holder->dispatcher_->OnJob(id, &entry, now_);
+  }
+  for (const auto& [id, record] : records_) {
+    holder->dispatcher_->LoadTask(id, record);
+  }
+  for (const auto& [id, worker] : workers_) {
+    site::WorkerEntry entry = fixture::MakeEntry(id);
+    entry.incarnation_ = worker.incarnation_;
+    entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker));
+    holder->dispatcher_->OnWorker(entry, now_);
+  }
+  holder->dispatcher_->Begin(now_, earlier_leases_end_);
+  holder_ = holder;
+  Pump(holder_);
+}
+
+/** The holder dies; its successor takes over when the store has answered for a while. */
+void World::LoseHolder() {
+  holder_->fenced_ = true;
+  holder_->stops_at_ = now_;
+  holder_ = nullptr;
+  At(std::max(now_, outage_until_) + Between(5, 2500), [this] { TakeOver({}); });
+}
+
+void World::MakeTrouble() {
+  for (auto& [id, worker] : workers_) {
+    Advance(worker);
+    if (Chance(trouble_.worker_crash_)) {
+      Crash(worker);
+    } else if (Chance(trouble_.worker_cut_)) {
+      worker.cut_until_ = now_ + Between(500, 9000);
+    }
+  }
+  if (Chance(trouble_.store_outage_)) {
+    outage_until_ = now_ + Between(500, 5000);
+  }
+  if (holder_ != nullptr && Chance(trouble_.holder_crash_)) {
+    LoseHolder();
+  } else if (holder_ != nullptr && now_ >= outage_until_ && Chance(trouble_.holder_pause_)) {
+    // A cut divides the workers between it and its successors.
+    const core::TimePoint healed = now_ + Between(2000, 16000);
+    for (auto& [id, worker] : workers_) {
+      const bool stays = Chance(500);
+      worker.split_until_ = healed;
+      worker.first_term_that_reaches_ = stays ? 0 : term_ + 1;
+      worker.last_term_that_reaches_ = stays ? term_ : term_ + 1000;
+    }
+    // Its last renewal was some time ago: it goes on for what is left of the limit.
+    TakeOver(control::kUnconfirmedLimit - control::kHolderSilence);
+  }
+  for (auto& [id, entry] : jobs_.entries_) {
+    if (!entry.cancelled_ && Chance(trouble_.cancel_)) {
+      CancelJob(id);
+    }
+  }
+}
+
+void World::Play(int seconds) {
+  TakeOver({});
+  const core::TimePoint calm = now_ + std::chrono::seconds(seconds);
+  const core::TimePoint end = calm + std::chrono::seconds(120);
+  for (int second = 1; second < seconds; ++second) {
+    At(now_ + std::chrono::seconds(second) + Between(0, 900), [this] { MakeTrouble(); });
+  }
+  At(calm, [this] { trouble_ = {}; });
+  // Entries of workers bring news of their incarnations.
+  for (int beat = 1; beat < 2 * (seconds + 120); ++beat) {
+    At(now_ + core::Milliseconds(500 * beat), [this] {
+      for (auto& [id, worker] : workers_) {
+        Advance(worker);
+        if (holder_ != nullptr && Reachable(worker, term_)) {
+          site::WorkerEntry entry = fixture::MakeEntry(id);
+          entry.incarnation_ = worker.incarnation_;
+          entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker));
+          holder_->dispatcher_->OnWorker(entry, now_);
+        }
+      }
+      if (holder_ != nullptr) {
+        Pump(holder_);
+      }
+    });
+  }
+  while (!events_.empty() && events_.begin()->first <= end && broken_.empty()) {
+    if (now_ > calm && AllOver()) {
+      return;
+    }
+    const auto first = events_.begin();
+    now_ = std::max(now_, first->first);
+    const std::function<void()> function = std::move(first->second);
+    events_.erase(first);
+    function();
+  }
+}
+
+bool World::AllOver() const {
+  return jobs_.entries_.size() == kJobs &&
+         std::all_of(jobs_.entries_.begin(), jobs_.entries_.end(),
+                     [](const auto& entry) { return ledger::IsFinal(entry.second.state_); });
+}
+
+}  // namespace laburnumledge::randomised
--- /dev/null
+++ b/test/randomised/dispatch/world.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "laburnumledge/core/random.hpp"
+#include "laburnumledge/dispatch/dispatcher.hpp"
+
+namespace laburnumledge::randomised {
+
+/** @brief What goes wrong in a run, as probabilities in thousandths. */
+struct Trouble {
+  std::uint32_t lost_answer_{};   ///< A call is carried out, its answer is lost.
+  std::uint32_t late_order_{};    ///< A call is carried out seconds later, without an answer.
+  std::uint32_t failing_run_{};   ///< A run ends by failure.
+  std::uint32_t worker_crash_{};  ///< Each second, for each worker.
+  std::uint32_t worker_cut_{};    ///< Each second, for each worker.
+  std::uint32_t holder_crash_{};  ///< Each second.
+  std::uint32_t holder_pause_{};  ///< Each second: it goes on without the store, as if cut off.
+  std::uint32_t store_outage_{};  ///< Each second.
+  std::uint32_t cancel_{};        ///< Each second, for each job.
+};
+
+/** @brief Run that a fake worker has. */
+struct FakeRun {
+  std::uint64_t number_{};
+  std::int64_t gpus_{};
+  core::TimePoint ends_{};
+  bool fails_{};
+};
+
+/** @brief Worker that keeps the platform's rules of runs, leases, fences and ends. */
+struct FakeWorker {
+  std::string id_;
+  site::Incarnation incarnation_{1};
+  core::TimePoint started_{};
+  core::TimePoint down_until_{};
+  core::TimePoint cut_until_{};
+  core::TimePoint split_until_{};  ///< Only holders of a range of terms reach it.
+  std::uint64_t first_term_that_reaches_{};
+  std::uint64_t last_term_that_reaches_{};
+  std::uint64_t fence_{};
+  std::int64_t lease_deadline_{};
+  std::map<ledger::TaskId, FakeRun> runs_;
+  std::map<ledger::TaskId, std::uint64_t> highest_;
+  std::vector<platform::FinishedRow> finished_;
+  std::uint64_t ends_{};
+  std::uint64_t forgotten_{};  ///< Ends up to this one were taken note of.
+};
+
+/** @brief Dispatchers of successive terms over fake workers and a fake store, in virtual time. */
+class World {
+ public:
+  World(std::uint64_t seed, const Trouble& trouble);
+
+  /** @brief Plays so many seconds with trouble, then calms down until all jobs are over. */
+  void Play(int seconds);
+
+  /** @brief Rules that were broken, in words. */
+  [[nodiscard]] const std::vector<std::string>& Broken() const noexcept { return broken_; }
+
+  /** @brief Whether every job has ended. */
+  [[nodiscard]] bool AllOver() const;
+
+ private:
+  struct Holder {
+    std::unique_ptr<dispatch::Dispatcher> dispatcher_;
+    std::uint64_t term_{};
+    core::TimePoint stops_at_{core::TimePoint::max()};  ///< When a paused holder gives up.
+    bool fenced_{};                                     ///< Its records are refused.
+    core::TimePoint last_batch_{};                      ///< A stream keeps its writer's order.
+    core::TimePoint last_status_{};
+  };
+  using HolderPointer = std::shared_ptr<Holder>;
+
+  void At(core::TimePoint time, std::function<void()> function);
+  [[nodiscard]] bool Chance(std::uint32_t thousandths);
+  [[nodiscard]] core::Milliseconds Between(int least, int most);
+  [[nodiscard]] ledger::WallTime Wall() const;
+  void Break(const std::string& rule);
+
+  void Submit(int number);
+  void CancelJob(const std::string& id);
+  void MakeTrouble();
+  void LoseHolder();
+  void TakeOver(core::Clock::duration unconfirmed);
+  void Pump(const HolderPointer& holder);
+  void Perform(const HolderPointer& holder, dispatch::Actions actions);
+  void StoreBatch(const HolderPointer& holder, const dispatch::RecordBatch& batch);
+  void StoreStatus(const HolderPointer& holder, const dispatch::StatusChange& change);
+
+  void Advance(FakeWorker& worker);
+  void EndRun(FakeWorker& worker, const ledger::TaskId& task, platform::RunEnd end);
+  void Crash(FakeWorker& worker);
+  [[nodiscard]] std::int64_t ClockOf(const FakeWorker& worker) const;
+  [[nodiscard]] bool Reachable(const FakeWorker& worker, std::uint64_t term) const;
+  [[nodiscard]] bool Fails(const platform::StartOrder& order);
+  platform::OrderResult DoStart(FakeWorker& worker, const platform::StartOrder& order);
+  platform::OrderResult DoStop(FakeWorker& worker, const platform::StopOrder& order);
+  platform::LeaseResult DoLease(FakeWorker& worker, const platform::LeaseCall& call);
+  void Deliver(std::uint64_t term, const std::string& worker, core::TimePoint deadline,
+               const std::function<std::function<void()>(FakeWorker*)>& carry_out);
+
+  core::Random random_;
+  Trouble trouble_;
+  site::Bounds bounds_;
+  site::Rules rules_;
+  core::TimePoint now_{std::chrono::hours(1)};
+  std::multimap<core::TimePoint, std::function<void()>> events_;
+  std::map<std::string, FakeWorker> workers_;
+  ledger::Jobs jobs_;
+  std::map<ledger::TaskId, ledger::TaskRecord> records_;
+  HolderPointer holder_;
+  std::uint64_t term_{};
+  core::TimePoint outage_until_{};
+  core::TimePoint earlier_leases_end_{};
+  std::map<ledger::TaskId, int> noted_done_;
+  std::map<ledger::TaskId, int> noted_failed_;
+  std::map<ledger::TaskId, core::TimePoint> done_at_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace laburnumledge::randomised
--- a/test/standin/keyed_store.cpp
+++ b/test/standin/keyed_store.cpp
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-void KeyedStore::Handle(http::Request request, http::Respond respond) {
+void KeyedStore::Handle(const http::Request& request, const http::Respond& respond) {
   if (request.path_.starts_with("/standin/")) {
     respond(Control(request));
     return;
--- a/test/standin/keyed_store.hpp
+++ b/test/standin/keyed_store.hpp
@@ -26,7 +26,7 @@
   explicit KeyedStore(loop::Loop& loop) : loop_(loop) {}
 
   /** @brief Answers one call of the platform's protocol, or of the test's own under /standin/. */
-  void Handle(http::Request request, http::Respond respond);
+  void Handle(const http::Request& request, const http::Respond& respond);
 
   /** @brief Adds a record as the platform itself; empty drops the key. */
   void Put(const std::string& topic, const std::string& key, const std::string& value);
--- a/test/standin/task_worker.cpp
+++ b/test/standin/task_worker.cpp
@@ -173,7 +173,7 @@
   });
 }
 
-void TaskWorker::Handle(http::Request request, http::Respond respond) {
+void TaskWorker::Handle(const http::Request& request, const http::Respond& respond) {
   if (request.path_ == "/standin/runs") {
     respond(http::JsonReply(200, Json{{"broken", book_.broken_}, {"done", book_.done_}}.dump()));
     return;
--- a/test/standin/task_worker.hpp
+++ b/test/standin/task_worker.hpp
@@ -29,7 +29,7 @@
              std::string address, std::string zone, std::string rack, core::Milliseconds run_time);
 
   /** @brief Answers one call of the platform's protocol. */
-  void Handle(http::Request request, http::Respond respond);
+  void Handle(const http::Request& request, const http::Respond& respond);
 
  private:
   struct Run {
