Keep numbers of a former incarnation from workers, and acknowledge the last ends

A worker that was not in touch within the last call gets 0. Cause 3 (by reading): a worker whose last run had ended was never told to forget its end.

Tests: three, each fails without its change.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -36,6 +36,7 @@
   worker.incarnation_ = incarnation;
   worker.ends_handled_ = 0;
   worker.ends_recorded_ = 0;
+  worker.ends_acknowledged_ = 0;
   worker.ends_to_forget_ = kAllEnds;
   worker.given_up_.clear();
   worker.clock_.reset();
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -19,6 +19,15 @@
  * platform's days cut a worker off. */
 constexpr core::Milliseconds kAskAfterGivingUp{30000};
 
+/** Calls without an answer after which a worker with no runs is not asked to forget ends any more.
+ * Source: ours. */
+constexpr std::uint32_t kMostIdleFailures = 5;
+
+/** Ends that a worker may forget. */
+std::uint64_t ToForget(const Worker& worker) noexcept {
+  return std::min(worker.ends_recorded_, worker.ends_to_forget_);
+}
+
 /** How long a worker that said that it is not well, or has no room, gets no work. Source: ours. */
 constexpr core::Milliseconds kRefusedPause{500};
 
@@ -235,7 +244,12 @@
 }
 
 void Dispatcher::SendLease(Worker& worker, core::TimePoint now) {
-  const std::uint64_t last_seen = std::min(worker.ends_recorded_, worker.ends_to_forget_);
+  // A worker that was not in touch may have begun anew, and its ends with it: numbers of its former
+  // incarnation must not reach it.
+  const bool in_touch =
+      worker.failed_calls_ == 0 &&
+      now <= worker.lease_answered_ + internal::kLeaseWait + internal::kLeaseSlack;
+  const std::uint64_t last_seen = in_touch ? ToForget(worker) : 0;
   const bool ends_wait = worker.ends_handled_ > last_seen;
   const bool settled = worker.reached_ != core::TimePoint{} && worker.failed_calls_ == 0;
   const core::Milliseconds wait =
@@ -273,6 +287,10 @@
     }
     worker->failed_calls_ = 0;
     worker->reached_ = now;
+    worker->lease_answered_ = now;
+    if (worker->incarnation_ == result.incarnation_) {
+      worker->ends_acknowledged_ = std::max(worker->ends_acknowledged_, action.call_.last_seen_);
+    }
     if (worker->incarnation_ != result.incarnation_) {
       AdoptIncarnation(*worker, result.incarnation_);
     }
@@ -326,7 +344,13 @@
     LoseRun(worker, run, "its lease has passed", now);
   }
   std::erase_if(worker.given_up_, [now](const auto& entry) { return entry.second < now; });
-  needs_lease = needs_lease || !worker.given_up_.empty();
+  const bool ends_to_acknowledge =
+      ToForget(worker) > worker.ends_acknowledged_ && worker.failed_calls_ < kMostIdleFailures;
+  needs_lease = needs_lease || !worker.given_up_.empty() || ends_to_acknowledge;
+  if (!needs_lease) {
+    // Nothing is asked of it any more; its entry in the list tells whether it lives.
+    worker.failed_calls_ = 0;
+  }
   const bool has_address = worker.entry_.address_.port_ != 0;
   if (needs_lease && has_address && !worker.lease_in_flight_) {
     if (worker.next_lease_ <= now) {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -75,8 +75,10 @@
   site::Incarnation incarnation_{};  ///< As its answers say; 0 before the first.
   std::uint64_t fence_{};            ///< Of the orders that go out now.
   std::optional<ClockReference> clock_;
-  std::uint64_t ends_handled_{};   ///< Ends up to this number have been taken into the books.
-  std::uint64_t ends_recorded_{};  ///< Ends up to this number are on record.
+  std::uint64_t ends_handled_{};       ///< Ends up to this number have been taken into the books.
+  std::uint64_t ends_recorded_{};      ///< Ends up to this number are on record.
+  std::uint64_t ends_acknowledged_{};  ///< The worker was told to forget ends up to it.
+  core::TimePoint lease_answered_{};   ///< When a lease call was last answered.
   std::uint64_t ends_to_forget_{kAllEnds};     ///< The worker must keep ends beyond this number.
   std::map<RunId, core::TimePoint> given_up_;  ///< Runs that may yet turn out to have ended well.
   bool lease_in_flight_{};
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -254,4 +254,62 @@
   CHECK(scene.dispatcher_.Jobs().jobs_.at(JobId(1)).state_ == ledger::JobState::kRunning);
 }
 
+TEST_CASE("a worker with nothing left to run is still told to forget the ends on record") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 8)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 1);
+  Answer(scene, DoneOf(starts[0]));
+  scene.Run();
+  scene.StoreAll();
+  scene.Run(core::Milliseconds(20));
+  REQUIRE(scene.open_.count("w1") == 1);
+  CHECK(scene.open_.at("w1").call_.last_seen_ == 1);
+  Answer(scene, {.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000});
+  scene.Run(core::Milliseconds(2000));
+  CHECK(scene.open_.count("w1") == 0);
+}
+
+TEST_CASE("numbers of ends do not reach a worker that may have begun anew") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 4)});
+  scene.Submit(JobId(2), {MakeStep(1, 4)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 2);
+  platform::LeaseResult first = DoneOf(starts[0]);
+  first.running_.push_back(Row(starts[1]));
+  Answer(scene, first);
+  scene.Run();
+  scene.StoreAll();
+  scene.Run(core::Milliseconds(20));
+  CHECK(scene.open_.at("w1").call_.last_seen_ == 1);
+  Answer(scene, {.outcome_ = OrderOutcome::kUnknown});
+  for (int turn = 0; scene.open_.count("w1") == 0; ++turn) {
+    REQUIRE(turn < 20);
+    scene.Run(core::Milliseconds(50));
+  }
+  CHECK(scene.open_.at("w1").call_.last_seen_ == 0);
+}
+
+TEST_CASE("a worker that was unreachable gets work again once it is not asked any more") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 8)});
+  REQUIRE(scene.StartAll().size() == 1);
+  LoseSilently(scene);
+  const ledger::JobEntry cancelled{.submission_ = MakeSubmission({MakeStep(1, 8)}),
+                                   .cancelled_ = true};
+  scene.dispatcher_.OnJob(JobId(1), &cancelled, scene.now_);
+  for (int turn = 0; turn < 1000; ++turn) {
+    scene.Run(core::Milliseconds(50));
+    const auto open = scene.open_.find("w1");
+    if (open != scene.open_.end()) {
+      const LeaseAction call = open->second;
+      scene.open_.erase(open);
+      scene.dispatcher_.OnLease(call, {.outcome_ = OrderOutcome::kUnknown}, scene.now_);
+    }
+  }
+  scene.Submit(JobId(2), {MakeStep(1, 1)});
+  CHECK(scene.Run().records_.size() == 1);
+}
+
 }  // namespace laburnumledge::dispatch
