Split the planner by its jobs: what can start, what gives way, what goes where

Moved as it was: collecting units and workers to planner, evictions and claims to preemption; the randomised world's workers to a file of their own.

--- /dev/null
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "laburnumledge/dispatch/placement.hpp"
+
+namespace laburnumledge::dispatch::internal {
+
+/** @brief Room of a worker during one plan. */
+struct Slot {
+  Worker* worker_{};
+  site::Resources now_;      ///< Free for a start at once.
+  site::Resources total_;    ///< Free now or soon, less what is kept for units that wait for it.
+  bool probe_only_{};        ///< Takes one run at a time until it has proved itself.
+  std::set<RunId> evicted_;  ///< Runs that this plan has made give way.
+  std::uint32_t taken_{};    ///< Tasks of the unit that is being placed.
+  bool reserved_{};          ///< Held ready for urgent jobs.
+};
+
+/** @brief Tasks of one step that can start. */
+struct Unit {
+  const Job* job_{};
+  std::uint32_t occurrence_{};
+  std::uint32_t step_{};
+  const ledger::Step* spec_{};
+  const StepRun* run_{};
+  std::vector<std::uint32_t> tasks_;
+  core::Milliseconds duration_{};  ///< Predicted, of one task.
+  bool hopeless_{};
+  ledger::WallTime latest_start_{};
+  core::TimePoint ready_since_{};
+};
+
+/** @brief One plan while it is made. */
+struct Planner {
+  const PlanContext& context_;
+  std::vector<Slot> slots_;
+  Plan plan_;
+  bool mostly_idle_{};  ///< Of all room, so little is in use that no work may go on waiting.
+};
+
+/** @brief Steps with tasks that can start, in the order in which they are placed. */
+[[nodiscard]] std::vector<Unit> CollectUnits(const Board& board, const PlanContext& context);
+
+/** @brief Workers that may get work, by identifier. */
+[[nodiscard]] std::vector<Slot> CollectSlots(Fleet& fleet, const site::Rules& rules,
+                                             core::TimePoint now);
+
+/** @brief Whether less than a part of every kind of room is in use. */
+[[nodiscard]] bool IsMostlyIdle(const std::vector<Slot>& slots) noexcept;
+
+/** @brief Marks whole racks, and part of one more, as held ready. */
+void Reserve(std::vector<Slot>& slots, std::int64_t gpus);
+
+/** @brief Whether a unit goes before all that is less urgent. */
+[[nodiscard]] bool IsUrgent(const Unit& unit) noexcept;
+
+/** @brief Whether a unit has waited as long as work may while most of the room is idle. */
+[[nodiscard]] bool MustNotWait(const Planner& planner, const Unit& unit) noexcept;
+
+/** @brief Whether a worker can run a unit's tasks at all, room aside. */
+[[nodiscard]] bool Matches(const Planner& planner, const Slot& slot, const Unit& unit) noexcept;
+
+/** @brief Tasks of a unit that a worker may still get, by the limit of them on one worker. */
+[[nodiscard]] std::uint32_t SiblingsLeft(const Slot& slot, const Unit& unit) noexcept;
+
+/** @brief How many tasks of a need fit into an amount, up to a limit. */
+[[nodiscard]] std::uint32_t CountFits(const site::Resources& each, const site::Resources& room,
+                                      std::uint32_t limit) noexcept;
+
+/** @brief Need of a number of tasks. */
+[[nodiscard]] site::Resources Times(const site::Resources& each, std::uint32_t count) noexcept;
+
+}  // namespace laburnumledge::dispatch::internal
--- /dev/null
+++ b/src/laburnumledge/dispatch/preemption.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+
+#include "laburnumledge/dispatch/planner.hpp"
+
+namespace laburnumledge::dispatch::internal {
+
+/**
+ * @brief Makes room for tasks by preemption, the least lost work first; the room comes free later.
+ * @return Whether there is such room; it is then claimed for the unit.
+ */
+bool Preempt(Planner& planner, const Unit& unit, std::size_t wanted);
+
+/** @brief Takes the room of the claims that a step holds; false, with nothing taken, if it is gone.
+ */
+[[nodiscard]] bool TakeClaims(Planner& planner, const Unit& unit);
+
+/** @brief Gives back the room that TakeClaims has taken. */
+void ReturnClaims(Planner& planner, const Unit& unit);
+
+/** @brief Lets a unit go on holding its claims. */
+void KeepClaims(Planner& planner, const Unit& unit);
+
+}  // namespace laburnumledge::dispatch::internal
