--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -57,7 +57,7 @@
 
 void World::Submit(int number) {
   std::vector<ledger::Step> steps;
-  ledger::Step first = fixture::MakeStep(1 + random_(4), 1 + random_(4));
+  ledger::Step first = fixture::MakeStep(1 + random_(4), static_cast<std::int64_t>(1 + random_(4)));
   first.gang_ = random_(2) == 0;
   first.anti_affinity_ = !first.gang_ && random_(3) == 0 ? 1 : 0;
   steps.push_back(first);
@@ -148,7 +148,7 @@
   });
 }
 
-void World::Perform(const HolderPointer& holder, dispatch::Actions actions) {
+void World::Perform(const HolderPointer& holder, const dispatch::Actions& actions) {
   const auto active = [this, holder] { return holder == holder_ || now_ < holder->stops_at_; };
   for (const dispatch::RecordBatch& batch : actions.records_) {
     StoreBatch(holder, batch);
@@ -204,7 +204,7 @@
   const core::TimePoint next = holder->dispatcher_->Run({.now_ = now_, .wall_ = Wall()});
   dispatch::Actions actions = holder->dispatcher_->TakeActions();
   const bool superseded = actions.superseded_;
-  Perform(holder, std::move(actions));
+  Perform(holder, actions);
   if (superseded && holder != holder_) {
     holder->stops_at_ = now_;
   }
@@ -217,7 +217,7 @@
       if (due.superseded_ && holder != holder_) {
         holder->stops_at_ = now_;
       }
-      Perform(holder, std::move(due));
+      Perform(holder, due);
     }
   });
 }
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -92,7 +92,7 @@
   void LoseHolder();
   void TakeOver(core::Clock::duration unconfirmed);
   void Pump(const HolderPointer& holder);
-  void Perform(const HolderPointer& holder, dispatch::Actions actions);
+  void Perform(const HolderPointer& holder, const dispatch::Actions& actions);
   void StoreBatch(const HolderPointer& holder, const dispatch::RecordBatch& batch);
   void StoreStatus(const HolderPointer& holder, const dispatch::StatusChange& change);
 
--- a/test/randomised/dispatch/world_workers.cpp
+++ b/test/randomised/dispatch/world_workers.cpp
@@ -56,14 +56,12 @@
 }
 
 void World::EndRun(FakeWorker& worker, const ledger::TaskId& id, RunEnd end) {
-  const ledger::TaskId task = id;
-  const std::uint64_t number = worker.runs_.at(task).number_;
-  worker.runs_.erase(task);
+  const auto run = worker.runs_.extract(id);
   if (end == RunEnd::kDone) {
-    done_at_.try_emplace(task, now_);
+    done_at_.try_emplace(run.key(), now_);
   }
   worker.finished_.push_back(
-      {.number_ = ++worker.ends_, .task_ = task, .run_ = number, .end_ = end});
+      {.number_ = ++worker.ends_, .task_ = run.key(), .run_ = run.mapped().number_, .end_ = end});
 }
 
 void World::Crash(FakeWorker& worker) {
