Search every schedule of faults through a take-over

Two nodes with the program's own term machine and dispatcher, two workers and three tasks now run in virtual time; each call of a node (append, order, lease) is a choice point with up to ten faults: answer lost, late, never arrives, sender dies before or after or is replaced, freezes, loses the store or the worker, worker crashes. All schedules with up to a number of faults are played, each once.

The workers' model moves to test/support and is shared with the random runs; its check of ORDER is stricter there: all tasks of an earlier step must have ended, not one of them. Check: LABURNUMLEDGE_FAULTS=2 exhaustive_takeover.

--- /dev/null
+++ b/test/exhaustive/takeover/schedule.cpp
@@ -0,0 +1,58 @@
+#include "schedule.hpp"
+
+#include <fmt/core.h>
+
+#include <utility>
+
+namespace laburnumledge::exhaustive {
+
+std::uint8_t Choose(Schedule& schedule, std::uint8_t options) {
+  const std::size_t point = schedule.options_.size();
+  schedule.options_.push_back(options);
+  return point < schedule.taken_.size() ? schedule.taken_[point] : 0;
+}
+
+std::string ToString(const std::vector<std::uint8_t>& taken) {
+  std::string text;
+  for (std::size_t point = 0; point < taken.size(); ++point) {
+    if (taken[point] != 0) {
+      text += fmt::format("{}{}:{}", text.empty() ? "" : " ", point, taken[point]);
+    }
+  }
+  return text;
+}
+
+SearchCounts ForEachSchedule(std::size_t most, const std::function<bool(Schedule&)>& play) {
+  struct Prefix {
+    std::vector<std::uint8_t> taken_;
+    std::size_t faults_{};
+  };
+  SearchCounts counts;
+  std::vector<Prefix> open{{}};
+  while (!open.empty()) {
+    const Prefix prefix = std::move(open.back());
+    open.pop_back();
+    Schedule schedule{.taken_ = prefix.taken_, .options_ = {}};
+    const bool goes_on = play(schedule);
+    ++counts.schedules_;
+    counts.choice_points_ += schedule.options_.size();
+    if (!goes_on) {
+      return counts;
+    }
+    if (prefix.faults_ == most) {
+      continue;
+    }
+    // Points before the end of the prefix are varied by its siblings.
+    for (std::size_t point = prefix.taken_.size(); point < schedule.options_.size(); ++point) {
+      for (std::uint8_t option = 1; option < schedule.options_[point]; ++option) {
+        Prefix next{.taken_ = prefix.taken_, .faults_ = prefix.faults_ + 1};
+        next.taken_.resize(point);
+        next.taken_.push_back(option);
+        open.push_back(std::move(next));
+      }
+    }
+  }
+  return counts;
+}
+
+}  // namespace laburnumledge::exhaustive
--- /dev/null
+++ b/test/exhaustive/takeover/world.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laburnumledge/control/term.hpp"
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "schedule.hpp"
+#include "support/fake_workers.hpp"
+
+namespace laburnumledge::exhaustive {
+
+/** @brief Mistakes that a take-over could make; each breaks the rule that its line names. */
+enum class Defect : unsigned char {
+  kNone,
+  kEarlierLeasesForgotten,  ///< TWICE: runs that can't be asked for are given up at once.
+  kFenceNotRaised,          ///< LIMIT: orders of all terms carry the same fence.
+  kEndsForgottenEarly,      ///< TWICE: a worker forgets an end before it is on record.
+  kFailuresNotCarried,      ///< BUDGET: failures of earlier terms are not counted.
+  kCancelNotCarried,        ///< UNASKED: cancellations of earlier terms are not seen.
+  kDependenciesDropped,     ///< ORDER: steps are read back without what they wait for.
+  kStateNotRepeated,        ///< LOST: a state that was decided and not stored is not stored again.
+};
+
+/**
+ * @brief Two nodes that may hold the term, two workers, two jobs of three tasks, and a store.
+ *
+ * The nodes run the program's own state machine of the term and its dispatcher; what lies between
+ * is modelled here in virtual time. Each call of a node is a choice point: it goes through, or one
+ * fault befalls it or its sender. Not thread safe.
+ */
+class World {
+ public:
+  /** @param cancels Whether the first job is cancelled while it is under way. */
+  World(Schedule& schedule, Defect defect, bool cancels);
+
+  /** @brief Plays until all jobs are over and nothing runs, or until it must have been. */
+  void Play();
+
+  /** @brief Rules that were broken, in words. */
+  [[nodiscard]] const std::vector<std::string>& Broken() const noexcept { return field_.broken_; }
+
+ private:
+  struct Node;
+  using NodePointer = std::shared_ptr<Node>;
+
+  /** Writing end of a stream: one writer at a time, the others are fenced off by its epoch. */
+  struct Stream {
+    std::uint64_t epoch_{};
+    core::TimePoint last_lands_{};
+  };
+
+  void At(core::TimePoint time, std::function<void()> function);
+  void OnNode(const NodePointer& node, core::TimePoint time, std::function<void()> function);
+  void Break(const std::string& rule);
+  [[nodiscard]] ledger::WallTime Wall() const;
+  [[nodiscard]] bool ReachesStore(const Node& node) const;
+  [[nodiscard]] bool Reaches(const Node& node, const std::string& worker) const;
+
+  void StartNode(const std::string& name);
+  void Kill(const NodePointer& node, core::Milliseconds down);
+  void CutFromStore(const NodePointer& node, core::Milliseconds time);
+  [[nodiscard]] bool StrikeSender(const NodePointer& node, std::uint8_t choice);
+
+  void ReadTerm(const NodePointer& node);
+  void StepTerm(const NodePointer& node);
+  void AppendTerm(const NodePointer& node, const ledger::Term& term);
+  void LandTerm(const NodePointer& node, const ledger::Term& term, std::uint64_t expected_end,
+                core::TimePoint sent, bool answers);
+  void EndDuty(Node& node);
+  void FollowDuty(const NodePointer& node);
+  void Append(const NodePointer& node, Stream& stream, std::function<void()> land,
+              std::function<void()> answered);
+  void Load(const NodePointer& node);
+
+  void Pump(const NodePointer& node);
+  void Perform(const NodePointer& node, const dispatch::Actions& actions);
+  void Store(const NodePointer& node, const dispatch::RecordBatch& batch);
+  void Store(const NodePointer& node, const dispatch::StatusChange& change);
+  void CheckSent(const NodePointer& node, const dispatch::StartAction& start);
+  void Call(const NodePointer& node, const std::string& worker, core::TimePoint deadline,
+            core::Milliseconds hold,
+            std::function<std::function<void()>(support::FakeWorker*)> carry_out);
+  void ListWorkers();
+  void CheckCompleted(const ledger::JobId& id);
+  void CheckOver();
+  [[nodiscard]] bool IsOver() const;
+
+  Schedule& schedule_;
+  Defect defect_;
+  site::Bounds bounds_;
+  site::Rules rules_;
+  core::TimePoint now_;
+  core::TimePoint calm_;  ///< No fault strikes from then on.
+  std::multimap<core::TimePoint, std::function<void()>> events_;
+  ledger::Jobs jobs_;
+  std::map<ledger::JobId, core::TimePoint> cancelled_;
+  std::map<ledger::TaskId, ledger::TaskRecord> records_;
+  std::optional<ledger::Term> term_;
+  std::uint64_t term_end_{};
+  Stream tasks_stream_;
+  Stream jobs_stream_;
+  support::FakeWorkers field_;
+  std::map<std::string, NodePointer> nodes_;
+  std::map<std::string, std::uint64_t> lives_;
+};
+
+}  // namespace laburnumledge::exhaustive
--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -6,6 +6,7 @@
 
 #include "laburnumledge/control/term.hpp"
 #include "laburnumledge/core/event.hpp"
+#include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/dispatch/fixture.hpp"
 #include "laburnumledge/ledger/codec.hpp"
 
@@ -21,14 +22,14 @@
 }  // namespace
 
 World::World(std::uint64_t seed, const Trouble& trouble)
-    : random_(core::MakeRandom(seed, "dispatch")),
-      trouble_(trouble),
-      bounds_(fixture::MakeBounds()) {
+    : random_(core::MakeRandom(seed, "dispatch")), trouble_(trouble) {
+  field_.bounds_ = fixture::MakeBounds();
+  field_.jobs_ = &jobs_;
+  field_.course_ = [this](const platform::StartOrder& order) { return CourseOf(order); };
   for (int number = 1; number <= kWorkers; ++number) {
-    FakeWorker worker;
-    worker.id_ = fmt::format("w{}", number);
-    worker.started_ = now_ - std::chrono::seconds(number);
-    workers_.emplace(worker.id_, worker);
+    const std::string id = fmt::format("w{}", number);
+    support::Add(field_, id, now_ - std::chrono::seconds(number));
+    reach_[id] = {};
   }
   for (int number = 1; number <= kJobs; ++number) {
     At(now_ + Between(0, 15000), [this, number] { Submit(number); });
@@ -50,9 +51,22 @@
   return fixture::kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - fixture::kNow);
 }
 
-void World::Break(const std::string& rule) {
-  broken_.push_back(
-      fmt::format("{:.3f}: {}", std::chrono::duration<double>(now_ - fixture::kNow).count(), rule));
+bool World::Reachable(const std::string& worker, std::uint64_t term) const {
+  const Reach& reach = reach_.at(worker);
+  const bool on_its_side = now_ >= reach.split_until_ || (term >= reach.first_term_that_reaches_ &&
+                                                          term <= reach.last_term_that_reaches_);
+  return now_ >= field_.workers_.at(worker).down_until_ && now_ >= reach.cut_until_ && on_its_side;
+}
+
+/** Members of a gang end alike: all done, or none. */
+support::RunCourse World::CourseOf(const platform::StartOrder& order) {
+  const core::Milliseconds length = Between(200, 6000);
+  const ledger::Submission& submission = *jobs_.entries_.at(order.task_.job_).submission_;
+  if (!submission.steps_[order.task_.step_].gang_) {
+    return {.length_ = length, .fails_ = Chance(trouble_.failing_run_)};
+  }
+  const std::string run = fmt::format("{} {} {}", order.task_.job_, order.task_.step_, order.run_);
+  return {.length_ = length, .fails_ = core::Hash(run) % 1000 < trouble_.failing_run_};
 }
 
 void World::Submit(int number) {
@@ -84,17 +98,17 @@
 
 /** Carries a call out now, or later without an answer; answers, or lets it time out. */
 void World::Deliver(std::uint64_t term, const std::string& id, core::TimePoint deadline,
-                    const std::function<std::function<void()>(FakeWorker*)>& carry_out) {
+                    const std::function<std::function<void()>(support::FakeWorker*)>& carry_out) {
   const bool late = Chance(trouble_.late_order_);
   const bool lost = late || Chance(trouble_.lost_answer_);
   const core::TimePoint arrives = now_ + (late ? Between(1000, 8000) : Between(1, 4));
-  const site::Incarnation incarnation = workers_.at(id).incarnation_;
+  const site::Incarnation incarnation = field_.workers_.at(id).incarnation_;
   At(arrives, [this, term, id, deadline, carry_out, late, lost, incarnation] {
-    FakeWorker& worker = workers_.at(id);
-    const bool carried = Reachable(worker, term) && (!late || worker.incarnation_ == incarnation);
+    support::FakeWorker& worker = field_.workers_.at(id);
+    const bool carried = Reachable(id, term) && (!late || worker.incarnation_ == incarnation);
     std::function<void()> answer;
     if (carried) {
-      Advance(worker);
+      support::Advance(field_, worker, now_);
       answer = carry_out(&worker);
     }
     if (late) {
@@ -158,10 +172,10 @@
   }
   for (const dispatch::StartAction& start : actions.starts_) {
     Deliver(holder->term_, start.worker_.id_, start.deadline_,
-            [this, holder, start, active](FakeWorker* worker) {
+            [this, holder, start, active](support::FakeWorker* worker) {
               const platform::OrderResult result =
                   worker == nullptr ? platform::OrderResult{.outcome_ = OrderOutcome::kUnknown}
-                                    : DoStart(*worker, start.order_);
+                                    : support::DoStart(field_, *worker, start.order_, now_);
               return std::function<void()>([this, holder, start, active, result] {
                 if (active()) {
                   holder->dispatcher_->OnStarted(start, result, now_);
@@ -172,10 +186,10 @@
   }
   for (const dispatch::StopAction& stop : actions.stops_) {
     Deliver(holder->term_, stop.worker_.id_, stop.deadline_,
-            [this, holder, stop, active](FakeWorker* worker) {
+            [this, holder, stop, active](support::FakeWorker* worker) {
               const platform::OrderResult result =
                   worker == nullptr ? platform::OrderResult{.outcome_ = OrderOutcome::kUnknown}
-                                    : DoStop(*worker, stop.order_);
+                                    : support::DoStop(field_, *worker, stop.order_, now_);
               return std::function<void()>([this, holder, stop, active, result] {
                 if (active()) {
                   holder->dispatcher_->OnStopped(stop, result, now_);
@@ -186,10 +200,10 @@
   }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     Deliver(holder->term_, lease.worker_.id_, lease.call_.deadline_,
-            [this, holder, lease, active](FakeWorker* worker) {
+            [this, holder, lease, active](support::FakeWorker* worker) {
               const platform::LeaseResult result =
                   worker == nullptr ? platform::LeaseResult{.outcome_ = OrderOutcome::kUnknown}
-                                    : DoLease(*worker, lease.call_);
+                                    : support::DoLease(field_, *worker, lease.call_, now_);
               return std::function<void()>([this, holder, lease, active, result] {
                 if (active()) {
                   holder->dispatcher_->OnLease(lease, result, now_);
@@ -231,10 +245,10 @@
     holder_->stops_at_ = now_ + unconfirmed;
   }
   earlier_leases_end_ =
-      std::max(earlier_leases_end_, now_ + unconfirmed + dispatch::LongestLease(bounds_));
+      std::max(earlier_leases_end_, now_ + unconfirmed + dispatch::LongestLease(field_.bounds_));
   auto holder = std::make_shared<Holder>();
   holder->term_ = ++term_;
-  holder->dispatcher_ = std::make_unique<dispatch::Dispatcher>(bounds_, term_);
+  holder->dispatcher_ = std::make_unique<dispatch::Dispatcher>(field_.bounds_, term_);
   holder->dispatcher_->SetRules(rules_);
   for (const auto& [id, entry] : jobs_.entries_) {
     holder->dispatcher_->OnJob(id, &entry, now_);
@@ -242,10 +256,10 @@
   for (const auto& [id, record] : records_) {
     holder->dispatcher_->LoadTask(id, record);
   }
-  for (const auto& [id, worker] : workers_) {
+  for (const auto& [id, worker] : field_.workers_) {
     site::WorkerEntry entry = fixture::MakeEntry(id);
     entry.incarnation_ = worker.incarnation_;
-    entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker));
+    entry.clock_ = core::FromMs<core::WorkerTime>(support::ClockOf(worker, now_));
     holder->dispatcher_->OnWorker(entry, now_);
   }
   holder->dispatcher_->Begin(now_, earlier_leases_end_);
@@ -262,12 +276,13 @@
 }
 
 void World::MakeTrouble() {
-  for (auto& [id, worker] : workers_) {
-    Advance(worker);
+  for (auto& [id, worker] : field_.workers_) {
+    support::Advance(field_, worker, now_);
     if (Chance(trouble_.worker_crash_)) {
-      Crash(worker);
+      support::Crash(worker, now_ + Between(500, 4000));
+      reach_[id] = {};
     } else if (Chance(trouble_.worker_cut_)) {
-      worker.cut_until_ = now_ + Between(500, 9000);
+      reach_[id].cut_until_ = now_ + Between(500, 9000);
     }
   }
   if (Chance(trouble_.store_outage_)) {
@@ -278,11 +293,11 @@
   } else if (holder_ != nullptr && now_ >= outage_until_ && Chance(trouble_.holder_pause_)) {
     // A cut divides the workers between it and its successors.
     const core::TimePoint healed = now_ + Between(2000, 16000);
-    for (auto& [id, worker] : workers_) {
+    for (auto& [id, reach] : reach_) {
       const bool stays = Chance(500);
-      worker.split_until_ = healed;
-      worker.first_term_that_reaches_ = stays ? 0 : term_ + 1;
-      worker.last_term_that_reaches_ = stays ? term_ : term_ + 1000;
+      reach.split_until_ = healed;
+      reach.first_term_that_reaches_ = stays ? 0 : term_ + 1;
+      reach.last_term_that_reaches_ = stays ? term_ : term_ + 1000;
     }
     // Its last renewal was some time ago: it goes on for what is left of the limit.
     TakeOver(control::kUnconfirmedLimit - control::kHolderSilence);
@@ -305,12 +320,12 @@
   // Entries of workers bring news of their incarnations.
   for (int beat = 1; beat < 2 * (seconds + 120); ++beat) {
     At(now_ + core::Milliseconds(500 * beat), [this] {
-      for (auto& [id, worker] : workers_) {
-        Advance(worker);
-        if (holder_ != nullptr && Reachable(worker, term_)) {
+      for (auto& [id, worker] : field_.workers_) {
+        support::Advance(field_, worker, now_);
+        if (holder_ != nullptr && Reachable(id, term_)) {
           site::WorkerEntry entry = fixture::MakeEntry(id);
           entry.incarnation_ = worker.incarnation_;
-          entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker));
+          entry.clock_ = core::FromMs<core::WorkerTime>(support::ClockOf(worker, now_));
           holder_->dispatcher_->OnWorker(entry, now_);
         }
       }
@@ -319,7 +334,7 @@
       }
     });
   }
-  while (!events_.empty() && events_.begin()->first <= end && broken_.empty()) {
+  while (!events_.empty() && events_.begin()->first <= end && field_.broken_.empty()) {
     if (now_ > calm && AllOver()) {
       return;
     }
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -12,6 +12,7 @@
 
 #include "laburnumledge/core/random.hpp"
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "support/fake_workers.hpp"
 
 namespace laburnumledge::randomised {
 
@@ -28,31 +29,12 @@
   std::uint32_t cancel_{};        ///< Each second, for each job.
 };
 
-/** @brief Run that a fake worker has. */
-struct FakeRun {
-  std::uint64_t number_{};
-  std::int64_t gpus_{};
-  core::TimePoint ends_{};
-  bool fails_{};
-};
-
-/** @brief Worker that keeps the platform's rules of runs, leases, fences and ends. */
-struct FakeWorker {
-  std::string id_;
-  site::Incarnation incarnation_{1};
-  core::TimePoint started_{};
-  core::TimePoint down_until_{};
+/** @brief Who reaches a worker. */
+struct Reach {
   core::TimePoint cut_until_{};
   core::TimePoint split_until_{};  ///< Only holders of a range of terms reach it.
   std::uint64_t first_term_that_reaches_{};
   std::uint64_t last_term_that_reaches_{};
-  std::uint64_t fence_{};
-  std::int64_t lease_deadline_{};
-  std::map<ledger::TaskId, FakeRun> runs_;
-  std::map<ledger::TaskId, std::uint64_t> highest_;
-  std::vector<platform::FinishedRow> finished_;
-  std::uint64_t ends_{};
-  std::uint64_t forgotten_{};  ///< Ends up to this one were taken note of.
 };
 
 /** @brief Dispatchers of successive terms over fake workers and a fake store, in virtual time. */
@@ -64,7 +46,7 @@
   void Play(int seconds);
 
   /** @brief Rules that were broken, in words. */
-  [[nodiscard]] const std::vector<std::string>& Broken() const noexcept { return broken_; }
+  [[nodiscard]] const std::vector<std::string>& Broken() const noexcept { return field_.broken_; }
 
   /** @brief Whether every job has ended. */
   [[nodiscard]] bool AllOver() const;
@@ -84,8 +66,6 @@
   [[nodiscard]] bool Chance(std::uint32_t thousandths);
   [[nodiscard]] core::Milliseconds Between(int least, int most);
   [[nodiscard]] ledger::WallTime Wall() const;
-  void Break(const std::string& rule);
-
   void Submit(int number);
   void CancelJob(const std::string& id);
   void MakeTrouble();
@@ -96,35 +76,24 @@
   void StoreBatch(const HolderPointer& holder, const dispatch::RecordBatch& batch);
   void StoreStatus(const HolderPointer& holder, const dispatch::StatusChange& change);
 
-  void Advance(FakeWorker& worker);
-  void EndRun(FakeWorker& worker, const ledger::TaskId& task, platform::RunEnd end);
-  void Crash(FakeWorker& worker);
-  [[nodiscard]] std::int64_t ClockOf(const FakeWorker& worker) const;
-  [[nodiscard]] bool Reachable(const FakeWorker& worker, std::uint64_t term) const;
-  [[nodiscard]] bool Fails(const platform::StartOrder& order);
-  platform::OrderResult DoStart(FakeWorker& worker, const platform::StartOrder& order);
-  platform::OrderResult DoStop(FakeWorker& worker, const platform::StopOrder& order);
-  platform::LeaseResult DoLease(FakeWorker& worker, const platform::LeaseCall& call);
+  [[nodiscard]] support::RunCourse CourseOf(const platform::StartOrder& order);
+  [[nodiscard]] bool Reachable(const std::string& worker, std::uint64_t term) const;
   void Deliver(std::uint64_t term, const std::string& worker, core::TimePoint deadline,
-               const std::function<std::function<void()>(FakeWorker*)>& carry_out);
+               const std::function<std::function<void()>(support::FakeWorker*)>& carry_out);
 
   core::Random random_;
   Trouble trouble_;
-  site::Bounds bounds_;
   site::Rules rules_;
   core::TimePoint now_{std::chrono::hours(1)};
   std::multimap<core::TimePoint, std::function<void()>> events_;
-  std::map<std::string, FakeWorker> workers_;
   ledger::Jobs jobs_;
+  support::FakeWorkers field_;
+  std::map<std::string, Reach> reach_;
   std::map<ledger::TaskId, ledger::TaskRecord> records_;
   HolderPointer holder_;
   std::uint64_t term_{};
   core::TimePoint outage_until_{};
   core::TimePoint earlier_leases_end_{};
-  std::map<ledger::TaskId, int> noted_done_;
-  std::map<ledger::TaskId, int> noted_failed_;
-  std::map<ledger::TaskId, core::TimePoint> done_at_;
-  std::vector<std::string> broken_;
 };
 
 }  // namespace laburnumledge::randomised
--- /dev/null
+++ b/test/support/fake_workers.cpp
@@ -0,0 +1,202 @@
+#include "support/fake_workers.hpp"
+
+#include <algorithm>
+
+#include "laburnumledge/dispatch/fixture.hpp"
+
+namespace laburnumledge::support {
+
+using platform::OrderOutcome;
+using platform::RunEnd;
+
+namespace {
+
+constexpr double kWorkerClock = 0.98;  ///< The slowest that the platform allows.
+
+void Break(FakeWorkers& field, core::TimePoint now, const std::string& rule) {
+  field.broken_.push_back(
+      fmt::format("{:.3f}: {}", std::chrono::duration<double>(now - fixture::kNow).count(), rule));
+}
+
+void EndRun(FakeWorkers& field, FakeWorker& worker, const ledger::TaskId& id, RunEnd end,
+            core::TimePoint now) {
+  const auto run = worker.runs_.extract(id);
+  if (end == RunEnd::kDone) {
+    field.done_at_.try_emplace(run.key(), now);
+  }
+  worker.finished_.push_back(
+      {.number_ = ++worker.ends_, .task_ = run.key(), .run_ = run.mapped().number_, .end_ = end});
+}
+
+/** Whether a step of an occurrence has ended; one end stands for a whole gang. */
+bool HasEnded(const FakeWorkers& field, const ledger::Submission& submission,
+              const ledger::TaskId& task, std::uint32_t step) {
+  const auto ended =
+      std::count_if(field.done_at_.begin(), field.done_at_.end(), [&](const auto& entry) {
+        return entry.first.job_ == task.job_ && entry.first.occurrence_ == task.occurrence_ &&
+               entry.first.step_ == step;
+      });
+  return submission.steps_[step].gang_ ? ended > 0 : ended == submission.steps_[step].count_;
+}
+
+void CheckStart(FakeWorkers& field, FakeWorker& worker, const platform::StartOrder& order,
+                core::TimePoint now) {
+  const std::string name = ledger::ToString(order.task_);
+  for (auto& [id, other] : field.workers_) {
+    Advance(field, other, now);
+    if (now >= other.down_until_ && other.runs_.contains(order.task_)) {
+      Break(field, now, "TWICE " + name);
+    }
+  }
+  if (field.noted_done_[order.task_] > 0) {
+    Break(field, now, "TWICE after its end was noted " + name);
+  }
+  const ledger::Submission& submission = *field.jobs_->entries_.at(order.task_.job_).submission_;
+  if (field.noted_failed_[order.task_] >= static_cast<int>(submission.treatment_.max_attempts_)) {
+    Break(field, now, "BUDGET " + name);
+  }
+  if (order.text_ != submission.text_) {
+    Break(field, now, "UNASKED text of " + name);
+  }
+  for (const std::uint32_t earlier : submission.steps_[order.task_.step_].after_) {
+    if (!HasEnded(field, submission, order.task_, earlier)) {
+      Break(field, now, "ORDER " + name);
+    }
+  }
+  std::int64_t used = submission.steps_[order.task_.step_].each_.gpus_;
+  for (const auto& [task, run] : worker.runs_) {
+    used += run.gpus_;
+  }
+  if (used > fixture::kWorkerCapacity.gpus_) {
+    Break(field, now, "LIMIT at " + worker.id_);
+  }
+}
+
+}  // namespace
+
+FakeWorker& Add(FakeWorkers& field, const std::string& id, core::TimePoint started) {
+  FakeWorker& worker = field.workers_[id];
+  worker.id_ = id;
+  worker.started_ = started;
+  return worker;
+}
+
+std::int64_t ClockOf(const FakeWorker& worker, core::TimePoint now) {
+  const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(now - worker.started_);
+  return static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kWorkerClock) + 1;
+}
+
+void Advance(FakeWorkers& field, FakeWorker& worker, core::TimePoint now) {
+  if (now < worker.down_until_) {
+    return;
+  }
+  while (true) {
+    // What ends first: a run by itself, or all of them by their lease.
+    auto next = worker.runs_.end();
+    for (auto run = worker.runs_.begin(); run != worker.runs_.end(); ++run) {
+      if (run->second.ends_ <= now &&
+          (next == worker.runs_.end() || run->second.ends_ < next->second.ends_)) {
+        next = run;
+      }
+    }
+    if (next == worker.runs_.end()) {
+      break;
+    }
+    EndRun(field, worker, next->first, next->second.fails_ ? RunEnd::kFailed : RunEnd::kDone, now);
+  }
+  if (ClockOf(worker, now) > worker.lease_deadline_) {
+    while (!worker.runs_.empty()) {
+      EndRun(field, worker, worker.runs_.begin()->first, RunEnd::kLapsed, now);
+    }
+  }
+}
+
+void Crash(FakeWorker& worker, core::TimePoint back) {
+  worker = FakeWorker{.id_ = worker.id_,
+                      .incarnation_ = worker.incarnation_ + 1,
+                      .started_ = back,
+                      .down_until_ = back};
+}
+
+platform::OrderResult DoStart(FakeWorkers& field, FakeWorker& worker,
+                              const platform::StartOrder& order, core::TimePoint now) {
+  const auto answer = [&](OrderOutcome outcome) {
+    return platform::OrderResult{.outcome_ = outcome,
+                                 .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now))};
+  };
+  if (order.fence_ < worker.fence_) {
+    return answer(OrderOutcome::kFenced);
+  }
+  worker.fence_ = order.fence_;
+  const std::int64_t deadline = core::ToMs(order.lease_deadline_);
+  if (deadline < ClockOf(worker, now)) {
+    return answer(OrderOutcome::kLate);
+  }
+  const auto present = worker.runs_.find(order.task_);
+  if (present != worker.runs_.end() && present->second.number_ == order.run_) {
+    return answer(OrderOutcome::kDone);
+  }
+  if (worker.highest_[order.task_] >= order.run_) {
+    return answer(OrderOutcome::kOldRun);
+  }
+  CheckStart(field, worker, order, now);
+  const ledger::Submission& submission = *field.jobs_->entries_.at(order.task_.job_).submission_;
+  worker.highest_[order.task_] = order.run_;
+  worker.lease_deadline_ =
+      std::max(worker.lease_deadline_,
+               std::min(deadline, ClockOf(worker, now) + field.bounds_.longest_lease_.count()));
+  const RunCourse course = field.course_(order);
+  worker.runs_[order.task_] = {.number_ = order.run_,
+                               .gpus_ = submission.steps_[order.task_.step_].each_.gpus_,
+                               .ends_ = now + course.length_,
+                               .fails_ = course.fails_};
+  return answer(OrderOutcome::kDone);
+}
+
+platform::OrderResult DoStop(FakeWorkers& field, FakeWorker& worker,
+                             const platform::StopOrder& order, core::TimePoint now) {
+  if (order.fence_ < worker.fence_) {
+    return {.outcome_ = OrderOutcome::kFenced};
+  }
+  worker.fence_ = order.fence_;
+  worker.highest_[order.task_] = std::max(worker.highest_[order.task_], order.run_);
+  const auto present = worker.runs_.find(order.task_);
+  if (present != worker.runs_.end() && present->second.number_ == order.run_) {
+    EndRun(field, worker, order.task_, RunEnd::kStopped, now);
+  }
+  return {.outcome_ = OrderOutcome::kDone};
+}
+
+platform::LeaseResult DoLease(FakeWorkers& field, FakeWorker& worker,
+                              const platform::LeaseCall& call, core::TimePoint now) {
+  if (call.fence_ < worker.fence_) {
+    return {.outcome_ = OrderOutcome::kFenced};
+  }
+  worker.fence_ = call.fence_;
+  if (call.lease_deadline_.has_value()) {
+    worker.lease_deadline_ =
+        std::max(worker.lease_deadline_,
+                 std::min(core::ToMs(*call.lease_deadline_),
+                          ClockOf(worker, now) + field.bounds_.longest_lease_.count()));
+  }
+  for (const platform::FinishedRow& row : worker.finished_) {
+    if (row.number_ <= call.last_seen_ && row.number_ > worker.forgotten_) {
+      field.noted_done_[row.task_] += row.end_ == RunEnd::kDone ? 1 : 0;
+      field.noted_failed_[row.task_] += row.end_ == RunEnd::kFailed ? 1 : 0;
+    }
+  }
+  worker.forgotten_ = std::max(worker.forgotten_, call.last_seen_);
+  std::erase_if(worker.finished_,
+                [&](const platform::FinishedRow& row) { return row.number_ <= worker.forgotten_; });
+  platform::LeaseResult result{.outcome_ = OrderOutcome::kDone,
+                               .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now)),
+                               .incarnation_ = worker.incarnation_,
+                               .running_ = {},
+                               .finished_ = worker.finished_};
+  for (const auto& [task, run] : worker.runs_) {
+    result.running_.push_back({.task_ = task, .run_ = run.number_});
+  }
+  return result;
+}
+
+}  // namespace laburnumledge::support
--- /dev/null
+++ b/test/support/fake_workers.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "laburnumledge/core/time.hpp"
+#include "laburnumledge/ledger/jobs.hpp"
+#include "laburnumledge/platform/workers.hpp"
+#include "laburnumledge/site/deployment.hpp"
+
+namespace laburnumledge::support {
+
+/** @brief Run that a fake worker has. */
+struct FakeRun {
+  std::uint64_t number_{};
+  std::int64_t gpus_{};
+  core::TimePoint ends_{};
+  bool fails_{};
+};
+
+/** @brief Worker that keeps the platform's rules of runs, leases, fences and ends. */
+struct FakeWorker {
+  std::string id_;
+  site::Incarnation incarnation_{1};
+  core::TimePoint started_{};
+  core::TimePoint down_until_{};
+  std::uint64_t fence_{};
+  std::int64_t lease_deadline_{};
+  std::map<ledger::TaskId, FakeRun> runs_;
+  std::map<ledger::TaskId, std::uint64_t> highest_;
+  std::vector<platform::FinishedRow> finished_;
+  std::uint64_t ends_{};
+  std::uint64_t forgotten_{};  ///< Ends up to this one were taken note of.
+};
+
+/** @brief How a run goes if it is left alone. */
+struct RunCourse {
+  core::Milliseconds length_{};
+  bool fails_{};
+};
+
+/** @brief Fake workers in virtual time, and the rules that they have seen broken. */
+struct FakeWorkers {
+  site::Bounds bounds_;
+  const ledger::Jobs* jobs_{};  ///< What was submitted.
+  std::function<RunCourse(const platform::StartOrder&)> course_;
+  std::map<std::string, FakeWorker> workers_;
+  std::map<ledger::TaskId, int> noted_done_;
+  std::map<ledger::TaskId, int> noted_failed_;
+  std::map<ledger::TaskId, core::TimePoint> done_at_;
+  std::vector<std::string> broken_;
+};
+
+/** @brief Adds a worker that started some time ago. */
+FakeWorker& Add(FakeWorkers& field, const std::string& id, core::TimePoint started);
+
+/** @brief The worker's clock in milliseconds, as slow as the platform allows. */
+[[nodiscard]] std::int64_t ClockOf(const FakeWorker& worker, core::TimePoint now);
+
+/** @brief Ends what has ended by itself or by its lease. */
+void Advance(FakeWorkers& field, FakeWorker& worker, core::TimePoint now);
+
+/** @brief The worker loses all it knows and comes back as another incarnation. */
+void Crash(FakeWorker& worker, core::TimePoint back);
+
+/** @brief Carries out a start, and notes each rule that it breaks. */
+platform::OrderResult DoStart(FakeWorkers& field, FakeWorker& worker,
+                              const platform::StartOrder& order, core::TimePoint now);
+
+/** @brief Carries out a stop. */
+platform::OrderResult DoStop(FakeWorkers& field, FakeWorker& worker,
+                             const platform::StopOrder& order, core::TimePoint now);
+
+/** @brief Carries out a lease call. */
+platform::LeaseResult DoLease(FakeWorkers& field, FakeWorker& worker,
+                              const platform::LeaseCall& call, core::TimePoint now);
+
+}  // namespace laburnumledge::support
