Move runs off workers that leave, and leave workers that stall or lose runs alone

Workers that hang or slow down got new work all the while. Ruled out: concluding from a removed entry that a worker is gone (it is removed after silence, too, while its runs may live), and shorter leases (cuts of 5.5 s would outlast them). Change: a run that can't end before its worker leaves is stopped at the notice, with its gang; a worker that does not list a run that it had started gets nothing for a pause that doubles; progress in the workers' lists is measured, and a worker whose runs fall below 0.4 of their pace, or don't move, gets nothing until it is seen at pace again. Urgent runs that have just begun leave such a worker.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -147,6 +147,15 @@
                RecordBatch& batch, core::TimePoint now);
   void LoseRun(Worker& worker, const RunId& run, std::string_view why, core::TimePoint now);
   void NoteHealth(Worker& worker, bool success, core::TimePoint now);
+  void Suspect(Worker& worker, std::string_view why, core::TimePoint now);
+  void NotePace(Worker& worker, std::uint32_t slow, std::uint32_t normal, core::TimePoint now);
+  void BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now);
+  [[nodiscard]] core::Milliseconds PredictRun(const RunId& run) const;
+  [[nodiscard]] core::Milliseconds RemainingTimeOf(const RunId& run, const Occupant& occupant,
+                                                   core::TimePoint now) const;
+  void MoveRun(Worker& worker, const RunId& run, std::string_view why, core::TimePoint now);
+  void VacateLeaving(Worker& worker, core::TimePoint now);
+  void MoveStalled(Worker& worker, const std::vector<RunId>& stalled, core::TimePoint now);
   void CheckCompletion(Job& job, std::uint32_t occurrence);
 
   void RunWorker(Worker& worker, core::TimePoint now, core::TimePoint& next);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -54,15 +54,21 @@
     return;
   }
   ++health.failures_in_row_;
-  if (health.failures_in_row_ < kFailuresToSuspect && health.suspicions_ == 0) {
-    return;
+  if (health.failures_in_row_ >= kFailuresToSuspect || health.suspicions_ > 0) {
+    Suspect(worker, "its runs fail", now);
   }
+}
+
+void Dispatcher::Suspect(Worker& worker, std::string_view why, core::TimePoint now) {
+  Health& health = worker.health_;
   const core::Milliseconds pause =
       std::min(kLongestSuspicion, kFirstSuspicion * (1 << std::min(health.suspicions_, 3U)));
   ++health.suspicions_;
+  health.slow_ = false;
   health.suspected_until_ = now + pause;
   core::Event(Level::kWarning, EventWeight::kDecisive, "worker.suspected",
               {{"worker", worker.entry_.id_},
+               {"reason", why},
                {"failures_in_row", health.failures_in_row_},
                {"pause_ms", pause}});
 }
@@ -128,6 +134,8 @@
 void Dispatcher::TakeRunning(Worker& worker, const std::vector<platform::RunningRow>& rows,
                              core::TimePoint sent, core::TimePoint now) {
   std::set<RunId> listed;
+  std::vector<RunId> stalled;
+  std::uint32_t normal = 0;
   for (const platform::RunningRow& row : rows) {
     const RunId run{.task_ = row.task_, .run_ = row.run_};
     listed.insert(run);
@@ -156,25 +164,39 @@
       occupant.phase_ = OccupantPhase::kRunning;
       occupant.settled_ = now;
       occupant.started_ = now;
-      occupant.progressed_ = now;
+      BeginPace(occupant.pace_, now);
+      occupant.pace_.percent_ = static_cast<double>(row.progress_percent_);
     }
-    if (occupant.progress_percent_ != row.progress_percent_) {
-      occupant.progress_percent_ = row.progress_percent_;
-      occupant.progressed_ = now;
+    if (occupant.phase_ == OccupantPhase::kRunning && occupant.pace_.at_ != core::TimePoint{}) {
+      const PaceVerdict verdict =
+          Measure(occupant.pace_, row.progress_percent_, PredictRun(run), now);
+      normal += verdict == PaceVerdict::kNormal ? 1 : 0;
+      if (verdict == PaceVerdict::kSlow) {
+        stalled.push_back(run);
+      }
     }
     if (!row.checkpoint_.empty() && occupant.checkpoint_ != row.checkpoint_) {
       occupant.checkpoint_ = row.checkpoint_;
       occupant.checkpointed_ = now;
     }
   }
+  NotePace(worker, static_cast<std::uint32_t>(stalled.size()), normal, now);
+  if (worker.health_.slow_) {
+    MoveStalled(worker, stalled, now);
+  }
   std::vector<RunId> lost;
+  bool lost_running = false;
   for (const auto& [run, occupant] : worker.occupants_) {
     const bool settled = occupant.settled_ != core::TimePoint{} && occupant.settled_ <= sent;
     if (internal::MayExist(occupant) && settled && !listed.contains(run) &&
         !(occupant.order_in_flight_ && occupant.phase_ == OccupantPhase::kOrdered)) {
       lost.push_back(run);
+      lost_running = lost_running || occupant.phase_ == OccupantPhase::kRunning;
     }
   }
+  if (lost_running) {
+    Suspect(worker, "it has lost its runs", now);
+  }
   for (const RunId& run : lost) {
     LoseRun(worker, run, "the worker does not list it", now);
   }
--- /dev/null
+++ b/src/laburnumledge/dispatch/dispatcher_moves.cpp
@@ -0,0 +1,140 @@
+#include <algorithm>
+
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using core::EventWeight;
+using core::Level;
+
+/** Time that a run needs to end, be seen to end and be taken note of before its worker leaves.
+ * Source: ours; a stop's grace on today's sites and a call. */
+constexpr core::Milliseconds kLeaveMargin{300};
+
+/** How long a worker that was seen to be slow gets no work unless it is seen again. Source: ours; a
+ * little longer than its lists are apart. */
+constexpr core::Milliseconds kSlowPause{2500};
+
+/** How much longer a worker that has just been seen to be slow stays so. Source: the platform's
+ * sheets, disruptions of five to seven seconds, less the time to notice. */
+constexpr core::Milliseconds kExpectedStall{3000};
+
+/** What a move costs beside the work that is thrown away: the stop, its record and the next start.
+ * Source: ours. */
+constexpr core::Milliseconds kMoveTime{500};
+
+}  // namespace
+
+core::Milliseconds Dispatcher::PredictRun(const RunId& run) const {
+  const auto job = board_.jobs_.find(run.task_.job_);
+  if (job == board_.jobs_.end()) {
+    return {};
+  }
+  const ledger::Submission& submission = *job->second.submission_;
+  return Predict(durations_, submission.route_, run.task_.step_,
+                 submission.steps_[run.task_.step_].estimate_);
+}
+
+void Dispatcher::BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now) {
+  const Job* job = FindJob(board_, run.task_.job_);
+  if (job == nullptr || job->submission_->steps_[run.task_.step_].long_running_) {
+    return;
+  }
+  if (!job->submission_->steps_[run.task_.step_].gang_) {
+    BeginPace(occupant.pace_, occupant.resumed_ ? now + bounds_.restore_time_ : now);
+    return;
+  }
+  const std::vector<Occupant*> members = MembersOf(fleet_, run);
+  const bool complete = std::all_of(members.begin(), members.end(), [](const Occupant* member) {
+    return member->phase_ == OccupantPhase::kRunning;
+  });
+  if (!complete) {
+    return;  // The members of a gang begin to work when all are there.
+  }
+  for (Occupant* member : members) {
+    BeginPace(member->pace_, member->resumed_ ? now + bounds_.restore_time_ : now);
+  }
+}
+
+core::Milliseconds Dispatcher::RemainingTimeOf(const RunId& run, const Occupant& occupant,
+                                               core::TimePoint now) const {
+  const core::Milliseconds predicted = PredictRun(run);
+  core::Milliseconds longest{};
+  if (!occupant.gang_) {
+    return RemainingTime(occupant.pace_, predicted, now);
+  }
+  for (const Occupant* member : MembersOf(fleet_, run)) {
+    longest = std::max(longest, RemainingTime(member->pace_, predicted, now));
+  }
+  return longest;
+}
+
+void Dispatcher::MoveRun(Worker& worker, const RunId& run, std::string_view why,
+                         core::TimePoint now) {
+  const Occupant& occupant = worker.occupants_.at(run);
+  core::Event(Level::kInfo, EventWeight::kDecisive, "task.moved",
+              {{"task", ledger::ToString(run.task_)},
+               {"run", run.run_},
+               {"worker", worker.entry_.id_},
+               {"reason", why},
+               {"percent", occupant.pace_.percent_},
+               {"remaining_ms", RemainingTimeOf(run, occupant, now)}});
+  if (occupant.gang_) {
+    StopGang(run, now);
+  } else {
+    StopRun(worker, run, now);
+  }
+}
+
+void Dispatcher::VacateLeaving(Worker& worker, core::TimePoint now) {
+  const core::TimePoint leaves = worker.entry_seen_ + worker.entry_.remaining_ - kLeaveMargin;
+  std::vector<RunId> late;
+  for (const auto& [run, occupant] : worker.occupants_) {
+    if (occupant.phase_ == OccupantPhase::kRunning && FindTask(board_, run.task_) != nullptr &&
+        now + RemainingTimeOf(run, occupant, now) > leaves) {
+      late.push_back(run);
+    }
+  }
+  for (const RunId& run : late) {
+    MoveRun(worker, run, "its worker leaves before it can end", now);
+  }
+}
+
+void Dispatcher::NotePace(Worker& worker, std::uint32_t slow, std::uint32_t normal,
+                          core::TimePoint now) {
+  Health& health = worker.health_;
+  if (slow > normal) {
+    if (!health.slow_ && health.suspicions_ == 0) {
+      core::Event(Level::kWarning, EventWeight::kDecisive, "worker.slow",
+                  {{"worker", worker.entry_.id_}, {"slow_runs", slow}, {"other_runs", normal}});
+      health.slow_ = true;
+    }
+    health.suspected_until_ = std::max(health.suspected_until_, now + kSlowPause);
+  } else if (normal > slow && health.slow_) {
+    core::Event(Level::kInfo, EventWeight::kDecisive, "worker.up_to_speed",
+                {{"worker", worker.entry_.id_}});
+    health.slow_ = false;
+    health.suspected_until_ = now;
+    plan_due_ = true;
+  }
+}
+
+void Dispatcher::MoveStalled(Worker& worker, const std::vector<RunId>& stalled,
+                             core::TimePoint now) {
+  for (const RunId& run : stalled) {
+    const auto found = worker.occupants_.find(run);
+    if (found == worker.occupants_.end() || found->second.priority_ != 0 ||
+        found->second.phase_ != OccupantPhase::kRunning) {
+      continue;
+    }
+    const core::TimePoint saved = std::max(found->second.started_, found->second.checkpointed_);
+    if (now - saved + kMoveTime < kExpectedStall) {
+      MoveRun(worker, run, "its worker is slow", now);
+    }
+  }
+}
+
+}  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -150,12 +150,12 @@
       occupant.phase_ = OccupantPhase::kRunning;
       occupant.settled_ = now;
       occupant.started_ = now;
-      occupant.progressed_ = now;
       core::Event(Level::kInfo, EventWeight::kFrequent, "task.started",
                   {{"task", ledger::ToString(run.task_)},
                    {"run", run.run_},
                    {"worker", action.worker_.id_},
                    {"resumed", !action.order_.checkpoint_.empty()}});
+      BeginPaceOf(run, occupant, now);
       Job* job = FindJob(board_, run.task_.job_);
       if (job != nullptr && job->state_ == ledger::JobState::kQueued) {
         SetState(*job, ledger::JobState::kRunning);
@@ -343,6 +343,9 @@
     worker.given_up_.emplace(run, now + kAskAfterGivingUp);
     LoseRun(worker, run, "its lease has passed", now);
   }
+  if (worker.listed_ && worker.entry_.draining_) {
+    VacateLeaving(worker, now);
+  }
   std::erase_if(worker.given_up_, [now](const auto& entry) { return entry.second < now; });
   const bool ends_to_acknowledge =
       ToForget(worker) > worker.ends_acknowledged_ && worker.failed_calls_ < kMostIdleFailures;
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -6,8 +6,10 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "laburnumledge/core/time.hpp"
+#include "laburnumledge/dispatch/pace.hpp"
 #include "laburnumledge/ledger/job.hpp"
 #include "laburnumledge/site/deployment.hpp"
 #include "laburnumledge/site/resources.hpp"
@@ -45,8 +47,7 @@
   core::TimePoint started_{};   ///< When the run was confirmed.
   core::WorkerTime lease_deadline_{};  ///< That its start asks for, on the worker's clock.
   core::TimePoint next_order_{};       ///< When an order without an answer goes out again.
-  core::TimePoint progressed_{};       ///< When its progress was last seen to change.
-  std::int64_t progress_percent_{};
+  Pace pace_;
   std::string checkpoint_;          ///< Newest that the worker listed.
   core::TimePoint checkpointed_{};  ///< When that checkpoint was first seen.
 };
@@ -62,6 +63,7 @@
   std::uint32_t failures_in_row_{};    ///< Runs that failed since one succeeded.
   core::TimePoint suspected_until_{};  ///< Gets no work before; then one run as a probe.
   std::uint32_t suspicions_{};         ///< In a row; lengthens the next.
+  bool slow_{};                        ///< Suspected for its pace alone.
 };
 
 /** @brief Limit of Worker::ends_to_forget_ that holds none back. */
@@ -122,6 +124,10 @@
 /** @brief Removes an occupant and its booking. */
 void RemoveOccupant(Worker& worker, const RunId& run);
 
+/** @brief Occupants of a run: one, or those of all members of a gang that have the same number. */
+[[nodiscard]] std::vector<Occupant*> MembersOf(Fleet& fleet, const RunId& run);
+[[nodiscard]] std::vector<const Occupant*> MembersOf(const Fleet& fleet, const RunId& run);
+
 /** @brief Worker of an identifier, or null. */
 [[nodiscard]] Worker* FindWorker(Fleet& fleet, std::string_view id);
 
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -312,4 +312,98 @@
   CHECK(scene.Run().records_.size() == 1);
 }
 
+TEST_CASE("a run that can't end before its worker leaves is stopped, one that can goes on") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(2, 1)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 2);
+  REQUIRE(scene.leases_.size() == 1);
+  // Both are predicted to take 5 s; the first has come much further.
+  platform::LeaseResult lists{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
+  lists.running_ = {Row(starts[0]), Row(starts[1])};
+  lists.running_[0].progress_percent_ = 80;
+  lists.running_[1].progress_percent_ = 20;
+  scene.now_ += core::Milliseconds(1000);
+  scene.dispatcher_.OnLease(scene.leases_[0], lists, scene.now_);
+  CHECK(scene.Run().stops_.empty());
+  site::WorkerEntry leaving = MakeEntry("w1");
+  leaving.draining_ = true;
+  leaving.remaining_ = core::Milliseconds(2200);
+  scene.dispatcher_.OnWorker(leaving, scene.now_);
+  scene.Run();
+  REQUIRE(scene.actions_.stops_.size() == 1);
+  CHECK(scene.actions_.stops_[0].order_.task_ == starts[1].order_.task_);
+  CHECK(scene.Run(core::Milliseconds(100)).stops_.empty());
+}
+
+TEST_CASE("a gang is stopped whole if one of its workers leaves too soon") {
+  Scene scene;
+  scene.dispatcher_.OnWorker(MakeEntry("w2"), scene.now_);
+  ledger::Step step = MakeStep(2, 8);
+  step.gang_ = true;
+  scene.Submit(JobId(1), {step});
+  REQUIRE(scene.StartAll().size() == 2);
+  site::WorkerEntry leaving = MakeEntry("w2");
+  leaving.draining_ = true;
+  leaving.remaining_ = core::Milliseconds(2200);
+  scene.dispatcher_.OnWorker(leaving, scene.now_);
+  CHECK(scene.Run().stops_.size() == 2);
+}
+
+TEST_CASE("a load on workers that go down and up by turns: they get no new work at once") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 8)});
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(scene.leases_.size() == 1);
+  // The worker has started and forgotten the run.
+  scene.now_ += core::Milliseconds(700);
+  LeaseAction later = scene.leases_[0];
+  scene.dispatcher_.OnLease(later, {.outcome_ = OrderOutcome::kUnknown}, scene.now_);
+  scene.Run(core::Milliseconds(250));
+  REQUIRE(scene.actions_.leases_.size() == 1);
+  const LeaseAction again = scene.actions_.leases_[0];
+  scene.now_ += core::Milliseconds(5);
+  scene.dispatcher_.OnLease(again, {.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000},
+                            scene.now_);
+  scene.dispatcher_.OnWorker(MakeEntry("w1"), scene.now_);
+  const auto starts_anew = [&scene] {
+    return std::any_of(scene.actions_.records_.begin(), scene.actions_.records_.end(),
+                       [](const RecordBatch& batch) {
+                         return !batch.tasks_.empty() &&
+                                batch.tasks_[0].second.outcome_ == ledger::TaskOutcome::kStarted;
+                       });
+  };
+  bool started = false;
+  for (int i = 0; i < 10; ++i) {
+    scene.Run(core::Milliseconds(100));
+    started = started || starts_anew();
+    scene.StoreAll();
+  }
+  CHECK_FALSE(started);
+  for (int i = 0; i < 30 && !started; ++i) {
+    scene.Run(core::Milliseconds(100));
+    started = started || starts_anew();
+    scene.StoreAll();
+  }
+  CHECK(started);
+}
+
+TEST_CASE("a load on a worker that hangs: urgent work leaves it, and nothing new goes there") {
+  Scene scene;
+  const ledger::JobEntry urgent{.submission_ = MakeSubmission({MakeStep(1, 4)}, 0)};
+  scene.dispatcher_.OnJob(JobId(1), &urgent, scene.now_);
+  const std::vector<StartAction> starts = scene.StartAll();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(scene.leases_.size() == 1);
+  platform::LeaseResult lists{.outcome_ = OrderOutcome::kDone, .incarnation_ = 1000};
+  lists.running_ = {Row(starts[0])};
+  scene.now_ += core::Milliseconds(1500);
+  scene.dispatcher_.OnLease(scene.leases_[0], lists, scene.now_);
+  scene.Submit(JobId(2), {MakeStep(1, 1)});
+  scene.Run();
+  CHECK(scene.actions_.stops_.size() == 1);
+  CHECK(scene.actions_.records_.empty());
+}
+
 }  // namespace laburnumledge::dispatch
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -28,6 +28,14 @@
       {.number_ = ++worker.ends_, .task_ = run.key(), .run_ = run.mapped().number_, .end_ = end});
 }
 
+std::int64_t PercentOf(const FakeRun& run, core::TimePoint now) {
+  constexpr std::int64_t kDone = 100;
+  return run.ends_ <= run.began_
+             ? kDone
+             : std::clamp<std::int64_t>(kDone * (now - run.began_) / (run.ends_ - run.began_), 0,
+                                        kDone);
+}
+
 /** Whether a step of an occurrence has ended; one end stands for a whole gang. */
 bool HasEnded(const FakeWorkers& field, const ledger::Submission& submission,
               const ledger::TaskId& task, std::uint32_t step) {
@@ -148,6 +156,7 @@
   const RunCourse course = field.course_(order);
   worker.runs_[order.task_] = {.number_ = order.run_,
                                .gpus_ = submission.steps_[order.task_.step_].each_.gpus_,
+                               .began_ = now,
                                .ends_ = now + course.length_,
                                .fails_ = course.fails_};
   return answer(OrderOutcome::kDone);
@@ -194,7 +203,8 @@
                                .running_ = {},
                                .finished_ = worker.finished_};
   for (const auto& [task, run] : worker.runs_) {
-    result.running_.push_back({.task_ = task, .run_ = run.number_});
+    result.running_.push_back(
+        {.task_ = task, .run_ = run.number_, .progress_percent_ = PercentOf(run, now)});
   }
   return result;
 }
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -17,6 +17,7 @@
 struct FakeRun {
   std::uint64_t number_{};
   std::int64_t gpus_{};
+  core::TimePoint began_{};
   core::TimePoint ends_{};
   bool fails_{};
 };
