See the store's return sooner

While the store is silent, a node's newest knowledge came from a read that waits for records: it is given up after 1.8 s only, and the next one has to pause first. Ruled out: callers that come back too early (the last attempt came after the return). Change: after a failed read, reads don't wait for records, and every other one is given up after 300 ms; pauses end at 200 ms. Test: unit_control, which failed before (7 reads of 8, one of them waiting).

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -17,9 +17,13 @@
  * a slow store takes on the platform's days. */
 constexpr core::Milliseconds kCallTimeout{800};
 
+/** Time for every other read after one that failed, so that a store that was silent is seen again
+ * soon after its return, while one that is slow is still heard. Source: ours. */
+constexpr core::Milliseconds kProbeTimeout{300};
+
 /** Pauses after calls that failed. Source: ours; short against the bound on configurations. */
 constexpr core::Milliseconds kFirstRetry{100};
-constexpr core::Milliseconds kLongestRetry{400};
+constexpr core::Milliseconds kLongestRetry{200};
 
 struct Waiter {
   core::TimePoint since_;
@@ -153,7 +157,8 @@
     }
     return;
   }
-  if (options_.wait_.count() > 0) {
+  // A read that waits would not tell for long whether the store answers again.
+  if (options_.wait_.count() > 0 && failures_ == 0) {
     ReadWaiting();
   } else {
     ReadPlain();
@@ -222,8 +227,9 @@
   plain_due_ = false;
   const core::TimePoint sent = loop_.Now();
   const std::uint64_t from = next_;
+  const core::Milliseconds timeout = failures_ % 2 == 1 ? kProbeTimeout : kCallTimeout;
   store_.read_(
-      {.stream_ = options_.stream_, .from_ = from, .wait_ = {}, .deadline_ = sent + kCallTimeout},
+      {.stream_ = options_.stream_, .from_ = from, .wait_ = {}, .deadline_ = sent + timeout},
       [self = weak_from_this(), from, sent](const platform::ReadResult& result) {
         const auto held = self.lock();
         if (held == nullptr) {
--- /dev/null
+++ b/test/laburnumledge/control/follower.cpp
@@ -0,0 +1,74 @@
+#include "laburnumledge/control/follower.hpp"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace laburnumledge::control {
+
+namespace {
+
+constexpr core::Milliseconds kWait{1000};
+
+struct SeenRead {
+  core::Milliseconds wait_{};
+  core::Milliseconds patience_{};
+};
+
+/** @brief Store of one empty stream that fails a number of reads from the second one on. */
+struct FailingStore {
+  loop::Loop loop_;
+  std::vector<SeenRead> reads_;
+  int failing_{};
+
+  platform::Store Make() {
+    return {.append_ = {},
+            .read_ =
+                [this](const platform::ReadCall& call, const platform::ReadDoneCallback& done) {
+                  reads_.push_back({.wait_ = call.wait_,
+                                    .patience_ = std::chrono::duration_cast<core::Milliseconds>(
+                                        call.deadline_ - loop_.Now())});
+                  const bool fails = reads_.size() > 1 && failing_-- > 0;
+                  const bool last = !fails && call.wait_.count() > 0;
+                  if (last) {
+                    loop_.Stop();
+                    return;
+                  }
+                  loop_.Soon([done, fails] {
+                    done({.outcome_ = fails ? platform::ReadOutcome::kFailed
+                                            : platform::ReadOutcome::kDone});
+                  });
+                },
+            .newest_ =
+                [this](const platform::NewestCall& /*call*/, const platform::NewestDone& done) {
+                  loop_.Soon([done] { done({.done_ = true}); });
+                }};
+  }
+};
+
+}  // namespace
+
+TEST_CASE("while the store does not answer, reads don't wait for records, and are short by turns") {
+  FailingStore store;
+  store.failing_ = 5;
+  const platform::Store calls = store.Make();
+  Follower follower(
+      store.loop_, calls,
+      {.stream_ = platform::Stream::kOperators, .wait_ = kWait, .interval_ = {}},
+      {.loaded_ = [](const auto&) {}, .added_ = [](const auto&) {}, .caught_up_ = {}});
+  follower.Start();
+  store.loop_.Run();
+  // The load's read, a waiting one that fails, four more that fail, one that is answered, and the
+  // first that waits again.
+  REQUIRE(store.reads_.size() == 8);
+  CHECK(store.reads_[1].wait_ == kWait);
+  for (std::size_t read = 2; read < 7; ++read) {
+    CAPTURE(read);
+    CHECK(store.reads_[read].wait_ == core::Milliseconds{});
+    CHECK(store.reads_[read].patience_ <= core::Milliseconds(800));
+  }
+  CHECK(store.reads_[2].patience_ < store.reads_[3].patience_);
+  CHECK(store.reads_[7].wait_ == kWait);
+}
+
+}  // namespace laburnumledge::control
