Tell a job's story from logs of several nodes

laburnumledge explain ID [FILE...] orders the lines of a job by term and time, shows what happened to its workers, the store and the term meanwhile, and says where lines are missing. For that each line now carries its number within its process; lines that are dropped are counted, so that a gap can be seen.

--- a/src/laburnumledge/core/event.cpp
+++ b/src/laburnumledge/core/event.cpp
@@ -28,6 +28,7 @@
   std::string source_;
   std::string waiting_;
   std::size_t written_{};  ///< Bytes of waiting_ that have been written.
+  std::uint64_t lines_{};  ///< Lines so far, those that were dropped among them.
   std::uint64_t dropped_{};
   std::uint64_t dropped_unreported_{};
 };
@@ -84,6 +85,7 @@
     line += R"(,"node":)";
     AppendText(line, sink.source_);
   }
+  fmt::format_to(std::back_inserter(line), R"(,"line":{})", sink.lines_);
   line += R"(,"event":)";
   AppendText(line, name);
   for (const EventField& field : fields) {
@@ -112,6 +114,7 @@
     return;
   }
   Sink& sink = TheSink();
+  ++sink.lines_;
   if (!HasRoom(sink, weight)) {
     ++sink.dropped_;
     ++sink.dropped_unreported_;
@@ -120,6 +123,7 @@
   if (sink.dropped_unreported_ > 0 && HasRoom(sink, EventWeight::kFrequent)) {
     const auto dropped = static_cast<std::int64_t>(sink.dropped_unreported_);
     sink.dropped_unreported_ = 0;
+    ++sink.lines_;
     sink.waiting_ += MakeLine(sink, Level::kWarning, "log.dropped", {{"lines", dropped}});
   }
   sink.waiting_ += MakeLine(sink, level, name, fields);
--- a/src/laburnumledge/core/event.hpp
+++ b/src/laburnumledge/core/event.hpp
@@ -49,6 +49,7 @@
 /**
  * @brief Writes one event as a line of JSON to standard output, through a bounded buffer.
  *
+ * Lines are numbered, those that are dropped too, so that a reader sees where some are missing.
  * Never blocks: bytes that standard output does not take at once wait for FlushEvents. Not thread
  * safe: every call comes from the loop's thread.
  */
--- a/src/laburnumledge/operators/command_line.cpp
+++ b/src/laburnumledge/operators/command_line.cpp
@@ -17,7 +17,7 @@
   ExitCode (*run_)(const Arguments&);
 };
 
-constexpr std::array<Command, 8> kCommands = {{
+constexpr std::array<Command, 9> kCommands = {{
     {"serve", "run a node", &RunServe},
     {"node", "run a node on the platform", &RunNode},
     {"check", "check a configuration or settings file", &RunCheck},
@@ -26,6 +26,7 @@
     {"status", "show what a node knows", &RunStatus},
     {"job", "submit, show, wait for, cancel and list jobs", &RunJob},
     {"request", "send one request to a service", &RunRequest},
+    {"explain", "tell from logs what became of a job", &RunExplain},
 }};
 
 constexpr std::string_view kExitCodes =
--- a/src/laburnumledge/operators/commands.hpp
+++ b/src/laburnumledge/operators/commands.hpp
@@ -28,4 +28,7 @@
 /** @brief `request SERVICE/PATH`: sends one request to an instance of a service. */
 [[nodiscard]] ExitCode RunRequest(const Arguments& arguments);
 
+/** @brief `explain ID [FILE...]`: tells a job's story from logs. */
+[[nodiscard]] ExitCode RunExplain(const Arguments& arguments);
+
 }  // namespace laburnumledge::operators
--- /dev/null
+++ b/src/laburnumledge/operators/explain.cpp
@@ -0,0 +1,68 @@
+#include <fmt/core.h>
+
+#include <iostream>
+#include <sstream>
+
+#include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/operators/commands.hpp"
+#include "laburnumledge/operators/options.hpp"
+#include "laburnumledge/operators/story.hpp"
+
+namespace laburnumledge::operators {
+
+namespace {
+
+constexpr std::size_t kMostFiles = 1000;
+
+constexpr CommandHelp kHelp = {
+    .name_ = "explain",
+    .positional_ = "ID [FILE...]",
+    .summary_ =
+        "Tells from the logs of nodes what became of a job, and where lines are missing.\n"
+        "Lines that begin with | are not of the job: its workers, the store, the term.\n"
+        "Without files, or for a file -, standard input is read.",
+    .examples_ =
+        "  laburnumledge explain 5c0e7a21d94b36f8 front-*.log\n"
+        "  laburnumledge explain 5c0e7a21d94b36f8 --json < all.log\n",
+    .least_ = 1,
+    .most_ = kMostFiles,
+};
+
+void AddLines(Logs& logs, std::istream& stream) {
+  for (std::string line; std::getline(stream, line);) {
+    AddLine(logs, line);
+  }
+}
+
+}  // namespace
+
+ExitCode RunExplain(const Arguments& arguments) {
+  cxxopts::Options options = MakeOptions(kHelp);
+  options.add_options()("json", "Print one JSON document");
+  const Parsed parsed = ParseOptions(options, kHelp, arguments);
+  if (!parsed.values_.has_value()) {
+    return parsed.exit_;
+  }
+  Logs logs;
+  if (parsed.positional_.size() == 1) {
+    AddLines(logs, std::cin);
+  }
+  for (std::size_t file = 1; file < parsed.positional_.size(); ++file) {
+    const std::optional<std::string> text = ReadFile(parsed.positional_[file]);
+    if (!text.has_value()) {
+      fmt::print(stderr, "laburnumledge explain: {}\n", core::LastReason());
+      return ExitCode::kBadInput;
+    }
+    std::istringstream stream(*text);
+    AddLines(logs, stream);
+  }
+  const Story story = TellStory(logs, parsed.positional_.front());
+  if (parsed.values_->count("json") > 0) {
+    fmt::print("{}\n", ToJson(story).dump(2, ' ', false, nlohmann::json::error_handler_t::replace));
+  } else {
+    fmt::print("{}", ToText(story));
+  }
+  return story.lines_.empty() ? ExitCode::kRefused : ExitCode::kOk;
+}
+
+}  // namespace laburnumledge::operators
--- /dev/null
+++ b/src/laburnumledge/operators/story.cpp
@@ -0,0 +1,271 @@
+#include "laburnumledge/operators/story.hpp"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+namespace laburnumledge::operators {
+
+namespace {
+
+/** Events that concern every job while they last. */
+constexpr std::string_view kSharedEvents[] = {
+    "term.", "takeover.", "store.lost", "store.reg", "configuration.", "zone.", "log.", "node."};
+
+bool BeginsWith(std::string_view text, std::string_view start) noexcept {
+  return text.substr(0, start.size()) == start;
+}
+
+/** Number of a fixed place in a text; -1 if there is none. */
+int NumberAt(std::string_view text, std::size_t place, std::size_t digits) noexcept {
+  int value = -1;
+  if (text.size() >= place + digits) {
+    std::from_chars(text.data() + place, text.data() + place + digits, value);
+  }
+  return value;
+}
+
+/** Parses a time as the log writes it: 2026-01-24T17:21:14.075Z. */
+std::optional<LogTime> ParseTime(std::string_view text) {
+  constexpr std::size_t kLength = 24;
+  if (text.size() != kLength) {
+    return std::nullopt;
+  }
+  const std::chrono::year_month_day day{
+      std::chrono::year(NumberAt(text, 0, 4)),
+      std::chrono::month(static_cast<unsigned>(std::max(0, NumberAt(text, 5, 2)))),
+      std::chrono::day(static_cast<unsigned>(std::max(0, NumberAt(text, 8, 2))))};
+  if (!day.ok()) {
+    return std::nullopt;
+  }
+  return LogTime(std::chrono::sys_days(day)) + std::chrono::hours(NumberAt(text, 11, 2)) +
+         std::chrono::minutes(NumberAt(text, 14, 2)) + std::chrono::seconds(NumberAt(text, 17, 2)) +
+         core::Milliseconds(NumberAt(text, 20, 3));
+}
+
+std::string ToText(LogTime time) {
+  const auto day = std::chrono::floor<std::chrono::days>(time);
+  const std::chrono::hh_mm_ss clock(time - day);
+  return fmt::format("{:02}:{:02}:{:02}.{:03}", clock.hours().count(), clock.minutes().count(),
+                     clock.seconds().count(), clock.subseconds().count());
+}
+
+std::string TextOf(const nlohmann::json& fields, const char* name) {
+  const auto found = fields.find(name);
+  return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t NumberOf(const nlohmann::json& fields, const char* name) {
+  const auto found = fields.find(name);
+  return found != fields.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+/** Job that a line is of; empty if of none. */
+std::string JobOf(const LogLine& line) {
+  const std::string job = TextOf(line.fields_, "job");
+  const std::string task = TextOf(line.fields_, "task");
+  return job.empty() ? task.substr(0, task.find('.')) : job;
+}
+
+bool IsOf(const LogLine& line, const std::string& job) {
+  return JobOf(line) == job || TextOf(line.fields_, "in_favour_of") == job;
+}
+
+/** A process begins to count anew, so a smaller number is no gap. */
+void NoteNumber(Logs& logs, const LogLine& line) {
+  Logs::Position& position = logs.positions_[line.node_];
+  const bool goes_on = position.number_ > 0 && line.number_ > position.number_;
+  if (goes_on && line.number_ > position.number_ + 1) {
+    logs.gaps_.push_back({.node_ = line.node_,
+                          .after_ = position.time_,
+                          .before_ = line.time_,
+                          .lines_ = line.number_ - position.number_ - 1});
+  }
+  position.number_ = line.number_;
+  position.time_ = line.time_;
+}
+
+bool ByTime(const LogLine& left, const LogLine& right) {
+  return std::tie(left.time_, left.node_, left.number_) <
+         std::tie(right.time_, right.node_, right.number_);
+}
+
+/** Lines of deciders by term and time, merged by time with the rest. */
+std::vector<LogLine> InOrder(std::vector<LogLine> lines) {
+  const auto rest = std::stable_partition(lines.begin(), lines.end(),
+                                          [](const LogLine& line) { return line.term_ > 0; });
+  std::sort(lines.begin(), rest, [](const LogLine& left, const LogLine& right) {
+    return left.term_ != right.term_ ? left.term_ < right.term_ : ByTime(left, right);
+  });
+  std::sort(rest, lines.end(), ByTime);
+  std::vector<LogLine> merged;
+  std::merge(std::make_move_iterator(lines.begin()), std::make_move_iterator(rest),
+             std::make_move_iterator(rest), std::make_move_iterator(lines.end()),
+             std::back_inserter(merged), ByTime);
+  return merged;
+}
+
+bool IsShared(const LogLine& line) {
+  return std::any_of(std::begin(kSharedEvents), std::end(kSharedEvents),
+                     [&](std::string_view start) { return BeginsWith(line.event_, start); });
+}
+
+std::string FieldsToText(const nlohmann::json& fields) {
+  std::string text;
+  for (const auto& [name, value] : fields.items()) {
+    text +=
+        fmt::format(" {}={}", name, value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return text;
+}
+
+std::string LineToText(const LogLine& line, LogTime begin, std::string_view mark) {
+  const auto elapsed = std::chrono::duration<double>(line.time_ - begin).count();
+  return fmt::format("{} {:>9.3f} {} {:>4} {:<20} {}{}\n", mark, elapsed, ToText(line.time_),
+                     line.term_ == 0 ? "-" : std::to_string(line.term_), line.node_, line.event_,
+                     FieldsToText(line.fields_));
+}
+
+nlohmann::json LineToJson(const LogLine& line) {
+  nlohmann::json json = line.fields_;
+  json["time_ms"] = line.time_.time_since_epoch().count();
+  json["node"] = line.node_;
+  json["line"] = line.number_;
+  json["event"] = line.event_;
+  if (line.term_ > 0) {
+    json["term"] = line.term_;
+  }
+  return json;
+}
+
+}  // namespace
+
+void AddLine(Logs& logs, std::string_view text) {
+  const std::size_t brace = text.find('{');
+  if (brace == std::string_view::npos) {
+    logs.unreadable_ += text.empty() ? 0 : 1;
+    return;
+  }
+  text.remove_prefix(brace);
+  nlohmann::json json = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+  const std::optional<LogTime> time =
+      json.is_object() ? ParseTime(TextOf(json, "time")) : std::nullopt;
+  LogLine line{.time_ = time.value_or(LogTime{}),
+               .node_ = json.is_object() ? TextOf(json, "node") : "",
+               .number_ = json.is_object() ? NumberOf(json, "line") : 0,
+               .event_ = json.is_object() ? TextOf(json, "event") : ""};
+  if (!time.has_value() || line.event_.empty()) {
+    ++logs.unreadable_;
+    return;
+  }
+  NoteNumber(logs, line);
+  Logs::Position& position = logs.positions_[line.node_];
+  if (line.event_ == "term.taken") {
+    position.term_ = NumberOf(json, "term");
+  } else if (line.event_ == "node.started") {
+    position.term_ = 0;
+  }
+  line.term_ = position.term_;
+  if (line.event_ == "term.lost") {
+    position.term_ = 0;
+  }
+  for (const char* name : {"time", "node", "line", "event", "level"}) {
+    json.erase(name);
+  }
+  line.fields_ = std::move(json);
+  logs.lines_.push_back(std::move(line));
+}
+
+Story TellStory(const Logs& logs, const std::string& job) {
+  Story story{.job_ = job, .unreadable_ = logs.unreadable_};
+  std::set<std::string> workers;
+  for (const LogLine& line : logs.lines_) {
+    if (IsOf(line, job)) {
+      story.lines_.push_back(line);
+      workers.insert(TextOf(line.fields_, "worker"));
+    }
+  }
+  workers.erase("");
+  story.lines_ = InOrder(std::move(story.lines_));
+  if (story.lines_.empty()) {
+    story.gaps_ = logs.gaps_;
+    return story;
+  }
+  const auto [first, last] = std::minmax_element(story.lines_.begin(), story.lines_.end(), ByTime);
+  for (const LogLine& line : logs.lines_) {
+    const bool meanwhile = line.time_ >= first->time_ && line.time_ <= last->time_;
+    const bool of_worker = JobOf(line).empty() && workers.contains(TextOf(line.fields_, "worker"));
+    if (meanwhile && !IsOf(line, job) && (of_worker || IsShared(line))) {
+      story.context_.push_back(line);
+    }
+  }
+  std::sort(story.context_.begin(), story.context_.end(), ByTime);
+  std::copy_if(
+      logs.gaps_.begin(), logs.gaps_.end(), std::back_inserter(story.gaps_),
+      [&](const LogGap& gap) { return gap.before_ >= first->time_ && gap.after_ <= last->time_; });
+  for (const LogLine& line : story.lines_) {
+    const std::string reason = TextOf(line.fields_, "reason");
+    const std::string state = TextOf(line.fields_, "to");
+    story.last_reason_ = reason.empty() ? story.last_reason_ : line.event_ + ": " + reason;
+    story.state_ = line.event_ == "job.state" ? state : story.state_;
+  }
+  return story;
+}
+
+std::string ToText(const Story& story) {
+  if (story.lines_.empty()) {
+    return fmt::format("no line of job {} in these logs; {} lines could not be read\n", story.job_,
+                       story.unreadable_);
+  }
+  const LogTime begin = story.lines_.front().time_;
+  std::string text = fmt::format("job {}: {}\n", story.job_,
+                                 story.state_.empty() ? "no state in these logs" : story.state_);
+  auto context = story.context_.begin();
+  for (const LogLine& line : story.lines_) {
+    for (; context != story.context_.end() && context->time_ < line.time_; ++context) {
+      text += LineToText(*context, begin, "|");
+    }
+    text += LineToText(line, begin, " ");
+  }
+  for (; context != story.context_.end(); ++context) {
+    text += LineToText(*context, begin, "|");
+  }
+  for (const LogGap& gap : story.gaps_) {
+    text += fmt::format("missing: {} lines of {} between {} and {}\n", gap.lines_, gap.node_,
+                        ToText(gap.after_), ToText(gap.before_));
+  }
+  if (story.unreadable_ > 0) {
+    text += fmt::format("unreadable: {} lines\n", story.unreadable_);
+  }
+  text += fmt::format("last reason: {}\n",
+                      story.last_reason_.empty() ? "none was given" : story.last_reason_);
+  return text;
+}
+
+nlohmann::json ToJson(const Story& story) {
+  nlohmann::json json{{"job", story.job_},
+                      {"state", story.state_},
+                      {"last_reason", story.last_reason_},
+                      {"unreadable_lines", story.unreadable_},
+                      {"lines", nlohmann::json::array()},
+                      {"context", nlohmann::json::array()},
+                      {"missing", nlohmann::json::array()}};
+  for (const LogLine& line : story.lines_) {
+    json["lines"].push_back(LineToJson(line));
+  }
+  for (const LogLine& line : story.context_) {
+    json["context"].push_back(LineToJson(line));
+  }
+  for (const LogGap& gap : story.gaps_) {
+    json["missing"].push_back({{"node", gap.node_},
+                               {"after_ms", gap.after_.time_since_epoch().count()},
+                               {"before_ms", gap.before_.time_since_epoch().count()},
+                               {"lines", gap.lines_}});
+  }
+  return json;
+}
+
+}  // namespace laburnumledge::operators
--- /dev/null
+++ b/test/laburnumledge/operators/story.cpp
@@ -0,0 +1,90 @@
+#include "laburnumledge/operators/story.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/core.h>
+
+namespace laburnumledge::operators {
+
+namespace {
+
+constexpr const char* kJob = "5c0e7a21d94b36f8";
+
+std::string Line(int ms, const std::string& node, int number, const std::string& rest) {
+  return fmt::format(R"({{"time":"2026-01-24T17:21:{:02}.{:03}Z","level":"info","node":"{}",)"
+                     R"("line":{},{}}})",
+                     ms / 1000, ms % 1000, node, number, rest);
+}
+
+std::string OfJob(const std::string& event, const std::string& more = "") {
+  return fmt::format(R"("event":"{}","job":"{}"{})", event, kJob, more);
+}
+
+std::string OfTask(const std::string& event, const std::string& more = "") {
+  return fmt::format(R"("event":"{}","task":"{}.0.0.1"{})", event, kJob, more);
+}
+
+}  // namespace
+
+TEST_CASE("a story goes by term and time, with what happened to its workers meanwhile") {
+  Logs logs;
+  // The clock of the second holder is behind that of the first.
+  AddLine(logs, Line(900, "b", 1, R"("event":"term.taken","term":8)"));
+  AddLine(logs, Line(1400, "b", 2, OfTask("task.started", R"(,"worker":"w2")")));
+  AddLine(logs, Line(1900, "b", 3, OfJob("job.state", R"(,"from":"running","to":"completed")")));
+  AddLine(logs, Line(500, "a", 1, R"("event":"term.taken","term":7)"));
+  AddLine(logs, Line(1100, "a", 2, OfTask("task.started", R"(,"worker":"w1")")));
+  AddLine(logs, Line(1200, "a", 3, R"("event":"worker.unreachable","worker":"w1")"));
+  AddLine(logs, Line(1200, "a", 4, R"("event":"worker.unreachable","worker":"w9")"));
+  AddLine(logs, Line(1500, "a", 5, OfTask("task.lost", R"(,"worker":"w1","reason":"gone")")));
+  AddLine(logs, Line(1600, "a", 6, R"("event":"job.state","job":"0000000000000001")"));
+  AddLine(logs, Line(1000, "c", 1, OfJob("job.accepted")));
+  const Story story = TellStory(logs, kJob);
+  REQUIRE(story.lines_.size() == 5);
+  CHECK(story.lines_[0].event_ == "job.accepted");
+  CHECK(story.lines_[1].term_ == 7);
+  CHECK(story.lines_[2].event_ == "task.lost");
+  CHECK(story.lines_[3].term_ == 8);
+  CHECK(story.state_ == "completed");
+  CHECK(story.last_reason_ == "task.lost: gone");
+  REQUIRE(story.context_.size() == 1);
+  CHECK(story.context_[0].fields_.at("worker") == "w1");
+  CHECK(story.gaps_.empty());
+  CHECK(ToText(story).find("last reason: task.lost: gone") != std::string::npos);
+  CHECK(ToJson(story).at("lines").size() == 5);
+}
+
+TEST_CASE("cut lines are counted, missing ones are named, a restart is no gap") {
+  Logs logs;
+  AddLine(logs, Line(100, "a", 1, OfJob("job.submitted")));
+  AddLine(logs, Line(200, "a", 4, OfJob("job.accepted")));
+  AddLine(logs, Line(300, "a", 5, OfJob("job.state")).substr(0, 40));
+  AddLine(logs, Line(400, "a", 1, R"("event":"node.started")"));
+  AddLine(logs, "  12.5 a " + Line(500, "a", 2, OfJob("job.cancelled")));
+  AddLine(logs, "no line of ours");
+  AddLine(logs, "");
+  const Story story = TellStory(logs, kJob);
+  CHECK(story.lines_.size() == 3);
+  CHECK(story.unreadable_ == 2);
+  REQUIRE(story.gaps_.size() == 1);
+  CHECK(story.gaps_[0].lines_ == 2);
+  CHECK(ToText(story).find("missing: 2 lines of a") != std::string::npos);
+}
+
+TEST_CASE("a job that no line names has no story") {
+  Logs logs;
+  AddLine(logs, Line(100, "a", 1, OfJob("job.submitted")));
+  const Story story = TellStory(logs, "0000000000000002");
+  CHECK(story.lines_.empty());
+  CHECK(ToText(story).find("no line of job") != std::string::npos);
+}
+
+TEST_CASE("work that gives way for a job is part of its story") {
+  Logs logs;
+  AddLine(logs, Line(100, "a", 1,
+                     fmt::format(R"("event":"task.preempted","task":"0000000000000003.0.0.0",)"
+                                 R"("in_favour_of":"{}")",
+                                 kJob)));
+  CHECK(TellStory(logs, kJob).lines_.size() == 1);
+}
+
+}  // namespace laburnumledge::operators
