Don't call members of an ended gang lost

Tried and reverted: putting the end of one member on record for all. Conclusion: the line is left out for tasks that are done, and not counted.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -336,12 +336,16 @@
 
 void Dispatcher::LoseRun(Worker& worker, const RunId& run, std::string_view why,
                          core::TimePoint now) {
-  ++counts_.runs_lost_;
-  core::Event(Level::kWarning, EventWeight::kDecisive, "task.lost",
-              {{"task", ledger::ToString(run.task_)},
-               {"run", run.run_},
-               {"worker", worker.entry_.id_},
-               {"reason", why}});
+  // Members of a gang that has ended may go unseen: one end stands for all of them.
+  const Task* task = FindTask(board_, run.task_);
+  if (task != nullptr && task->phase_ != TaskPhase::kDone) {
+    ++counts_.runs_lost_;
+    core::Event(Level::kWarning, EventWeight::kDecisive, "task.lost",
+                {{"task", ledger::ToString(run.task_)},
+                 {"run", run.run_},
+                 {"worker", worker.entry_.id_},
+                 {"reason", why}});
+  }
   RecordBatch batch;
   EndRun(worker, run, RunEnd::kLapsed, {}, batch, now);
   if (!batch.tasks_.empty()) {
