Soak the real program with faults from outside; check that decisions leave lines

The soak starts a platform stand-in, four workers and three nodes as processes on loopback, with a link of our own before the store for each node and before each worker.

--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -28,21 +28,26 @@
   curl -sf -X POST "http://127.0.0.1:$store/standin/fault?kind=$1&for_ms=$2" > /dev/null
 }
 
+# write_platform_settings I STORE_PORT CALLER_PORT READY_PORT PEER_PORT: settings of node I.
+write_platform_settings() {
+  caller_port[$1]=$3
+  ready_port[$1]=$4
+  peer_port[$1]=$5
+  cat > "$work/node-$1.json" <<S
+{"node_name":"node-$1","zone":"zone-a","ip":"127.0.0.1","internal_ports":[$5,$5],
+ "listen":{"front":"127.0.0.1:$3","ready":"127.0.0.1:$4"},
+ "limits":{"max_fds":4100},"bounds":{"max_hold_ms":6000,"stop_grace_ms":400,"grace_s":6,
+ "status_s":120,"gang_wait_ms":3000,"remote_penalty":3},"heartbeat_ms":500,
+ "platform":{"address":"127.0.0.1:$2","max_record_bytes":262144,"max_call_bytes":2097152}}
+S
+}
+
 # start_platform_nodes COUNT: starts nodes 1.. with ports of their own.
 start_platform_nodes() {
   local ports i
   mapfile -t ports < <(free_ports $((3 * $1)))
   for ((i = 1; i <= $1; ++i)); do
-    caller_port[i]=${ports[3 * i - 3]}
-    ready_port[i]=${ports[3 * i - 2]}
-    peer_port[i]=${ports[3 * i - 1]}
-    cat > "$work/node-$i.json" <<S
-{"node_name":"node-$i","zone":"zone-a","ip":"127.0.0.1","internal_ports":[${peer_port[i]},${peer_port[i]}],
- "listen":{"front":"127.0.0.1:${caller_port[i]}","ready":"127.0.0.1:${ready_port[i]}"},
- "limits":{"max_fds":4100},"bounds":{"max_hold_ms":6000,"stop_grace_ms":400,"grace_s":6,
- "status_s":120,"gang_wait_ms":3000,"remote_penalty":3},"heartbeat_ms":500,
- "platform":{"address":"127.0.0.1:$store","max_record_bytes":262144,"max_call_bytes":2097152}}
-S
+    write_platform_settings "$i" "$store" "${ports[@]:3 * i - 3:3}"
     start_platform_node "$i"
   done
   for ((i = 1; i <= $1; ++i)); do
--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -163,6 +163,7 @@
 }
 
 void World::Perform(const HolderPointer& holder, const dispatch::Actions& actions) {
+  ordered_.push_back(actions);
   const auto active = [this, holder] { return holder == holder_ || now_ < holder->stops_at_; };
   for (const dispatch::RecordBatch& batch : actions.records_) {
     StoreBatch(holder, batch);
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -48,6 +48,14 @@
   /** @brief Rules that were broken, in words. */
   [[nodiscard]] const std::vector<std::string>& Broken() const noexcept { return field_.broken_; }
 
+  /** @brief All that the dispatchers have ordered. */
+  [[nodiscard]] const std::vector<dispatch::Actions>& Ordered() const noexcept { return ordered_; }
+
+  /** @brief Ends that workers were told to forget. */
+  [[nodiscard]] const std::vector<platform::FinishedRow>& Noted() const noexcept {
+    return field_.noted_;
+  }
+
   /** @brief Whether every job has ended. */
   [[nodiscard]] bool AllOver() const;
 
@@ -94,6 +102,7 @@
   std::uint64_t term_{};
   core::TimePoint outage_until_{};
   core::TimePoint earlier_leases_end_{};
+  std::vector<dispatch::Actions> ordered_;
 };
 
 }  // namespace laburnumledge::randomised
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -1,5 +1,7 @@
 #include <fmt/core.h>
+#include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <memory>
@@ -12,6 +14,7 @@
 #include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "platform.hpp"
+#include "proxy.hpp"
 #include "task_worker.hpp"
 #include "worker.hpp"
 
@@ -109,8 +112,9 @@
   return 0;
 }
 
-/** Plays the platform: a store at an address, and workers on the ports after it. */
-int RunPlatform(const std::string& store_text, int workers, int run_ms) {
+/** Plays the platform: a store at an address, and workers on the ports after it. The workers' list
+ * gives their ports plus an offset, so that links can be put in between. */
+int RunPlatform(const std::string& store_text, int workers, int run_ms, int offset) {
   const std::optional<config::Address> address = config::ParseAddress(store_text);
   if (!address.has_value()) {
     fmt::print(stderr, "{}\n", core::LastReason());
@@ -129,8 +133,10 @@
   for (int number = 1; number <= workers; ++number) {
     const config::Address own{.ip_ = address->ip_,
                               .port_ = static_cast<std::uint16_t>(address->port_ + number)};
+    const config::Address listed{.ip_ = own.ip_,
+                                 .port_ = static_cast<std::uint16_t>(own.port_ + offset)};
     task_workers.push_back(std::make_unique<TaskWorker>(
-        loop, store, book, fmt::format("w-{}", number), config::ToString(own),
+        loop, store, book, fmt::format("w-{}", number), config::ToString(listed),
         number % 2 == 0 ? "zone-a" : "zone-b", fmt::format("r-{}", (number + 1) / 2),
         core::Milliseconds(run_ms)));
     if (!Listen(loop, world, own, kPlenty, task_workers.back().get())) {
@@ -143,6 +149,37 @@
   return 0;
 }
 
+/** Plays a link between two ports; commands come on standard input, one a line. */
+int RunProxy(int port, int target) {
+  std::signal(SIGPIPE, SIG_IGN);
+  loop::Loop loop;
+  const auto proxy =
+      Proxy::Start(loop, static_cast<std::uint16_t>(port), static_cast<std::uint16_t>(target));
+  if (proxy == nullptr) {
+    fmt::print(stderr, "{}\n", core::LastReason());
+    return 1;
+  }
+  std::string waiting;
+  loop.Watch(STDIN_FILENO, loop::kReadable, [&](int /*events*/) {
+    std::array<char, 256> piece{};
+    const ssize_t bytes = read(STDIN_FILENO, piece.data(), piece.size());
+    if (bytes <= 0) {
+      loop.Stop();
+      return;
+    }
+    waiting.append(piece.data(), static_cast<std::size_t>(bytes));
+    for (std::size_t end = waiting.find('\n'); end != std::string::npos; end = waiting.find('\n')) {
+      if (!proxy->Command(waiting.substr(0, end))) {
+        fmt::print(stderr, "no such command: {}\n", waiting.substr(0, end));
+      }
+      waiting.erase(0, end + 1);
+    }
+  });
+  loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
 /** Prints free loopback ports; all are held until the last one is known, so that none repeats. */
 int PrintFreePorts(int first, int count) {
   constexpr int kLastPort = 65535;
@@ -171,14 +208,20 @@
   if (argc == 4 && std::string(argv[1]) == "free-ports") {
     return laburnumledge::standin::PrintFreePorts(std::atoi(argv[2]), std::atoi(argv[3]));
   }
-  if (argc == 5 && std::string(argv[1]) == "platform") {
-    return laburnumledge::standin::RunPlatform(argv[2], std::atoi(argv[3]), std::atoi(argv[4]));
+  if ((argc == 5 || argc == 6) && std::string(argv[1]) == "platform") {
+    return laburnumledge::standin::RunPlatform(argv[2], std::atoi(argv[3]), std::atoi(argv[4]),
+                                               argc == 6 ? std::atoi(argv[5]) : 0);
+  }
+  if (argc == 4 && std::string(argv[1]) == "proxy") {
+    return laburnumledge::standin::RunProxy(std::atoi(argv[2]), std::atoi(argv[3]));
   }
   if (argc != 3) {
-    fmt::print(stderr,
-               "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION\n"
-               "       laburnumledge_standin platform STORE_ADDRESS WORKERS RUN_MS\n"
-               "       laburnumledge_standin free-ports FIRST COUNT\n");
+    fmt::print(
+        stderr,
+        "usage: laburnumledge_standin PLATFORM_ADDRESS CONFIGURATION\n"
+        "       laburnumledge_standin platform STORE_ADDRESS WORKERS RUN_MS [LISTED_OFFSET]\n"
+        "       laburnumledge_standin proxy PORT TARGET_PORT\n"
+        "       laburnumledge_standin free-ports FIRST COUNT\n");
     return 2;
   }
   return laburnumledge::standin::Run(argv[1], argv[2]);
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -190,6 +190,7 @@
   }
   for (const platform::FinishedRow& row : worker.finished_) {
     if (row.number_ <= call.last_seen_ && row.number_ > worker.forgotten_) {
+      field.noted_.push_back(row);
       field.noted_done_[row.task_] += row.end_ == RunEnd::kDone ? 1 : 0;
       field.noted_failed_[row.task_] += row.end_ == RunEnd::kFailed ? 1 : 0;
     }
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -49,6 +49,7 @@
   const ledger::Jobs* jobs_{};  ///< What was submitted.
   std::function<RunCourse(const platform::StartOrder&)> course_;
   std::map<std::string, FakeWorker> workers_;
+  std::vector<platform::FinishedRow> noted_;  ///< Ends that were taken note of.
   std::map<ledger::TaskId, int> noted_done_;
   std::map<ledger::TaskId, int> noted_failed_;
   std::map<ledger::TaskId, core::TimePoint> done_at_;
