Look at a running job's state twice; judge the stand-in's ends by when they are noted

Cause: callers ask in the moment in which a job's last task ends. Ruled out: hand-in (0.07 s at the 98th percentile) and runs longer than planned. Change: a state that reads as running is read again after 50 ms and then told. States that are final, or queued, are told at once. Trace: the link of worker 1 was one way for 4 s, its lease passed, the task ran again on another worker, and the first end was never taken note of, which the platform allows. The stand-in now breaks the rule where an end was or is taken note of, as the platform does, and shows real progress.

--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -40,6 +40,11 @@
  * patience of a few seconds they come as late as they can. */
 constexpr core::Milliseconds kComeBack{1000};
 
+/** How long the state of a job that runs is looked at again before it is told. Source: ours.
+ * Callers ask in the moment in which the last task ends, and again a good part of a second later:
+ * the end is on record a few store calls after it has happened. */
+constexpr core::Milliseconds kSecondLook{50};
+
 ledger::WallTime WallNow() {
   return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
 }
@@ -74,6 +79,7 @@
   void Submit(const ExchangePointer& exchange);
   void Cancel(const ExchangePointer& exchange);
   void Show(const ExchangePointer& exchange);
+  void LookUp(const ExchangePointer& exchange, bool looks_again);
   void ShowQueue(const ExchangePointer& exchange);
   void Append(const ExchangePointer& exchange, platform::KeyedRecord record);
   void OnAppended(const ExchangePointer& exchange, const platform::AppendResult& result);
@@ -328,15 +334,29 @@
     PassOn(exchange, kUnavailable, "the store can't be reached");
     return;
   }
+  LookUp(exchange, true);
+}
+
+void JobCalls::Implementation::LookUp(const ExchangePointer& exchange, bool looks_again) {
   context_.jobs_follower_.Refresh(
-      context_.loop_.Now() + kReadTimeout, [weak = weak_from_this(), exchange](bool fresh) {
+      context_.loop_.Now() + kReadTimeout,
+      [weak = weak_from_this(), exchange, looks_again](bool fresh) {
         const auto self = weak.lock();
         if (self == nullptr) {
           return;
         }
         const ledger::JobEntry* entry = ledger::FindJob(self->context_.jobs_, exchange->job_);
         if (entry != nullptr && entry->submission_ != nullptr) {
-          exchange->respond_(platform::StateReply(ledger::ShownState(*entry)));
+          const ledger::JobState state = ledger::ShownState(*entry);
+          if (looks_again && fresh && state == ledger::JobState::kRunning) {
+            self->context_.loop_.At(self->context_.loop_.Now() + kSecondLook, [weak, exchange] {
+              if (const auto held = weak.lock()) {
+                held->LookUp(exchange, false);
+              }
+            });
+            return;
+          }
+          exchange->respond_(platform::StateReply(state));
         } else if (fresh) {
           exchange->respond_(platform::RefusalReply(kGone, "no such job"));
         } else {
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -248,4 +248,33 @@
   CHECK(reply.status_ == 503);
 }
 
+TEST_CASE("a load of callers that ask as the last task ends: the state is looked at once more") {
+  loop::Loop loop;
+  Scene scene(loop);
+  ledger::JobEntry& entry = scene.jobs_.entries_[kJob];
+  entry.submission_ = std::make_shared<const ledger::Submission>();
+  entry.state_ = ledger::JobState::kRunning;
+  const auto read = scene.store_.read_;
+  int reads = 0;
+  int ends_at = 2;
+  scene.store_.read_ = [&](const platform::ReadCall& call, const platform::ReadDoneCallback& done) {
+    if (call.stream_ == Stream::kJobs && ++reads == ends_at) {
+      entry.state_ = ledger::JobState::kCompleted;
+    }
+    read(call, done);
+  };
+  CHECK(scene.Call("GET", std::string("/s/") + kJob).body_.find("completed") != std::string::npos);
+  // One that goes on is told as running after the second look.
+  entry.state_ = ledger::JobState::kRunning;
+  reads = 0;
+  ends_at = 3;
+  CHECK(scene.Call("GET", std::string("/s/") + kJob).body_.find("running") != std::string::npos);
+  CHECK(reads == 2);
+  // One that has not begun, or is over, is told at once.
+  reads = 0;
+  entry.state_ = ledger::JobState::kQueued;
+  CHECK(scene.Call("GET", std::string("/s/") + kJob).body_.find("queued") != std::string::npos);
+  CHECK(reads == 1);
+}
+
 }  // namespace laburnumledge::entry
--- a/test/standin/task_worker.hpp
+++ b/test/standin/task_worker.hpp
@@ -16,9 +16,11 @@
 
 /** @brief What happened to runs on all stand-in workers; judged as it happens. */
 struct RunBook {
-  std::map<std::string, int> running_;  ///< By task.
-  std::map<std::string, int> done_;     ///< By task.
-  std::vector<std::string> broken_;     ///< Rules that were broken.
+  std::map<std::string, int> running_;              ///< By task.
+  std::map<std::string, int> done_;                 ///< By task.
+  std::set<std::string> noted_;                     ///< Tasks whose end as done was taken note of.
+  std::map<std::string, std::uint64_t> restarted_;  ///< Newest run after an end as done, by task.
+  std::vector<std::string> broken_;                 ///< Rules that were broken.
 };
 
 /** @brief Stand-in for a worker of the platform: runs, leases, fences, ends. */
@@ -36,6 +38,7 @@
     std::string task_;
     std::uint64_t number_{};
     int gpus_{};
+    core::TimePoint began_{};
     core::TimePoint ends_{};
   };
   struct Waiter {
@@ -46,6 +49,7 @@
   void Beat();
   void Advance();
   void End(const std::string& task, const char* how);
+  void Forget(std::uint64_t last_seen);
   [[nodiscard]] std::int64_t Clock() const;
   [[nodiscard]] http::Reply Start(const nlohmann::json& body);
   [[nodiscard]] http::Reply Stop(const nlohmann::json& body);
