Let small work give way to gangs that may soon be late

Ruled out: runs that are longer than planned (their own time fits), moves and losses (7 of 34 late ones). Change: work that has waited for four fifths of what it can wait without being late makes less urgent work give way, the least lost first, as urgent work does. Work that can't be on time at all pushes nobody aside. Test: the load of gangs beside small work in unit_dispatch.

--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -229,7 +229,7 @@
     internal::KeepClaims(planner, unit);
     return;
   }
-  if (internal::IsUrgent(unit)) {
+  if (internal::MayPreempt(planner, unit)) {
     internal::Preempt(planner, unit, missing);
   }
 }
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -23,6 +23,10 @@
  * disruptions of workers last five to seven seconds. */
 constexpr core::Milliseconds kDoubt{6000};
 
+/** Part of the time that work can wait without being late after which less urgent work gives way to
+ * it. Source: ours; durations are predicted roughly, and room takes time to come free. */
+constexpr double kPatientPart = 0.8;
+
 bool IsBefore(const Unit& left, const Unit& right) noexcept {
   const auto key = [](const Unit& unit) {
     return std::tuple(unit.job_->treatment_.priority_, unit.hopeless_, unit.latest_start_,
@@ -155,6 +159,16 @@
 
 bool IsUrgent(const Unit& unit) noexcept { return unit.job_->treatment_.priority_ == 0; }
 
+bool MayPreempt(const Planner& planner, const Unit& unit) noexcept {
+  if (IsUrgent(unit)) {
+    return true;
+  }
+  const PlanTime time = planner.context_.time_;
+  const auto waited = time.now_ - unit.ready_since_;
+  const auto slack = (unit.latest_start_ - time.wall_) + waited;
+  return !unit.hopeless_ && waited >= slack * kPatientPart;
+}
+
 bool MustNotWait(const Planner& planner, const Unit& unit) noexcept {
   return planner.mostly_idle_ && planner.context_.time_.now_ >= unit.ready_since_ + kIdleWait;
 }
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -59,6 +59,10 @@
 /** @brief Whether a unit goes before all that is less urgent. */
 [[nodiscard]] bool IsUrgent(const Unit& unit) noexcept;
 
+/** @brief Whether less urgent work gives way to a unit: it is urgent, or has waited so long that it
+ * may soon be late. */
+[[nodiscard]] bool MayPreempt(const Planner& planner, const Unit& unit) noexcept;
+
 /** @brief Whether a unit has waited as long as work may while most of the room is idle. */
 [[nodiscard]] bool MustNotWait(const Planner& planner, const Unit& unit) noexcept;
 
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -201,6 +201,24 @@
   CHECK(plan.starts_.empty());
 }
 
+TEST_CASE("a load of gangs beside small work of less priority: it gives way before they are late") {
+  Scene scene;
+  for (const char* id : {"w1", "w2"}) {
+    Worker& worker = AddWorker(scene.fleet_, MakeEntry(id));
+    for (std::uint32_t index = 0; index < 8; ++index) {
+      AddOccupant(worker, {.task_ = {.job_ = JobId(9), .index_ = index}, .run_ = 1}, Running(1, 2));
+    }
+  }
+  ledger::Step gang = MakeStep(2, 8);
+  gang.gang_ = true;
+  AddJob(scene.board_, JobId(1), {gang}, 1);
+  // It takes 5 s and has 16 s until it must be done: it can wait for 11 s.
+  CHECK(scene.Make(core::Milliseconds(8000)).preemptions_.empty());
+  CHECK(scene.Make(core::Milliseconds(9000)).preemptions_.size() == 16);
+  // One that can't be of worth any more pushes nobody aside.
+  CHECK(scene.Make(core::Milliseconds(60000)).preemptions_.empty());
+}
+
 TEST_CASE("room that comes free for urgent work is not given to others, nor freed twice") {
   Scene scene;
   Worker& worker = AddWorker(scene.fleet_, MakeEntry("w1"));
