--- a/test/randomised/dispatch/lines.cpp
+++ b/test/randomised/dispatch/lines.cpp
@@ -28,7 +28,7 @@
 struct Told {
   std::set<std::string> starts_;  ///< Outcome of a start, by run.
   std::set<std::string> ends_;    ///< Ends, by run.
-  std::set<std::string> stops_;   ///< Why a run is stopped, by job.
+  std::set<std::string> stops_;   ///< Why a run is stopped: its job is over, or by job and run.
   std::set<std::string> states_;  ///< Changes of state, by job.
 };
 
@@ -36,18 +36,26 @@
   const std::string event = line.at("event");
   const std::string task = line.value("task", "");
   const std::string run = fmt::format("{} {}", task, line.value("run", 0));
+  const std::string job_and_run =
+      fmt::format("{} {}", task.substr(0, task.find('.')), line.value("run", 0));
   if (event == "job.state") {
     told.states_.insert(
         fmt::format("{} {}", line.at("job").get<std::string>(), line.at("to").get<std::string>()));
-    told.stops_.insert(line.at("job"));
+    if (line.at("to") != "running") {
+      told.stops_.insert(line.at("job"));
+    }
   } else if (event == "task.started" || event == "task.start_refused" || event == "task.lost") {
     told.starts_.insert(run);
   } else if (event == "task.ended" || event == "task.end_late") {
     told.ends_.insert(run);
     told.starts_.insert(run);
-    told.stops_.insert(task.substr(0, task.find('.')));
+    // A member that ends badly ends its gang.
+    const std::string end = line.value("end", "");
+    if (end != "done" && end != "stopped") {
+      told.stops_.insert(job_and_run);
+    }
   } else if (event == "task.preempted" || event == "task.moved" || event == "task.stray") {
-    told.stops_.insert(task.substr(0, task.find('.')));
+    told.stops_.insert(job_and_run);
   }
 }
 
@@ -113,8 +121,11 @@
         CHECK(told.starts_.contains(run));
       }
       for (const dispatch::StopAction& stop : actions.stops_) {
-        CAPTURE(stop.order_.task_.job_);
-        CHECK(told.stops_.contains(stop.order_.task_.job_));
+        const std::string& job = stop.order_.task_.job_;
+        const std::string job_and_run = fmt::format("{} {}", job, stop.order_.run_);
+        CAPTURE(job_and_run);
+        const bool has_line = told.stops_.contains(job) || told.stops_.contains(job_and_run);
+        CHECK(has_line);
       }
       for (const dispatch::StatusChange& change : actions.statuses_) {
         const std::string state = change.job_ + " " + Word(change.state_);
