--- a/test/standin/proxy.cpp
+++ b/test/standin/proxy.cpp
@@ -109,7 +109,13 @@
   }
   const int server = MakeSocket();
   const sockaddr_in address = Loopback(target_);
-  connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 &&
+      errno != EINPROGRESS) {
+    fmt::print(stderr, "port {}: {}\n", target_, std::strerror(errno));
+    close(client);
+    close(server);
+    return;
+  }
   const std::uint64_t number = next_++;
   auto connection = std::make_unique<Connection>();
   connection->client_.descriptor_ = client;
@@ -143,17 +149,16 @@
   if (swallowed) {
     return;
   }
-  std::string text(piece.data(), static_cast<std::size_t>(bytes));
+  const std::string text(piece.data(), static_cast<std::size_t>(bytes));
   if (link_ != Link::kDelay) {
-    Pass(number, from_client, std::move(text));
+    Pass(number, from_client, text);
     return;
   }
-  loop_.At(loop_.Now() + delay_, [this, number, from_client, text = std::move(text)] {
-    Pass(number, from_client, text);
-  });
+  loop_.At(loop_.Now() + delay_,
+           [this, number, from_client, text] { Pass(number, from_client, text); });
 }
 
-void Proxy::Pass(std::uint64_t number, bool from_client, std::string bytes) {
+void Proxy::Pass(std::uint64_t number, bool from_client, const std::string& bytes) {
   const auto found = connections_.find(number);
   if (found == connections_.end()) {
     return;
--- a/test/standin/proxy.hpp
+++ b/test/standin/proxy.hpp
@@ -44,7 +44,7 @@
   Proxy(loop::Loop& loop, int listener, std::uint16_t target);
   void Accept();
   void Receive(std::uint64_t number, bool from_client);
-  void Pass(std::uint64_t number, bool from_client, std::string bytes);
+  void Pass(std::uint64_t number, bool from_client, const std::string& bytes);
   void Flush(std::uint64_t number, bool to_client);
   void Close(std::uint64_t number, bool reset);
 
