Judge leaving workers at an interval, and gangs by their tasks

Each event judged every run of every worker that drained, and for each member of a gang walked over all 350 workers: with 20 workers draining and 1,000 events a second that is more than a whole core by estimate. Change: runs on a leaving worker are judged every 100 ms, and the members of a gang are found by the step's tasks.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -150,9 +150,10 @@
   void Suspect(Worker& worker, std::string_view why, core::TimePoint now);
   void NotePace(Worker& worker, std::uint32_t slow, std::uint32_t normal, core::TimePoint now);
   void BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now);
+  [[nodiscard]] std::vector<Occupant*> MembersOf(const RunId& run);
   [[nodiscard]] core::Milliseconds PredictRun(const RunId& run) const;
   [[nodiscard]] core::Milliseconds RemainingTimeOf(const RunId& run, const Occupant& occupant,
-                                                   core::TimePoint now) const;
+                                                   core::TimePoint now);
   void MoveRun(Worker& worker, const RunId& run, std::string_view why, core::TimePoint now);
   void VacateLeaving(Worker& worker, core::TimePoint now);
   void MoveStalled(Worker& worker, const std::vector<RunId>& stalled, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_moves.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_moves.cpp
@@ -14,6 +14,10 @@
  * Source: ours; a stop's grace on today's sites and a call. */
 constexpr core::Milliseconds kLeaveMargin{300};
 
+/** Interval at which the runs of a worker that leaves are judged. Source: ours; a fraction of the
+ * shortest notice on the platform's sheets. */
+constexpr core::Milliseconds kVacateInterval{100};
+
 /** Time before its worker leaves at which a run is judged though it was never measured. Source:
  * ours; a stop takes half a second. */
 constexpr core::Milliseconds kLastChance{600};
@@ -42,6 +46,30 @@
                  submission.steps_[run.task_.step_].estimate_);
 }
 
+/** Occupants of a gang's run. Goes by the step's tasks: a walk over all workers would take most of
+ * a small VM's processor at the sizes to design for. */
+std::vector<Occupant*> Dispatcher::MembersOf(const RunId& run) {
+  std::vector<Occupant*> members;
+  const StepRun* step = FindStep(board_, run.task_);
+  if (step == nullptr) {
+    return members;
+  }
+  RunId member = run;
+  for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
+    const Task& task = step->tasks_[index];
+    Worker* worker = task.run_ == run.run_ ? FindWorker(fleet_, task.worker_) : nullptr;
+    if (worker == nullptr) {
+      continue;
+    }
+    member.task_.index_ = index;
+    const auto found = worker->occupants_.find(member);
+    if (found != worker->occupants_.end()) {
+      members.push_back(&found->second);
+    }
+  }
+  return members;
+}
+
 void Dispatcher::BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now) {
   const Job* job = FindJob(board_, run.task_.job_);
   if (job == nullptr || job->submission_->steps_[run.task_.step_].long_running_) {
@@ -51,7 +79,7 @@
     BeginPace(occupant.pace_, occupant.resumed_ ? now + bounds_.restore_time_ : now);
     return;
   }
-  const std::vector<Occupant*> members = MembersOf(fleet_, run);
+  const std::vector<Occupant*> members = MembersOf(run);
   const bool complete = std::all_of(members.begin(), members.end(), [](const Occupant* member) {
     return member->phase_ == OccupantPhase::kRunning;
   });
@@ -64,14 +92,14 @@
 }
 
 core::Milliseconds Dispatcher::RemainingTimeOf(const RunId& run, const Occupant& occupant,
-                                               core::TimePoint now) const {
+                                               core::TimePoint now) {
   const core::Milliseconds predicted = PredictRun(run);
   core::Milliseconds longest{};
   if (!occupant.gang_) {
     return RemainingTime(occupant.pace_, predicted, now);
   }
   // Members that are not known to run yet tell nothing.
-  for (const Occupant* member : MembersOf(fleet_, run)) {
+  for (const Occupant* member : MembersOf(run)) {
     if (member->pace_.at_ != core::TimePoint{}) {
       longest = std::max(longest, RemainingTime(member->pace_, predicted, now));
     }
@@ -97,6 +125,10 @@
 }
 
 void Dispatcher::VacateLeaving(Worker& worker, core::TimePoint now) {
+  if (now < worker.next_vacate_) {
+    return;
+  }
+  worker.next_vacate_ = now + kVacateInterval;
   const core::TimePoint leaves = worker.entry_seen_ + worker.entry_.remaining_ - kLeaveMargin;
   std::vector<RunId> late;
   for (const auto& [run, occupant] : worker.occupants_) {
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -53,42 +53,6 @@
   }
 }
 
-namespace {
-
-template <typename Pointer, typename Workers>
-std::vector<Pointer> CollectMembers(Workers& workers, const RunId& run) {
-  const RunId first{.task_ = {.job_ = run.task_.job_,
-                              .occurrence_ = run.task_.occurrence_,
-                              .step_ = run.task_.step_,
-                              .index_ = 0},
-                    .run_ = 0};
-  std::vector<Pointer> members;
-  for (auto& [id, worker] : workers) {
-    for (auto member = worker.occupants_.lower_bound(first);
-         member != worker.occupants_.end() && member->first.task_.job_ == run.task_.job_ &&
-         member->first.task_.occurrence_ == run.task_.occurrence_ &&
-         member->first.task_.step_ == run.task_.step_;
-         ++member) {
-      const bool same =
-          member->second.gang_ ? member->first.run_ == run.run_ : member->first == run;
-      if (same) {
-        members.push_back(&member->second);
-      }
-    }
-  }
-  return members;
-}
-
-}  // namespace
-
-std::vector<Occupant*> MembersOf(Fleet& fleet, const RunId& run) {
-  return CollectMembers<Occupant*>(fleet.workers_, run);
-}
-
-std::vector<const Occupant*> MembersOf(const Fleet& fleet, const RunId& run) {
-  return CollectMembers<const Occupant*>(fleet.workers_, run);
-}
-
 Worker* FindWorker(Fleet& fleet, std::string_view id) {
   const auto found = fleet.workers_.find(id);
   return found == fleet.workers_.end() ? nullptr : &found->second;
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/pace.hpp"
@@ -90,6 +89,7 @@
   core::TimePoint next_lease_{};       ///< When the next lease call goes out.
   core::TimePoint leased_until_{};     ///< Nothing runs there after it, whatever was ordered.
   core::WorkerTime lease_deadline_{};  ///< Of the newest lease call, on the worker's clock.
+  core::TimePoint next_vacate_{};      ///< While it drains: when its runs are judged again.
   core::TimePoint reached_{};          ///< When it last answered.
   std::uint32_t failed_calls_{};       ///< In a row.
   Health health_;
@@ -125,10 +125,6 @@
 /** @brief Removes an occupant and its booking. */
 void RemoveOccupant(Worker& worker, const RunId& run);
 
-/** @brief Occupants of a run: one, or those of all members of a gang that have the same number. */
-[[nodiscard]] std::vector<Occupant*> MembersOf(Fleet& fleet, const RunId& run);
-[[nodiscard]] std::vector<const Occupant*> MembersOf(const Fleet& fleet, const RunId& run);
-
 /** @brief Worker of an identifier, or null. */
 [[nodiscard]] Worker* FindWorker(Fleet& fleet, std::string_view id);
 
