Plan urgent work before room is taken for less urgent claims

Since gangs of middle priority may make small work give way, they hold claims, and the plan took all claims out of the room before the first unit was looked at: urgent work could neither use nor clear that room. Change: claims are taken for one priority after the other. Test: the load of urgent work in unit_dispatch, which failed before (no start).

--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -234,6 +234,18 @@
   }
 }
 
+/** Plans units of one priority, after the room that they have claimed is taken for them. */
+void PlanGroup(Planner& planner, const std::vector<Unit>& units) {
+  std::vector<bool> holds_claims;
+  holds_claims.reserve(units.size());
+  for (const Unit& unit : units) {
+    holds_claims.push_back(!unit.run_->claims_.empty() && internal::TakeClaims(planner, unit));
+  }
+  for (std::size_t index = 0; index < units.size(); ++index) {
+    PlanUnit(planner, units[index], holds_claims[index]);
+  }
+}
+
 }  // namespace
 
 bool IsEligible(const Worker& worker, const site::Rules& rules, core::TimePoint now) noexcept {
@@ -254,13 +266,15 @@
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.slots_);
   internal::Reserve(planner.slots_, context.reserved_gpus_);
   const std::vector<Unit> units = internal::CollectUnits(board, context);
-  std::vector<bool> holds_claims;
-  holds_claims.reserve(units.size());
-  for (const Unit& unit : units) {
-    holds_claims.push_back(!unit.run_->claims_.empty() && internal::TakeClaims(planner, unit));
-  }
-  for (std::size_t index = 0; index < units.size(); ++index) {
-    PlanUnit(planner, units[index], holds_claims[index]);
+  // Room that is claimed by less urgent units is not kept from more urgent ones.
+  auto begin = units.begin();
+  while (begin != units.end()) {
+    const std::uint32_t priority = begin->job_->treatment_.priority_;
+    const auto end = std::find_if(begin, units.end(), [priority](const Unit& unit) {
+      return unit.job_->treatment_.priority_ != priority;
+    });
+    PlanGroup(planner, {begin, end});
+    begin = end;
   }
   return std::move(planner.plan_);
 }
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -219,6 +219,22 @@
   CHECK(scene.Make(core::Milliseconds(60000)).preemptions_.empty());
 }
 
+TEST_CASE("a load of urgent work is not kept from room that less urgent work has claimed") {
+  Scene scene;
+  AddWorker(scene.fleet_, MakeEntry("w1"));
+  ledger::Step gang = MakeStep(2, 8);
+  gang.gang_ = true;
+  Job& late = AddJob(scene.board_, JobId(1), {gang}, 1);
+  late.occurrences_.at(0).steps_[0].claims_ = {{.worker_ = "w1", .tasks_ = 1},
+                                               {.worker_ = "w2", .tasks_ = 1}};
+  AddOccupant(AddWorker(scene.fleet_, MakeEntry("w2")), {.task_ = {.job_ = JobId(9)}, .run_ = 1},
+              {.phase_ = OccupantPhase::kStopping, .needs_ = {.gpus_ = 8}, .priority_ = 2});
+  AddJob(scene.board_, JobId(2), {MakeStep(1, 8)}, 0);
+  const Plan plan = scene.Make();
+  REQUIRE(CountStarts(plan) == 1);
+  CHECK(plan.starts_[0][0].task_.job_ == JobId(2));
+}
+
 TEST_CASE("room that comes free for urgent work is not given to others, nor freed twice") {
   Scene scene;
   Worker& worker = AddWorker(scene.fleet_, MakeEntry("w1"));
