--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "laburnumledge/control/patience.hpp"
 #include "laburnumledge/core/event.hpp"
 
 namespace laburnumledge::control {
@@ -17,10 +18,6 @@
  * a slow store takes on the platform's days. */
 constexpr core::Milliseconds kCallTimeout{800};
 
-/** Time for every other read after one that failed, so that a store that was silent is seen again
- * soon after its return, while one that is slow is still heard. Source: ours. */
-constexpr core::Milliseconds kProbeTimeout{300};
-
 /** Pauses after calls that failed. Source: ours; short against the bound on configurations. */
 constexpr core::Milliseconds kFirstRetry{100};
 constexpr core::Milliseconds kLongestRetry{200};
@@ -227,7 +224,7 @@
   plain_due_ = false;
   const core::TimePoint sent = loop_.Now();
   const std::uint64_t from = next_;
-  const core::Milliseconds timeout = failures_ % 2 == 1 ? kProbeTimeout : kCallTimeout;
+  const core::Milliseconds timeout = internal::StoreTimeout(failures_, kCallTimeout);
   store_.read_(
       {.stream_ = options_.stream_, .from_ = from, .wait_ = {}, .deadline_ = sent + timeout},
       [self = weak_from_this(), from, sent](const platform::ReadResult& result) {
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -42,6 +42,14 @@
   counter.Increment(std::max(0.0, static_cast<double>(value) - counter.Value()));
 }
 
+/** Counters of one family by their outcome. */
+void RaiseAll(Family<Counter>& family,
+              std::initializer_list<std::pair<const char*, std::uint64_t>> outcomes) {
+  for (const auto& [outcome, value] : outcomes) {
+    RaiseTo(family.Add({{"outcome", outcome}}), value);
+  }
+}
+
 std::string OrganisationLabel(const std::string& name, const site::Rules& rules) {
   const auto& known = rules.configuration_.organisations_;
   const bool found = std::any_of(known.begin(), known.end(), [&name](const auto& organisation) {
@@ -54,19 +62,6 @@
   return std::chrono::duration<double>(core::Clock::now() - begun).count();
 }
 
-const char* OutcomeLabel(ledger::JobState state) noexcept {
-  switch (state) {
-    case ledger::JobState::kCompleted:
-      return "completed";
-    case ledger::JobState::kFailed:
-      return "failed";
-    case ledger::JobState::kCancelled:
-      return "cancelled";
-    default:
-      return "open";
-  }
-}
-
 std::string_view ReadOutcomeLabel(platform::ReadOutcome outcome) noexcept {
   switch (outcome) {
     case platform::ReadOutcome::kDone:
@@ -209,34 +204,29 @@
     families_->job_wait_.Add({{"organisation", organisation}}, kJobBuckets).Observe(seconds);
   } else if (ledger::IsFinal(state)) {
     families_->job_seconds_
-        .Add({{"organisation", organisation}, {"outcome", OutcomeLabel(state)}}, kJobBuckets)
+        .Add({{"organisation", organisation}, {"outcome", std::string(ledger::ToString(state))}},
+             kJobBuckets)
         .Observe(seconds);
   }
 }
 
 void NodeMetrics::Update(const entry::EntryCounts& counts) {
-  const auto set = [this](const char* outcome, std::uint64_t value) {
-    RaiseTo(families_->calls_.Add({{"outcome", outcome}}), value);
-  };
-  set("accepted", counts.accepted_);
-  set("refused", counts.refused_);
-  set("in_doubt", counts.in_doubt_);
-  set("cancelled", counts.cancelled_);
-  set("shown", counts.shown_);
-  set("forwarded", counts.forwarded_);
+  RaiseAll(families_->calls_, {{"accepted", counts.accepted_},
+                               {"refused", counts.refused_},
+                               {"in_doubt", counts.in_doubt_},
+                               {"cancelled", counts.cancelled_},
+                               {"shown", counts.shown_},
+                               {"forwarded", counts.forwarded_}});
 }
 
 void NodeMetrics::Update(const dispatch::Dispatcher& dispatcher) {
   const dispatch::DispatchCounts& counts = dispatcher.Counts();
-  const auto set = [this](const char* outcome, std::uint64_t value) {
-    RaiseTo(families_->runs_.Add({{"outcome", outcome}}), value);
-  };
-  set("started", counts.starts_);
-  set("refused", counts.starts_refused_);
-  set("preempted", counts.preemptions_);
-  set("done", counts.runs_done_);
-  set("failed", counts.runs_failed_);
-  set("lost", counts.runs_lost_);
+  RaiseAll(families_->runs_, {{"started", counts.starts_},
+                              {"refused", counts.starts_refused_},
+                              {"preempted", counts.preemptions_},
+                              {"done", counts.runs_done_},
+                              {"failed", counts.runs_failed_},
+                              {"lost", counts.runs_lost_}});
   std::map<std::uint32_t, double> jobs;
   for (const auto& [id, job] : dispatcher.Jobs().jobs_) {
     jobs[job.treatment_.priority_] += ledger::IsFinal(job.state_) ? 0.0 : 1.0;
--- a/src/laburnumledge/control/stream_writer.cpp
+++ b/src/laburnumledge/control/stream_writer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "laburnumledge/control/patience.hpp"
 #include "laburnumledge/core/event.hpp"
 
 namespace laburnumledge::control {
@@ -17,10 +18,6 @@
  * takes on the platform's days. */
 constexpr core::Milliseconds kAppendTimeout{600};
 
-/** Time for every other repeat, so that a store that was silent is seen again soon after its
- * return. Source: ours. */
-constexpr core::Milliseconds kProbeTimeout{300};
-
 /** Pauses before an append is repeated. Source: ours. */
 constexpr core::Milliseconds kFirstRetry{20};
 constexpr core::Milliseconds kLongestRetry{320};
@@ -111,7 +108,7 @@
        .records_ = records_,
        .expected_end_ = std::nullopt,
        .writer_ = platform::Writer{.name_ = kWriterName, .epoch_ = epoch_, .sequence_ = sequence_},
-       .deadline_ = loop_.Now() + (failures_ % 2 == 1 ? kProbeTimeout : kAppendTimeout)},
+       .deadline_ = loop_.Now() + internal::StoreTimeout(failures_, kAppendTimeout)},
       [weak = weak_from_this()](const platform::AppendResult& result) {
         if (const auto self = weak.lock()) {
           self->OnResult(result);
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -23,22 +23,6 @@
  * starts, well within the platform's tolerance for early and late starts. */
 constexpr core::Milliseconds kPlanInterval{100};
 
-std::string_view Word(ledger::JobState state) noexcept {
-  switch (state) {
-    case ledger::JobState::kQueued:
-      return "queued";
-    case ledger::JobState::kRunning:
-      return "running";
-    case ledger::JobState::kCompleted:
-      return "completed";
-    case ledger::JobState::kFailed:
-      return "failed";
-    case ledger::JobState::kCancelled:
-      return "cancelled";
-  }
-  return "";
-}
-
 /** The failures of a gang are those of its runs, whichever member each was noted for. */
 void ShareGangFailures(Job& job) noexcept {
   for (auto& [number, occurrence] : job.occurrences_) {
@@ -245,8 +229,8 @@
   }
   core::Event(Level::kInfo, EventWeight::kDecisive, "job.state",
               {{"job", job.id_},
-               {"from", Word(job.state_)},
-               {"to", Word(state)},
+               {"from", ledger::ToString(job.state_)},
+               {"to", ledger::ToString(state)},
                {"route", job.submission_->route_},
                {"organisation", job.submission_->organisation_}});
   job.state_ = state;
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -131,6 +131,10 @@
   void StopGang(const RunId& run, core::TimePoint now);
   void SendLease(Worker& worker, core::TimePoint now);
   void RaiseFence(Worker& worker);
+  void OnStartConfirmed(const StartAction& action, const RunId& run, Occupant& occupant,
+                        core::TimePoint now);
+  void RepeatStart(Worker& worker, const RunId& run, Occupant& occupant, core::TimePoint now);
+  void AwaitLists(Worker& worker, const RunId& run, Occupant& occupant, core::TimePoint now);
 
   void AdoptIncarnation(Worker& worker, site::Incarnation incarnation);
   void TakeEnds(Worker& worker, const std::vector<platform::FinishedRow>& rows,
@@ -139,6 +143,11 @@
                                  RecordBatch& batch, core::TimePoint now);
   void TakeRunning(Worker& worker, const std::vector<platform::RunningRow>& rows,
                    core::TimePoint sent, core::TimePoint now);
+  void TakeStray(Worker& worker, const RunId& run, core::TimePoint now);
+  [[nodiscard]] PaceVerdict TakeRow(const RunId& run, Occupant& occupant,
+                                    const platform::RunningRow& row, core::TimePoint now);
+  void LoseUnlisted(Worker& worker, const std::set<RunId>& listed, core::TimePoint sent,
+                    core::TimePoint now);
   void EndRun(Worker& worker, const RunId& run, platform::RunEnd end, const std::string& checkpoint,
               RecordBatch& batch, core::TimePoint now);
   void RunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
@@ -152,6 +161,7 @@
   void BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now);
   [[nodiscard]] std::vector<Occupant*> MembersOf(const RunId& run);
   [[nodiscard]] core::Milliseconds PredictRun(const RunId& run) const;
+  [[nodiscard]] bool LastsForEver(const RunId& run) const;
   [[nodiscard]] core::Milliseconds RemainingTimeOf(const RunId& run, const Occupant& occupant,
                                                    core::TimePoint now);
   void MoveRun(Worker& worker, const RunId& run, std::string_view why, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -132,59 +132,46 @@
   return true;
 }
 
-void Dispatcher::TakeRunning(Worker& worker, const std::vector<platform::RunningRow>& rows,
-                             core::TimePoint sent, core::TimePoint now) {
-  std::set<RunId> listed;
-  std::vector<RunId> stalled;
-  std::uint32_t normal = 0;
-  for (const platform::RunningRow& row : rows) {
-    const RunId run{.task_ = row.task_, .run_ = row.run_};
-    listed.insert(run);
-    const auto found = worker.occupants_.find(run);
-    if (found == worker.occupants_.end()) {
-      core::Event(Level::kWarning, EventWeight::kDecisive, "task.stray",
-                  {{"task", ledger::ToString(run.task_)},
-                   {"run", run.run_},
-                   {"worker", worker.entry_.id_}});
-      Occupant stray{.phase_ = OccupantPhase::kRunning, .settled_ = now};
-      if (Job* job = FindJob(board_, run.task_.job_)) {
-        if (run.task_.step_ < job->submission_->steps_.size()) {
-          stray.needs_ = job->submission_->steps_[run.task_.step_].each_;
-        }
-        ++job->occupants_;
-      }
-      if (Task* task = FindTask(board_, run.task_)) {
-        ++task->occupants_;
-      }
-      AddOccupant(worker, run, stray);
-      StopRun(worker, run, now);
-      continue;
-    }
-    Occupant& occupant = found->second;
-    if (occupant.phase_ == OccupantPhase::kOrdered && !occupant.order_in_flight_) {
-      occupant.phase_ = OccupantPhase::kRunning;
-      occupant.settled_ = now;
-      occupant.started_ = now;
-      BeginPace(occupant.pace_, now);
-      occupant.pace_.percent_ = static_cast<double>(row.progress_percent_);
-    }
-    if (occupant.phase_ == OccupantPhase::kRunning && occupant.pace_.at_ != core::TimePoint{}) {
-      const PaceVerdict verdict =
-          Measure(occupant.pace_, row.progress_percent_, PredictRun(run), now);
-      normal += verdict == PaceVerdict::kNormal ? 1 : 0;
-      if (verdict == PaceVerdict::kSlow) {
-        stalled.push_back(run);
-      }
-    }
-    if (!row.checkpoint_.empty() && occupant.checkpoint_ != row.checkpoint_) {
-      occupant.checkpoint_ = row.checkpoint_;
-      occupant.checkpointed_ = now;
+/** A run that the worker has and no book knows is stopped. */
+void Dispatcher::TakeStray(Worker& worker, const RunId& run, core::TimePoint now) {
+  core::Event(
+      Level::kWarning, EventWeight::kDecisive, "task.stray",
+      {{"task", ledger::ToString(run.task_)}, {"run", run.run_}, {"worker", worker.entry_.id_}});
+  Occupant stray{.phase_ = OccupantPhase::kRunning, .settled_ = now};
+  if (Job* job = FindJob(board_, run.task_.job_)) {
+    if (run.task_.step_ < job->submission_->steps_.size()) {
+      stray.needs_ = job->submission_->steps_[run.task_.step_].each_;
     }
+    ++job->occupants_;
   }
-  NotePace(worker, static_cast<std::uint32_t>(stalled.size()), normal, now);
-  if (worker.health_.slow_) {
-    MoveStalled(worker, stalled, now);
+  if (Task* task = FindTask(board_, run.task_)) {
+    ++task->occupants_;
   }
+  AddOccupant(worker, run, stray);
+  StopRun(worker, run, now);
+}
+
+PaceVerdict Dispatcher::TakeRow(const RunId& run, Occupant& occupant,
+                                const platform::RunningRow& row, core::TimePoint now) {
+  if (occupant.phase_ == OccupantPhase::kOrdered && !occupant.order_in_flight_) {
+    occupant.phase_ = OccupantPhase::kRunning;
+    occupant.settled_ = now;
+    occupant.started_ = now;
+    BeginPace(occupant.pace_, now);
+    occupant.pace_.percent_ = static_cast<double>(row.progress_percent_);
+  }
+  if (!row.checkpoint_.empty() && occupant.checkpoint_ != row.checkpoint_) {
+    occupant.checkpoint_ = row.checkpoint_;
+    occupant.checkpointed_ = now;
+  }
+  const bool measured = occupant.phase_ == OccupantPhase::kRunning &&
+                        occupant.pace_.at_ != core::TimePoint{} && !LastsForEver(run);
+  return measured ? Measure(occupant.pace_, row.progress_percent_, PredictRun(run), now)
+                  : PaceVerdict::kNone;
+}
+
+void Dispatcher::LoseUnlisted(Worker& worker, const std::set<RunId>& listed, core::TimePoint sent,
+                              core::TimePoint now) {
   std::vector<RunId> lost;
   bool lost_running = false;
   for (const auto& [run, occupant] : worker.occupants_) {
@@ -203,6 +190,32 @@
   }
 }
 
+void Dispatcher::TakeRunning(Worker& worker, const std::vector<platform::RunningRow>& rows,
+                             core::TimePoint sent, core::TimePoint now) {
+  std::set<RunId> listed;
+  std::vector<RunId> stalled;
+  std::uint32_t normal = 0;
+  for (const platform::RunningRow& row : rows) {
+    const RunId run{.task_ = row.task_, .run_ = row.run_};
+    listed.insert(run);
+    const auto found = worker.occupants_.find(run);
+    if (found == worker.occupants_.end()) {
+      TakeStray(worker, run, now);
+      continue;
+    }
+    const PaceVerdict verdict = TakeRow(run, found->second, row, now);
+    normal += verdict == PaceVerdict::kNormal ? 1 : 0;
+    if (verdict == PaceVerdict::kSlow) {
+      stalled.push_back(run);
+    }
+  }
+  NotePace(worker, static_cast<std::uint32_t>(stalled.size()), normal, now);
+  if (worker.health_.slow_) {
+    MoveStalled(worker, stalled, now);
+  }
+  LoseUnlisted(worker, listed, sent, now);
+}
+
 void Dispatcher::EndRun(Worker& worker, const RunId& run, RunEnd end, const std::string& checkpoint,
                         RecordBatch& batch, core::TimePoint now) {
   const Occupant occupant = worker.occupants_.at(run);
--- a/src/laburnumledge/dispatch/dispatcher_moves.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_moves.cpp
@@ -71,15 +71,11 @@
 }
 
 void Dispatcher::BeginPaceOf(const RunId& run, Occupant& occupant, core::TimePoint now) {
-  const Job* job = FindJob(board_, run.task_.job_);
-  if (job == nullptr || job->submission_->steps_[run.task_.step_].long_running_) {
+  if (LastsForEver(run)) {
     return;
   }
-  if (!job->submission_->steps_[run.task_.step_].gang_) {
-    BeginPace(occupant.pace_, occupant.resumed_ ? now + bounds_.restore_time_ : now);
-    return;
-  }
-  const std::vector<Occupant*> members = MembersOf(run);
+  const std::vector<Occupant*> members =
+      occupant.gang_ ? MembersOf(run) : std::vector<Occupant*>{&occupant};
   const bool complete = std::all_of(members.begin(), members.end(), [](const Occupant* member) {
     return member->phase_ == OccupantPhase::kRunning;
   });
@@ -91,6 +87,12 @@
   }
 }
 
+bool Dispatcher::LastsForEver(const RunId& run) const {
+  const auto job = board_.jobs_.find(run.task_.job_);
+  return job != board_.jobs_.end() &&
+         job->second.submission_->steps_[run.task_.step_].long_running_;
+}
+
 core::Milliseconds Dispatcher::RemainingTimeOf(const RunId& run, const Occupant& occupant,
                                                core::TimePoint now) {
   const core::Milliseconds predicted = PredictRun(run);
@@ -132,10 +134,12 @@
   const core::TimePoint leaves = worker.entry_seen_ + worker.entry_.remaining_ - kLeaveMargin;
   std::vector<RunId> late;
   for (const auto& [run, occupant] : worker.occupants_) {
-    const bool known = occupant.pace_.measured_ > 0 || now + kLastChance >= leaves;
-    if (occupant.phase_ == OccupantPhase::kRunning && known &&
-        FindTask(board_, run.task_) != nullptr &&
-        now + RemainingTimeOf(run, occupant, now) > leaves) {
+    if (occupant.phase_ != OccupantPhase::kRunning || FindTask(board_, run.task_) == nullptr) {
+      continue;
+    }
+    const bool known = occupant.pace_.measured_ || now + kLastChance >= leaves;
+    const bool too_long = known && now + RemainingTimeOf(run, occupant, now) > leaves;
+    if (too_long || LastsForEver(run)) {
       late.push_back(run);
     }
   }
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -146,22 +146,9 @@
   }
   const bool own_fence = action.order_.fence_ < worker->fence_;
   switch (result.outcome_) {
-    case OrderOutcome::kDone: {
-      occupant.phase_ = OccupantPhase::kRunning;
-      occupant.settled_ = now;
-      occupant.started_ = now;
-      core::Event(Level::kInfo, EventWeight::kFrequent, "task.started",
-                  {{"task", ledger::ToString(run.task_)},
-                   {"run", run.run_},
-                   {"worker", action.worker_.id_},
-                   {"resumed", !action.order_.checkpoint_.empty()}});
-      BeginPaceOf(run, occupant, now);
-      Job* job = FindJob(board_, run.task_.job_);
-      if (job != nullptr && job->state_ == ledger::JobState::kQueued) {
-        SetState(*job, ledger::JobState::kRunning);
-      }
+    case OrderOutcome::kDone:
+      OnStartConfirmed(action, run, occupant, now);
       return;
-    }
     case OrderOutcome::kOldRun:
       // Its end is in the worker's list, or it was never there: the next lease call tells.
       occupant.settled_ = now;
@@ -179,29 +166,13 @@
       worker->leased_until_ = std::max(worker->leased_until_, now + LongestLease(bounds_));
       [[fallthrough]];
     case OrderOutcome::kUnknown:
-      if (occupant.order_attempts_ < internal::kMaxStartAttempts) {
-        SendStart(*worker, run, occupant, now);
-        return;
-      }
-      // Whatever is still under way is fenced off; the next lease call tells if the run is there.
-      RaiseFence(*worker);
-      occupant.settled_ = now;
-      worker->next_lease_ = std::min(worker->next_lease_, now);
-      worker->health_.suspected_until_ = now + kUnansweredPause;
-      if (occupant.gang_) {
-        StopGang(run, now);
-      }
+      RepeatStart(*worker, run, occupant, now);
       return;
     case OrderOutcome::kNotSent:
     case OrderOutcome::kOtherIncarnation:
       if (occupant.order_attempts_ > 1) {
         // An earlier order may have arrived.
-        RaiseFence(*worker);
-        occupant.settled_ = now;
-        worker->health_.suspected_until_ = now + kUnansweredPause;
-        if (occupant.gang_) {
-          StopGang(run, now);
-        }
+        AwaitLists(*worker, run, occupant, now);
         return;
       }
       worker->health_.suspected_until_ = now + kUnansweredPause;
@@ -217,6 +188,44 @@
   LoseRun(*worker, run, platform::ToString(result.outcome_), now);
 }
 
+void Dispatcher::OnStartConfirmed(const StartAction& action, const RunId& run, Occupant& occupant,
+                                  core::TimePoint now) {
+  occupant.phase_ = OccupantPhase::kRunning;
+  occupant.settled_ = now;
+  occupant.started_ = now;
+  core::Event(Level::kInfo, EventWeight::kFrequent, "task.started",
+              {{"task", ledger::ToString(run.task_)},
+               {"run", run.run_},
+               {"worker", action.worker_.id_},
+               {"resumed", !action.order_.checkpoint_.empty()}});
+  BeginPaceOf(run, occupant, now);
+  Job* job = FindJob(board_, run.task_.job_);
+  if (job != nullptr && job->state_ == ledger::JobState::kQueued) {
+    SetState(*job, ledger::JobState::kRunning);
+  }
+}
+
+void Dispatcher::RepeatStart(Worker& worker, const RunId& run, Occupant& occupant,
+                             core::TimePoint now) {
+  if (occupant.order_attempts_ < internal::kMaxStartAttempts) {
+    SendStart(worker, run, occupant, now);
+  } else {
+    AwaitLists(worker, run, occupant, now);
+  }
+}
+
+/** Fences off whatever is still under way; the next lease call tells whether the run is there. */
+void Dispatcher::AwaitLists(Worker& worker, const RunId& run, Occupant& occupant,
+                            core::TimePoint now) {
+  RaiseFence(worker);
+  occupant.settled_ = now;
+  worker.next_lease_ = std::min(worker.next_lease_, now);
+  worker.health_.suspected_until_ = now + kUnansweredPause;
+  if (occupant.gang_) {
+    StopGang(run, now);
+  }
+}
+
 void Dispatcher::OnStopped(const StopAction& action, const platform::OrderResult& result,
                            core::TimePoint now) {
   Worker* worker = FindWorker(fleet_, action.worker_.id_);
--- a/src/laburnumledge/dispatch/pace.cpp
+++ b/src/laburnumledge/dispatch/pace.cpp
@@ -52,13 +52,13 @@
     return PaceVerdict::kNone;
   }
   const double moved = done - pace.percent_;
-  pace.rate_ = moved / seconds;
+  const double rate = moved / seconds;
   const bool stuck = moved <= 0.0 && PredictedRate(predicted) * seconds >= kMissedPercent;
-  const bool slower = pace.measured_ > 0 && pace.rate_ < kSlowPart * pace.best_rate_;
-  pace.best_rate_ = std::max(pace.best_rate_, pace.rate_);
+  const bool slower = pace.measured_ && rate < kSlowPart * pace.best_rate_;
+  pace.best_rate_ = std::max(pace.best_rate_, rate);
   pace.percent_ = done;
   pace.at_ = now;
-  ++pace.measured_;
+  pace.measured_ = true;
   if (stuck || slower) {
     return PaceVerdict::kSlow;
   }
--- a/src/laburnumledge/dispatch/pace.hpp
+++ b/src/laburnumledge/dispatch/pace.hpp
@@ -8,11 +8,10 @@
 
 /** @brief How fast a run gets on, as its worker's lists show it. */
 struct Pace {
-  double percent_{};          ///< At the end of the newest measurement.
-  core::TimePoint at_{};      ///< End of the newest measurement; zero before the run is confirmed.
-  double rate_{};             ///< Percent a second, newest measurement.
-  double best_rate_{};        ///< Highest of all measurements.
-  std::uint32_t measured_{};  ///< Number of measurements.
+  double percent_{};      ///< At the end of the newest measurement.
+  core::TimePoint at_{};  ///< End of the newest measurement; zero before the run is confirmed.
+  double best_rate_{};    ///< Percent a second, highest of all measurements.
+  bool measured_{};       ///< At least once, if only as not moving.
 };
 
 /** @brief What a measurement says of the worker. */
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <tuple>
 #include <utility>
@@ -235,7 +236,7 @@
 }
 
 /** Plans units of one priority, after the room that they have claimed is taken for them. */
-void PlanGroup(Planner& planner, const std::vector<Unit>& units) {
+void PlanGroup(Planner& planner, std::span<const Unit> units) {
   std::vector<bool> holds_claims;
   holds_claims.reserve(units.size());
   for (const Unit& unit : units) {
--- a/src/laburnumledge/ledger/job.cpp
+++ b/src/laburnumledge/ledger/job.cpp
@@ -28,6 +28,22 @@
 
 }  // namespace
 
+std::string_view ToString(JobState state) noexcept {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
 bool IsJobId(std::string_view text) noexcept {
   return text.size() == kJobIdDigits && std::all_of(text.begin(), text.end(), [](char digit) {
            return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f') ||
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -72,6 +72,9 @@
 /** @brief State of a job as callers see it. */
 enum class JobState : unsigned char { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
+/** @brief Name of a state for log lines and metrics. */
+[[nodiscard]] std::string_view ToString(JobState state) noexcept;
+
 /** @brief Whether a job in this state runs no more. */
 [[nodiscard]] constexpr bool IsFinal(JobState state) noexcept {
   return state != JobState::kQueued && state != JobState::kRunning;
--- a/test/exhaustive/takeover/world.hpp
+++ b/test/exhaustive/takeover/world.hpp
@@ -55,10 +55,18 @@
     core::TimePoint last_lands_{};
   };
 
+  /** Call on its way to a worker. */
+  struct Arrival {
+    std::string worker_;
+    site::Incarnation incarnation_{};
+    core::TimePoint held_until_{};
+    bool answers_{};
+    std::function<void(core::TimePoint, std::function<void()>)> answer_;
+    std::function<std::function<void()>(support::FakeWorker*)> carry_out_;
+  };
+
   void At(core::TimePoint time, std::function<void()> function);
   void OnNode(const NodePointer& node, core::TimePoint time, std::function<void()> function);
-  void Break(const std::string& rule);
-  [[nodiscard]] ledger::WallTime Wall() const;
   [[nodiscard]] bool ReachesStore(const Node& node) const;
   [[nodiscard]] bool Reaches(const Node& node, const std::string& worker) const;
 
@@ -86,6 +94,7 @@
   void Call(const NodePointer& node, const std::string& worker, core::TimePoint deadline,
             core::Milliseconds hold,
             std::function<std::function<void()>(support::FakeWorker*)> carry_out);
+  void Arrive(const Arrival& arrival);
   void ListWorkers();
   void CheckCompleted(const ledger::JobId& id);
   void CheckOver();
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -336,6 +336,34 @@
   CHECK(scene.Run(core::Milliseconds(100)).stops_.empty());
 }
 
+TEST_CASE("a task that lasts leaves a worker that leaves, whatever it was estimated") {
+  Scene scene;
+  ledger::Step step = MakeStep(1, 1);
+  step.long_running_ = true;
+  step.estimate_ = core::Milliseconds(10);
+  scene.Submit(JobId(1), {step});
+  REQUIRE(scene.StartAll().size() == 1);
+  site::WorkerEntry leaving = MakeEntry("w1");
+  leaving.draining_ = true;
+  leaving.remaining_ = core::Milliseconds(9000);
+  scene.dispatcher_.OnWorker(leaving, scene.now_);
+  CHECK(scene.Run().stops_.size() == 1);
+}
+
+TEST_CASE("a load of events while workers leave: their runs are judged at an interval") {
+  Scene scene;
+  scene.Submit(JobId(1), {MakeStep(1, 1)});
+  REQUIRE(scene.StartAll().size() == 1);
+  site::WorkerEntry leaving = MakeEntry("w1");
+  leaving.draining_ = true;
+  leaving.remaining_ = core::Milliseconds(950);
+  scene.dispatcher_.OnWorker(leaving, scene.now_);
+  // Judged at once, when there is time yet; the last chance comes 50 ms later.
+  CHECK(scene.Run().stops_.empty());
+  CHECK(scene.Run(core::Milliseconds(60)).stops_.empty());
+  CHECK(scene.Run(core::Milliseconds(60)).stops_.size() == 1);
+}
+
 TEST_CASE("a gang is stopped whole if one of its workers leaves too soon") {
   Scene scene;
   scene.dispatcher_.OnWorker(MakeEntry("w2"), scene.now_);
--- a/test/randomised/dispatch/lines.cpp
+++ b/test/randomised/dispatch/lines.cpp
@@ -84,21 +84,6 @@
   return told;
 }
 
-std::string Word(ledger::JobState state) {
-  switch (state) {
-    case ledger::JobState::kCompleted:
-      return "completed";
-    case ledger::JobState::kFailed:
-      return "failed";
-    case ledger::JobState::kCancelled:
-      return "cancelled";
-    case ledger::JobState::kRunning:
-      return "running";
-    default:
-      return "queued";
-  }
-}
-
 }  // namespace
 
 TEST_CASE("no start, stop, end or state is without a line that tells of it") {
@@ -128,7 +113,8 @@
         CHECK(has_line);
       }
       for (const dispatch::StatusChange& change : actions.statuses_) {
-        const std::string state = change.job_ + " " + Word(change.state_);
+        const std::string state =
+            fmt::format("{} {}", change.job_, ledger::ToString(change.state_));
         CAPTURE(state);
         CHECK(told.states_.contains(state));
       }
--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -47,10 +47,6 @@
       least + static_cast<int>(random_(static_cast<std::uint32_t>(most - least + 1))));
 }
 
-ledger::WallTime World::Wall() const {
-  return fixture::kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - fixture::kNow);
-}
-
 bool World::Reachable(const std::string& worker, std::uint64_t term) const {
   const Reach& reach = reach_.at(worker);
   const bool on_its_side = now_ >= reach.split_until_ || (term >= reach.first_term_that_reaches_ &&
@@ -216,7 +212,8 @@
 }
 
 void World::Pump(const HolderPointer& holder) {
-  const core::TimePoint next = holder->dispatcher_->Run({.now_ = now_, .wall_ = Wall()});
+  const core::TimePoint next =
+      holder->dispatcher_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
   dispatch::Actions actions = holder->dispatcher_->TakeActions();
   const bool superseded = actions.superseded_;
   Perform(holder, actions);
@@ -227,7 +224,7 @@
     const bool active = holder == holder_ || now_ < holder->stops_at_;
     if (active && now_ >= next) {
       dispatch::Actions due;
-      (void)holder->dispatcher_->Run({.now_ = now_, .wall_ = Wall()});
+      (void)holder->dispatcher_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
       due = holder->dispatcher_->TakeActions();
       if (due.superseded_ && holder != holder_) {
         holder->stops_at_ = now_;
@@ -258,10 +255,7 @@
     holder->dispatcher_->LoadTask(id, record);
   }
   for (const auto& [id, worker] : field_.workers_) {
-    site::WorkerEntry entry = fixture::MakeEntry(id);
-    entry.incarnation_ = worker.incarnation_;
-    entry.clock_ = core::FromMs<core::WorkerTime>(support::ClockOf(worker, now_));
-    holder->dispatcher_->OnWorker(entry, now_);
+    holder->dispatcher_->OnWorker(support::EntryOf(worker, now_), now_);
   }
   holder->dispatcher_->Begin(now_, earlier_leases_end_);
   holder_ = holder;
@@ -324,10 +318,7 @@
       for (auto& [id, worker] : field_.workers_) {
         support::Advance(field_, worker, now_);
         if (holder_ != nullptr && Reachable(id, term_)) {
-          site::WorkerEntry entry = fixture::MakeEntry(id);
-          entry.incarnation_ = worker.incarnation_;
-          entry.clock_ = core::FromMs<core::WorkerTime>(support::ClockOf(worker, now_));
-          holder_->dispatcher_->OnWorker(entry, now_);
+          holder_->dispatcher_->OnWorker(support::EntryOf(worker, now_), now_);
         }
       }
       if (holder_ != nullptr) {
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -73,7 +73,6 @@
   void At(core::TimePoint time, std::function<void()> function);
   [[nodiscard]] bool Chance(std::uint32_t thousandths);
   [[nodiscard]] core::Milliseconds Between(int least, int most);
-  [[nodiscard]] ledger::WallTime Wall() const;
   void Submit(int number);
   void CancelJob(const std::string& id);
   void MakeTrouble();
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -13,11 +13,6 @@
 
 constexpr double kWorkerClock = 0.98;  ///< The slowest that the platform allows.
 
-void Break(FakeWorkers& field, core::TimePoint now, const std::string& rule) {
-  field.broken_.push_back(
-      fmt::format("{:.3f}: {}", std::chrono::duration<double>(now - fixture::kNow).count(), rule));
-}
-
 void EndRun(FakeWorkers& field, FakeWorker& worker, const ledger::TaskId& id, RunEnd end,
             core::TimePoint now) {
   const auto run = worker.runs_.extract(id);
@@ -94,6 +89,22 @@
   return static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kWorkerClock) + 1;
 }
 
+site::WorkerEntry EntryOf(const FakeWorker& worker, core::TimePoint now) {
+  site::WorkerEntry entry = fixture::MakeEntry(worker.id_);
+  entry.incarnation_ = worker.incarnation_;
+  entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now));
+  return entry;
+}
+
+ledger::WallTime WallAt(core::TimePoint now) {
+  return fixture::kWall + std::chrono::duration_cast<core::Milliseconds>(now - fixture::kNow);
+}
+
+void Break(FakeWorkers& field, core::TimePoint now, const std::string& rule) {
+  field.broken_.push_back(
+      fmt::format("{:.3f}: {}", std::chrono::duration<double>(now - fixture::kNow).count(), rule));
+}
+
 void Advance(FakeWorkers& field, FakeWorker& worker, core::TimePoint now) {
   if (now < worker.down_until_) {
     return;
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -10,6 +10,7 @@
 #include "laburnumledge/ledger/jobs.hpp"
 #include "laburnumledge/platform/workers.hpp"
 #include "laburnumledge/site/deployment.hpp"
+#include "laburnumledge/site/worker_entry.hpp"
 
 namespace laburnumledge::support {
 
@@ -62,6 +63,15 @@
 /** @brief The worker's clock in milliseconds, as slow as the platform allows. */
 [[nodiscard]] std::int64_t ClockOf(const FakeWorker& worker, core::TimePoint now);
 
+/** @brief The worker as the platform lists it. */
+[[nodiscard]] site::WorkerEntry EntryOf(const FakeWorker& worker, core::TimePoint now);
+
+/** @brief Time of day at a time of the runs. */
+[[nodiscard]] ledger::WallTime WallAt(core::TimePoint now);
+
+/** @brief Notes a rule as broken. */
+void Break(FakeWorkers& field, core::TimePoint now, const std::string& rule);
+
 /** @brief Ends what has ended by itself or by its lease. */
 void Advance(FakeWorkers& field, FakeWorker& worker, core::TimePoint now);
 
