Count a withdrawn start as stopping until its record is stored

Cause: a start that was preempted while its record was on its way kept the phase of a start that is being recorded. Ruled out: withdrawal by changed inputs; the preempting job was the same each time.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -225,6 +225,7 @@
   const dispatch::DispatchCounts& counts = dispatcher.Counts();
   IncreaseOutcomes(families_->runs_, {{"started", counts.starts_},
                                       {"refused", counts.starts_refused_},
+                                      {"withdrawn", counts.starts_withdrawn_},
                                       {"preempted", counts.preemptions_},
                                       {"done", counts.runs_done_},
                                       {"failed", counts.runs_failed_},
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -24,6 +24,9 @@
  * platform's tolerance for early and late starts. */
 constexpr core::Milliseconds kPlanInterval{100};
 
+/** Reason in log events of runs that a plan preempts. */
+constexpr std::string_view kPreempted = "preempted";
+
 /** Gives all members of a gang the same failure count: a failed run counts for the whole gang,
  * whichever member's record holds it. */
 void ShareGangFailures(Job& job) noexcept {
@@ -246,7 +249,7 @@
     for (auto& [id, worker] : fleet_.workers_) {
       for (auto& [run, assigned] : worker.assigned_runs_) {
         if (run.task_.job_ == job.id_) {
-          StopRun(worker, run, now);
+          StopRun(worker, run, "the job has ended", now);
         }
       }
     }
@@ -319,20 +322,19 @@
     const auto assigned = worker == nullptr ? decltype(worker->assigned_runs_.end()){}
                                             : worker->assigned_runs_.find(run);
     if (worker == nullptr || assigned == worker->assigned_runs_.end() ||
-        assigned->second.phase_ != RunPhase::kRecording) {
+        internal::MayBeOnWorker(assigned->second)) {
       continue;
     }
-    const Task* task = FindTask(job_table_, run.task_);
-    const bool wanted =
-        task != nullptr && task->phase_ == TaskPhase::kPlaced && task->run_ == run.run_;
     const bool usable = worker->listed_ && !worker->entry_.draining_ &&
                         !rules_.zones_out_.contains(worker->entry_.zone_);
-    if (wanted && usable) {
+    if (assigned->second.phase_ == RunPhase::kRecording && !usable) {
+      WithdrawStart(*worker, run, "the worker no longer takes work");
+    }
+    if (assigned->second.phase_ == RunPhase::kRecording) {
       SendStart(*worker, run, assigned->second, now);
-      continue;
+    } else {
+      RemoveUnsentStart(*worker, run, now);
     }
-    MarkRunLost(*worker, run,
-                wanted ? "the worker no longer takes work" : "the run is no longer needed", now);
   }
 }
 
@@ -411,9 +413,9 @@
                     {"worker", preemption.worker_->entry_.id_},
                     {"in_favour_of", preemption.preempting_job_}});
     if (preemption.worker_->assigned_runs_.at(preemption.run_).gang_) {
-      StopGang(preemption.run_, time.now_);
+      StopGang(preemption.run_, kPreempted, time.now_);
     } else {
-      StopRun(*preemption.worker_, preemption.run_, time.now_);
+      StopRun(*preemption.worker_, preemption.run_, kPreempted, time.now_);
     }
   }
 }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "laburnumledge/dispatch/actions.hpp"
@@ -24,6 +25,7 @@
 struct DispatchCounts {
   std::uint64_t starts_{};
   std::uint64_t starts_refused_{};
+  std::uint64_t starts_withdrawn_{};  ///< Starts given up before their command was sent.
   std::uint64_t preemptions_{};
   std::uint64_t runs_done_{};
   std::uint64_t runs_failed_{};
@@ -127,8 +129,10 @@
                  core::TimePoint now);
   void SendStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void SendStop(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
-  void StopRun(Worker& worker, const RunId& run, core::TimePoint now);
-  void StopGang(const RunId& run, core::TimePoint now);
+  void StopRun(Worker& worker, const RunId& run, std::string_view reason, core::TimePoint now);
+  void StopGang(const RunId& run, std::string_view reason, core::TimePoint now);
+  void WithdrawStart(Worker& worker, const RunId& run, std::string_view reason);
+  void RemoveUnsentStart(Worker& worker, const RunId& run, core::TimePoint now);
   void SendLease(Worker& worker, core::TimePoint now);
   void IncrementFencingToken(Worker& worker);
   void OnStartConfirmed(const StartAction& action, const RunId& run, AssignedRun& assigned,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -151,7 +151,7 @@
     ++task->outstanding_runs_;
   }
   AddAssignedRun(worker, run, orphan);
-  StopRun(worker, run, now);
+  StopRun(worker, run, "the run is not assigned to the worker", now);
 }
 
 ProgressVerdict Dispatcher::UpdateRunProgress(const RunId& run, AssignedRun& assigned,
@@ -348,11 +348,20 @@
         MarkWaiting(*step, member);
       }
     }
-    StopGang(run, now);
+    StopGang(run, "a member of the gang has ended", now);
   }
   plan_due_ = true;
 }
 
+/** Removes a withdrawn start whose record is stored. */
+void Dispatcher::RemoveUnsentStart(Worker& worker, const RunId& run, core::TimePoint now) {
+  RecordBatch batch;
+  FinishRun(worker, run, RunResult::kStopped, {}, batch, now);
+  if (!batch.tasks_.empty()) {
+    IssueBatch(std::move(batch), {}, now);
+  }
+}
+
 void Dispatcher::MarkRunLost(Worker& worker, const RunId& run, std::string_view reason,
                              core::TimePoint now) {
   // A finished gang's other members are not reported as lost: one result counts for the whole gang.
--- a/src/laburnumledge/dispatch/dispatcher_moves.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_moves.cpp
@@ -121,9 +121,9 @@
                   {"percent", assigned.progress_rate_.progress_percent_},
                   {"remaining_ms", PredictRemainingTime(run, assigned, now)}});
   if (assigned.gang_) {
-    StopGang(run, now);
+    StopGang(run, reason, now);
   } else {
-    StopRun(worker, run, now);
+    StopRun(worker, run, reason, now);
   }
 }
 
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -76,19 +76,32 @@
        .deadline_ = now + internal::kCommandTimeout});
 }
 
-void Dispatcher::StopRun(Worker& worker, const RunId& run, core::TimePoint now) {
+void Dispatcher::WithdrawStart(Worker& worker, const RunId& run, std::string_view reason) {
+  // The run keeps its resources until OnRecorded removes it: its record is on its way to the store,
+  // and the task can't have two records in flight.
+  worker.assigned_runs_.at(run).phase_ = RunPhase::kWithdrawn;
+  ++counts_.starts_withdrawn_;
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.start_withdrawn",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"worker", worker.entry_.id_},
+                  {"reason", reason}});
+  StepState* step = FindStep(job_table_, run.task_);
+  Task* task = FindTask(job_table_, run.task_);
+  if (task != nullptr && task->run_ == run.run_ && task->phase_ == TaskPhase::kPlaced) {
+    MarkWaiting(*step, *task);
+  }
+}
+
+void Dispatcher::StopRun(Worker& worker, const RunId& run, std::string_view reason,
+                         core::TimePoint now) {
   const auto found = worker.assigned_runs_.find(run);
-  if (found == worker.assigned_runs_.end() || found->second.phase_ == RunPhase::kStopping) {
+  if (found == worker.assigned_runs_.end() || internal::IsBeingStopped(found->second)) {
     return;
   }
   AssignedRun& assigned = found->second;
   if (assigned.phase_ == RunPhase::kRecording) {
-    // No start command was sent yet: OnRecorded drops the run once its record is stored.
-    StepState* step = FindStep(job_table_, run.task_);
-    Task* task = FindTask(job_table_, run.task_);
-    if (task != nullptr && task->run_ == run.run_ && task->phase_ == TaskPhase::kPlaced) {
-      MarkWaiting(*step, *task);
-    }
+    WithdrawStart(worker, run, reason);
     return;
   }
   assigned.phase_ = RunPhase::kStopping;
@@ -96,20 +109,20 @@
   SendStop(worker, run, assigned, now);
 }
 
-void Dispatcher::StopGang(const RunId& run, core::TimePoint now) {
+void Dispatcher::StopGang(const RunId& run, std::string_view reason, core::TimePoint now) {
+  const RunId first{.task_ = {.job_ = run.task_.job_,
+                              .occurrence_ = run.task_.occurrence_,
+                              .step_ = run.task_.step_,
+                              .index_ = 0},
+                    .run_ = 0};
   for (auto& [id, worker] : fleet_.workers_) {
-    const RunId first{.task_ = {.job_ = run.task_.job_,
-                                .occurrence_ = run.task_.occurrence_,
-                                .step_ = run.task_.step_,
-                                .index_ = 0},
-                      .run_ = 0};
     for (auto member = worker.assigned_runs_.lower_bound(first);
          member != worker.assigned_runs_.end() && member->first.task_.job_ == run.task_.job_ &&
          member->first.task_.occurrence_ == run.task_.occurrence_ &&
          member->first.task_.step_ == run.task_.step_;
          ++member) {
       if (member->first.run_ == run.run_) {
-        StopRun(worker, member->first, now);
+        StopRun(worker, member->first, reason, now);
       }
     }
   }
@@ -131,7 +144,7 @@
     return;
   }
   AssignedRun& assigned = found->second;
-  if (assigned.phase_ == RunPhase::kStopping) {
+  if (internal::IsBeingStopped(assigned)) {
     // The answer to the stop command decides about the run.
     return;
   }
@@ -225,7 +238,7 @@
   worker.next_lease_ = std::min(worker.next_lease_, now);
   worker.health_.suspected_until_ = now + kUnansweredStartPause;
   if (assigned.gang_) {
-    StopGang(run, now);
+    StopGang(run, "a member of the gang could not be started", now);
   }
 }
 
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -27,6 +27,7 @@
 /** @brief State of an assigned run as the dispatcher knows it. */
 enum class RunPhase : unsigned char {
   kRecording,  ///< The start is being recorded; no command was sent yet.
+  kWithdrawn,  ///< Given up while it was being recorded; removed once the record is stored.
   kStartSent,  ///< The start command was sent and is not confirmed.
   kRunning,
   kStopping,
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -6,6 +6,7 @@
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/platform/workers.hpp"
 #include "laburnumledge/site/deployment.hpp"
 
 namespace laburnumledge::dispatch::internal {
@@ -42,7 +43,12 @@
 
 /** @brief Whether a command for the run was sent, so that the worker may have the run. */
 [[nodiscard]] inline bool MayBeOnWorker(const AssignedRun& assigned) noexcept {
-  return assigned.phase_ != RunPhase::kRecording;
+  return assigned.phase_ != RunPhase::kRecording && assigned.phase_ != RunPhase::kWithdrawn;
+}
+
+/** @brief Whether the run is to leave its worker without having ended by itself. */
+[[nodiscard]] inline bool IsBeingStopped(const AssignedRun& assigned) noexcept {
+  return assigned.phase_ == RunPhase::kStopping || assigned.phase_ == RunPhase::kWithdrawn;
 }
 
 }  // namespace laburnumledge::dispatch::internal
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -4,6 +4,8 @@
 #include <string_view>
 #include <tuple>
 
+#include "laburnumledge/dispatch/internal.hpp"
+
 namespace laburnumledge::dispatch::internal {
 
 namespace {
@@ -122,7 +124,7 @@
                               .free_ = FreeResources(worker),
                               .free_after_stops_ = FreeResources(worker)};
     for (const auto& [run, assigned] : worker.assigned_runs_) {
-      if (assigned.phase_ == RunPhase::kStopping) {
+      if (IsBeingStopped(assigned)) {
         candidate.free_after_stops_ += assigned.needs_;
       }
     }
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "laburnumledge/dispatch/internal.hpp"
+
 namespace laburnumledge::dispatch::internal {
 
 namespace {
@@ -26,8 +28,7 @@
 }
 
 bool IsPreemptible(const AssignedRun& assigned, const ReadyStep& step) noexcept {
-  return assigned.priority_ > step.job_->treatment_.priority_ &&
-         assigned.phase_ != RunPhase::kStopping;
+  return assigned.priority_ > step.job_->treatment_.priority_ && !IsBeingStopped(assigned);
 }
 
 /** Runs to preempt on one worker so that a number of tasks fit there. */
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/dispatch/dispatcher.hpp"
 
 #include <doctest/doctest.h>
+#include <fmt/core.h>
 
 #include <algorithm>
 #include <map>
@@ -30,8 +31,8 @@
     dispatcher_.Begin(now_, now_);
   }
 
-  void Submit(const std::string& id, std::vector<ledger::Step> steps) {
-    const ledger::JobEntry entry{.submission_ = MakeSubmission(std::move(steps))};
+  void Submit(const std::string& id, std::vector<ledger::Step> steps, std::uint32_t priority = 1) {
+    const ledger::JobEntry entry{.submission_ = MakeSubmission(std::move(steps), priority)};
     dispatcher_.OnJob(id, &entry, now_);
   }
 
@@ -87,6 +88,39 @@
   CHECK(harness.Run().starts_.size() == 1);
 }
 
+TEST_CASE("starts that wait for their record are preempted once, however long the store takes") {
+  // Load: the store answers nothing for seconds while urgent gangs arrive. Each start that is being
+  // recorded holds its resources until the store has answered.
+  Harness harness;
+  for (int number = 2; number <= 6; ++number) {
+    harness.dispatcher_.OnWorker(MakeEntry(fmt::format("w{}", number)), harness.now_);
+  }
+  harness.Submit(JobId(1), {MakeStep(48, 1)}, 2);
+  harness.Run();
+  const Actions recording = harness.actions_;
+  REQUIRE(recording.records_.size() == 1);
+  REQUIRE(recording.records_[0].tasks_.size() == 48);
+  ledger::Step gang = MakeStep(3, 8);
+  gang.gang_ = true;
+  harness.Submit(JobId(2), {gang}, 0);
+  for (int plan = 0; plan < 40; ++plan) {
+    harness.Run(core::Milliseconds(100));
+    CHECK(harness.actions_.records_.empty());
+  }
+  CHECK(harness.dispatcher_.Counts().preemptions_ == 24);
+  CHECK(harness.dispatcher_.Counts().starts_withdrawn_ == 24);
+  // Once the records are stored, the withdrawn starts are given up and the gang takes their place.
+  harness.dispatcher_.OnRecorded(recording.records_[0].number_, harness.now_);
+  harness.Run();
+  CHECK(harness.actions_.starts_.size() == 24);
+  harness.ConfirmRecords();
+  const Actions& started = harness.Run();
+  CHECK(std::count_if(started.starts_.begin(), started.starts_.end(), [](const StartAction& start) {
+          return start.command_.task_.job_ == JobId(2);
+        }) == 3);
+  CHECK(harness.dispatcher_.Counts().preemptions_ == 24);
+}
+
 TEST_CASE("a run on a worker that does not answer is lost once its lease has expired") {
   Harness harness;
   harness.Submit(JobId(1), {MakeStep(1, 1)});
