Check only workers that are due, and pace plans while events keep arriving

Change: workers are kept by the time of their next check, each at most 100 ms ahead; an event makes its worker due. Up to four plans follow each other at once, then one in 20 ms. Departed workers and finished jobs are removed every 100 ms. The order of checks does not depend on addresses. Plans and checks are counted.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -24,6 +24,20 @@
  * platform's tolerance for early and late starts. */
 constexpr core::Milliseconds kPlanInterval{100};
 
+/** Mean interval between plans while events keep arriving. A plan costs in proportion to the
+ * workers and the waiting steps, and its start commands wait some ten milliseconds for the store
+ * anyway. */
+constexpr core::Milliseconds kMinPlanInterval{20};
+
+/** Plans that may follow each other without pause, so that a few changes are acted on at once. */
+constexpr int kPlanBurst = 4;
+
+/** Longest time between two checks of a worker. */
+constexpr core::Milliseconds kWorkerUpdateInterval{100};
+
+/** Interval at which finished jobs and departed workers are removed. */
+constexpr core::Milliseconds kCleanupInterval{100};
+
 /** Reason in log events of runs that a plan preempts. */
 constexpr std::string_view kPreempted = "preempted";
 
@@ -73,10 +87,48 @@
   if (added) {
     entry->second.entry_.id_ = id;
     entry->second.fence_token_ = first_fence_token_;
+    due_updates_.emplace(entry->second.next_update_, &entry->second);
   }
   return entry->second;
 }
 
+void Dispatcher::ScheduleUpdate(Worker& worker, core::TimePoint time) {
+  if (worker.next_update_ != time) {
+    due_updates_.erase({worker.next_update_, &worker});
+    worker.next_update_ = time;
+    due_updates_.emplace(time, &worker);
+  }
+}
+
+void Dispatcher::UpdateDueWorkers(core::TimePoint now) {
+  // An update can change other workers. Those are due again and follow in the next call.
+  std::vector<Worker*> due;
+  for (const auto& [time, worker] : due_updates_) {
+    if (time > now) {
+      break;
+    }
+    due.push_back(worker);
+  }
+  for (Worker* worker : due) {
+    ScheduleUpdate(*worker, core::TimePoint::max());
+    core::TimePoint next = now + kWorkerUpdateInterval;
+    UpdateWorker(*worker, now, next);
+    ScheduleUpdate(*worker, std::min(worker->next_update_, next));
+  }
+}
+
+void Dispatcher::RemoveGoneWorkers() {
+  for (auto entry = fleet_.workers_.begin(); entry != fleet_.workers_.end();) {
+    Worker& worker = entry->second;
+    if (worker.listed_ || !worker.assigned_runs_.empty() || !worker.expired_runs_.empty()) {
+      ++entry;
+      continue;
+    }
+    due_updates_.erase({worker.next_update_, &worker});
+    entry = fleet_.workers_.erase(entry);
+  }
+}
+
 void Dispatcher::SetRules(const site::Rules& rules) {
   rules_ = rules;
   for (auto& [id, job] : job_table_.jobs_) {
@@ -207,6 +259,9 @@
     worker.next_lease_ = now;
   }
   UpdateClock(worker, entry.clock_, now);
+  if (changed || was_eligible == entry.draining_) {
+    ScheduleUpdate(worker, now);
+  }
   if (was_eligible == entry.draining_) {
     core::LogEvent(Level::kInfo, EventPriority::kHigh,
                    entry.draining_ ? "worker.draining" : "worker.ready",
@@ -315,6 +370,7 @@
     if (worker != nullptr && worker->incarnation_ == results.incarnation_) {
       worker->results_recorded_ = std::max(worker->results_recorded_, results.last_result_);
       worker->next_lease_ = std::min(worker->next_lease_, now);
+      ScheduleUpdate(*worker, now);
     }
   }
   for (const auto& [id, run] : pending.starts_) {
@@ -339,24 +395,27 @@
 }
 
 core::TimePoint Dispatcher::Run(PlanTime time) {
-  const core::TimePoint interval_end = time.now_ + kPlanInterval;
-  core::TimePoint next = interval_end;
+  const core::TimePoint now = time.now_;
   if (!begun_) {
-    return next;
-  }
-  for (auto& [id, worker] : fleet_.workers_) {
-    UpdateWorker(worker, time.now_, next);
-  }
-  std::erase_if(fleet_.workers_, [](const auto& entry) {
-    return !entry.second.listed_ && entry.second.assigned_runs_.empty() &&
-           entry.second.expired_runs_.empty();
-  });
-  RetireFinishedJobs(time.now_);
-  if (plan_due_ || time.now_ >= next_plan_) {
-    next_plan_ = interval_end;
+    return now + kPlanInterval;
+  }
+  UpdateDueWorkers(now);
+  if (now >= next_cleanup_) {
+    next_cleanup_ = now + kCleanupInterval;
+    RemoveGoneWorkers();
+    RetireFinishedJobs(now);
+  }
+  const core::TimePoint earliest_plan = paced_until_ - kMinPlanInterval * (kPlanBurst - 1);
+  if ((plan_due_ || now >= next_plan_) && now >= earliest_plan) {
+    paced_until_ = std::max(now, paced_until_) + kMinPlanInterval;
+    next_plan_ = now + kPlanInterval;
     RunPlan(time);
   }
-  return next;
+  core::TimePoint next = std::min(plan_due_ ? earliest_plan : next_plan_, next_cleanup_);
+  if (!due_updates_.empty()) {
+    next = std::min(next, due_updates_.begin()->first);
+  }
+  return std::max(next, now);
 }
 
 void Dispatcher::RunPlan(PlanTime time) {
@@ -375,6 +434,7 @@
     }
   }
   plan_due_ = false;
+  ++counts_.plans_;
   UpdateUrgentHeadroom(urgent_headroom_, UrgentDemand(job_table_, fleet_), time.now_);
   std::int64_t all_gpus = 0;
   for (const auto& [id, worker] : fleet_.workers_) {
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "laburnumledge/dispatch/actions.hpp"
@@ -30,6 +31,8 @@
   std::uint64_t runs_done_{};
   std::uint64_t runs_failed_{};
   std::uint64_t runs_lost_{};
+  std::uint64_t plans_{};           ///< Planning passes.
+  std::uint64_t worker_updates_{};  ///< Checks of one worker's lease, stops and runs.
 };
 
 /**
@@ -119,6 +122,16 @@
     std::vector<ProcessedResults> results_;
   };
 
+  /** Orders workers by the time of their next update, then by identifier, so that the order does
+   * not depend on addresses. */
+  struct UpdateOrder {
+    using Entry = std::pair<core::TimePoint, Worker*>;
+    [[nodiscard]] bool operator()(const Entry& left, const Entry& right) const noexcept {
+      return left.first != right.first ? left.first < right.first
+                                       : left.second->entry_.id_ < right.second->entry_.id_;
+    }
+  };
+
   Worker& FindOrAddWorker(const std::string& id);
   void StopJob(Job& job, ledger::JobState state, core::TimePoint now);
   void SetState(Job& job, ledger::JobState state);
@@ -176,7 +189,10 @@
   void MoveSlowRuns(Worker& worker, const std::vector<RunId>& slow_runs, core::TimePoint now);
   void CheckCompletion(Job& job, std::uint32_t occurrence);
 
+  void ScheduleUpdate(Worker& worker, core::TimePoint time);
+  void UpdateDueWorkers(core::TimePoint now);
   void UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next);
+  void RemoveGoneWorkers();
   void RunPlan(PlanTime time);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
@@ -193,8 +209,11 @@
   std::uint64_t next_lease_call_{1};
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
   bool begun_{};
+  std::set<UpdateOrder::Entry, UpdateOrder> due_updates_;  ///< All workers by next_update_.
   bool plan_due_{};
-  core::TimePoint next_plan_{};  ///< When to plan again even without an event.
+  core::TimePoint next_plan_{};    ///< When to plan again even without an event.
+  core::TimePoint paced_until_{};  ///< End of the time that past plans take up at the highest rate.
+  core::TimePoint next_cleanup_{};
   DispatchCounts counts_;
 };
 
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -43,6 +43,7 @@
     // it.
     IncrementFencingToken(worker);
   }
+  ScheduleUpdate(worker, now);
   ++assigned.command_attempts_;
   assigned.phase_ = RunPhase::kStartSent;
   assigned.command_in_flight_ = true;
@@ -134,6 +135,7 @@
   if (worker == nullptr) {
     return;
   }
+  ScheduleUpdate(*worker, now);
   if (result.clock_.has_value()) {
     UpdateClock(*worker, *result.clock_, now);
     worker->last_answer_ = now;
@@ -248,6 +250,7 @@
   if (worker == nullptr) {
     return;
   }
+  ScheduleUpdate(*worker, now);
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
   const auto found = worker->assigned_runs_.find(run);
   if (found == worker->assigned_runs_.end()) {
@@ -307,6 +310,7 @@
     return;
   }
   worker->lease_in_flight_ = false;
+  ScheduleUpdate(*worker, now);
   if (result.outcome_ == CommandOutcome::kDone) {
     if (worker->failed_calls_ > 0) {
       core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.reached_again",
@@ -348,6 +352,7 @@
 }
 
 void Dispatcher::UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next) {
+  ++counts_.worker_updates_;
   std::vector<RunId> expired;
   bool needs_lease = false;
   for (auto& [run, assigned] : worker.assigned_runs_) {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -94,6 +94,7 @@
   core::TimePoint latest_lease_end_{};  ///< No run can exist on the worker after this time.
   core::WorkerTime lease_deadline_{};   ///< In the newest lease call, on the worker's clock.
   core::TimePoint next_drain_check_{};  ///< When the runs of a draining worker are checked again.
+  core::TimePoint next_update_{};       ///< When the dispatcher checks this worker again.
   core::TimePoint last_answer_{};       ///< When the worker last answered a start or a lease call.
   std::uint32_t failed_calls_{};        ///< Consecutive lease calls without success.
   Health health_;
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -121,6 +121,58 @@
   CHECK(harness.dispatcher_.Counts().preemptions_ == 24);
 }
 
+TEST_CASE("a dispatcher's work follows what changes, not the number of workers times events") {
+  // Load: hundreds of workers report results every few milliseconds.
+  Harness harness;
+  for (int number = 2; number <= 500; ++number) {
+    harness.dispatcher_.OnWorker(MakeEntry(fmt::format("w{}", number)), harness.now_);
+  }
+  harness.Submit(JobId(1), {MakeStep(500, 8)});
+  const std::vector<StartAction> starts = harness.StartWaitingTasks();
+  REQUIRE(starts.size() == 500);
+  const DispatchCounts before = harness.dispatcher_.Counts();
+  int answered = 0;
+  for (const StartAction& start : starts) {
+    const auto lease = harness.open_leases_.find(start.worker_.id_);
+    REQUIRE(lease != harness.open_leases_.end());
+    harness.dispatcher_.OnLease(lease->second,
+                                {.outcome_ = CommandOutcome::kDone,
+                                 .incarnation_ = 1000,
+                                 .running_ = {},
+                                 .finished_ = {{.sequence_number_ = 1,
+                                                .task_ = start.command_.task_,
+                                                .run_ = start.command_.run_,
+                                                .result_ = RunResult::kDone}}},
+                                harness.now_);
+    harness.Run(core::Milliseconds(++answered % 2));
+  }
+  // 500 answers in 250 ms: about one plan in 20 ms, and each worker is checked for its own answer,
+  // for its start, and every 100 ms.
+  CHECK(harness.dispatcher_.Counts().plans_ - before.plans_ <= 250 / 20 + 6);
+  CHECK(harness.dispatcher_.Counts().worker_updates_ - before.worker_updates_ <= 500 * 5);
+  CHECK(harness.dispatcher_.Counts().runs_done_ == 500);
+}
+
+TEST_CASE("the first changes after a pause are planned at once, later ones within 20 ms") {
+  Harness harness;
+  harness.Submit(JobId(1), {MakeStep(1, 1)});
+  CHECK(harness.Run(core::Milliseconds(200)).records_.size() == 1);
+  int planned_at_once = 0;
+  for (int number = 2; number <= 10; ++number) {
+    harness.Submit(JobId(number), {MakeStep(1, 0)});
+    planned_at_once += harness.Run().records_.empty() ? 0 : 1;
+  }
+  CHECK(planned_at_once >= 2);
+  CHECK(planned_at_once <= 4);
+  const core::TimePoint next = harness.dispatcher_.Run({.now_ = harness.now_, .wall_ = kWall});
+  CHECK(next <= harness.now_ + core::Milliseconds(20));
+  std::size_t recorded = 0;
+  for (const RecordBatch& batch : harness.Run(core::Milliseconds(20)).records_) {
+    recorded += batch.tasks_.size();
+  }
+  CHECK(recorded == static_cast<std::size_t>(9 - planned_at_once));
+}
+
 TEST_CASE("a run on a worker that does not answer is lost once its lease has expired") {
   Harness harness;
   harness.Submit(JobId(1), {MakeStep(1, 1)});
--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -251,6 +251,9 @@
     });
   }
   for (const dispatch::StatusChange& change : actions.statuses_) {
+    if (measuring_ && change.state_ == ledger::JobState::kCompleted) {
+      ++cost_.jobs_completed_[jobs_.entries_.at(change.job_).submission_->route_];
+    }
     Schedule(stored, [this, change] {
       dispatcher_.OnStatusRecorded(change.job_, change.state_);
       RunDispatcher();
@@ -328,6 +331,10 @@
   fmt::print("{:>7} {:>9} {:>52.2f}   runs {:.0f}, starts {}, preemptions {}, done {}, lost {}\n",
              load.workers_, "all", sum, cost.mean_runs_, cost.counts_.starts_,
              cost.counts_.preemptions_, cost.counts_.runs_done_, cost.counts_.runs_lost_);
+  for (const auto& [route, jobs] : cost.jobs_completed_) {
+    fmt::print("{:>7} {:>9} {:>10.1f} jobs completed a second\n", load.workers_, route,
+               jobs / cost.seconds_);
+  }
 }
 
 int Main(int count, const char* const* values) {
--- a/test/measure/dispatcher_load.hpp
+++ b/test/measure/dispatcher_load.hpp
@@ -31,9 +31,10 @@
 
 /** @brief Result of one measured run. */
 struct DispatcherCost {
-  std::map<std::string, CallTimes> calls_;  ///< By kind of call, over the measured time.
-  double seconds_{};                        ///< Virtual time that was measured.
-  double mean_runs_{};                      ///< Runs assigned to workers, on average.
+  std::map<std::string, CallTimes> calls_;     ///< By kind of call, over the measured time.
+  double seconds_{};                           ///< Virtual time that was measured.
+  std::map<std::string, int> jobs_completed_;  ///< By route, over the measured time.
+  double mean_runs_{};                         ///< Runs assigned to workers, on average.
   dispatch::DispatchCounts counts_;
 };
 
