Look at a worker's room first, and once a step, when tasks are placed

Cause: with hundreds of workers most of a plan's time went into names and labels of workers that had no room, once for each task of a wide step. Change: a worker without room is passed over before its service and labels are compared; the offers for single tasks are collected once a step and kept up to date. The start of a node logs its share of a core.

--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -409,6 +409,7 @@
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "node.started",
                  {{"zone", self.deployment_.zone_},
                   {"incarnation", self.term_.incarnation_},
+                  {"cpu_share", self.deployment_.cpu_share_},
                   {"callers", config::ToString(self.deployment_.callers_)},
                   {"store", config::ToString(self.deployment_.store_)}});
   const unsigned connections = self.deployment_.max_connections_ > 2 * kReservedDescriptors
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -31,15 +31,23 @@
   std::uint32_t count_{};
 };
 
+/** Number of further tasks of a step that a worker that can host them has room for now. */
+std::uint32_t CountRoom(const CandidateWorker& candidate, const ReadyStep& step) noexcept {
+  return internal::CountFits(step.spec_->task_resources_,
+                             ElementwiseMin(candidate.free_, candidate.free_after_stops_),
+                             internal::RemainingTaskLimit(candidate, step));
+}
+
 std::vector<Offer> CollectOffers(Planner& planner, const ReadyStep& step) {
   std::vector<Offer> offers;
   for (CandidateWorker& candidate : planner.candidates_) {
-    if (!internal::CanHost(planner, candidate, step)) {
+    // Under load most workers have no room, which is cheaper to find out than the rest.
+    if (!Fits(step.spec_->task_resources_, candidate.free_) ||
+        !Fits(step.spec_->task_resources_, candidate.free_after_stops_) ||
+        !internal::CanHost(planner, candidate, step)) {
       continue;
     }
-    const std::uint32_t count = internal::CountFits(
-        step.spec_->task_resources_, ElementwiseMin(candidate.free_, candidate.free_after_stops_),
-        internal::RemainingTaskLimit(candidate, step));
+    const std::uint32_t count = CountRoom(candidate, step);
     if (count > 0) {
       offers.push_back({&candidate, count});
     }
@@ -178,45 +186,60 @@
   return true;
 }
 
-/** Best worker for one task: in the rack of its data if possible, then by rank. */
-CandidateWorker* ChooseCandidate(Planner& planner, const ReadyStep& step) {
-  const std::string& rack = step.spec_->affinity_rack_;
-  std::vector<Offer> offers = CollectOffers(planner, step);
-  if (!rack.empty()) {
-    const bool rack_exists = std::any_of(planner.candidates_.begin(), planner.candidates_.end(),
-                                         [&](const CandidateWorker& candidate) {
-                                           return candidate.worker_->entry_.rack_ == rack &&
-                                                  internal::CanHost(planner, candidate, step);
-                                         });
-    const bool rack_only = rack_exists && WaitsForRack(planner, step);
-    const bool rack_has_offer = std::any_of(offers.begin(), offers.end(), [&](const Offer& offer) {
-      return offer.candidate_->worker_->entry_.rack_ == rack;
-    });
-    if (rack_only || rack_has_offer) {
-      std::erase_if(offers, [&](const Offer& offer) {
-        return offer.candidate_->worker_->entry_.rack_ != rack;
-      });
-    }
-  }
+/** Whether a step's tasks should wait for the rack of their data, which has workers for them. */
+bool WaitsForDataRack(const Planner& planner, const ReadyStep& step) {
+  return WaitsForRack(planner, step) &&
+         std::any_of(planner.candidates_.begin(), planner.candidates_.end(),
+                     [&](const CandidateWorker& candidate) {
+                       return candidate.worker_->entry_.rack_ == step.spec_->affinity_rack_ &&
+                              internal::CanHost(planner, candidate, step);
+                     });
+}
+
+/** Assigns a task to the offer of the best rank and updates the offer, or returns false if there is
+ * none. */
+bool PlaceSingle(Planner& planner, const ReadyStep& step, std::uint32_t task,
+                 std::vector<Offer>& offers) {
   const auto best = std::min_element(offers.begin(), offers.end(),
                                      [&step](const Offer& left, const Offer& right) {
                                        return OfferRank(left, step, 1) < OfferRank(right, step, 1);
                                      });
-  return best == offers.end() ? nullptr : best->candidate_;
+  if (best == offers.end()) {
+    return false;
+  }
+  PlannedGroup planned;
+  AssignTask(step, task, *best->candidate_, planned);
+  planner.plan_.starts_.push_back(std::move(planned));
+  best->count_ = CountRoom(*best->candidate_, step);
+  if (best->count_ == 0) {
+    offers.erase(best);
+  }
+  return true;
 }
 
-/** Places the tasks of a step that is no gang, one by one; returns those that keep waiting. */
-std::vector<std::uint32_t> PlaceSingles(Planner& planner, const ReadyStep& step) {
-  for (std::size_t next = 0; next < step.tasks_.size(); ++next) {
-    CandidateWorker* candidate = ChooseCandidate(planner, step);
-    if (candidate == nullptr) {
-      return {step.tasks_.begin() + static_cast<std::ptrdiff_t>(next), step.tasks_.end()};
+/** Places the tasks of a step that is no gang one by one, in the rack of their data if possible;
+ * returns how many keep waiting. */
+std::size_t PlaceSingles(Planner& planner, const ReadyStep& step) {
+  std::vector<Offer> elsewhere = CollectOffers(planner, step);
+  std::vector<Offer> in_data_rack;
+  const std::string& rack = step.spec_->affinity_rack_;
+  if (!rack.empty()) {
+    const auto others = std::stable_partition(
+        elsewhere.begin(), elsewhere.end(),
+        [&](const Offer& offer) { return offer.candidate_->worker_->entry_.rack_ == rack; });
+    in_data_rack.assign(elsewhere.begin(), others);
+    elsewhere.erase(elsewhere.begin(), others);
+    if (!elsewhere.empty() && WaitsForDataRack(planner, step)) {
+      elsewhere.clear();
     }
-    PlannedGroup planned;
-    AssignTask(step, step.tasks_[next], *candidate, planned);
-    planner.plan_.starts_.push_back(std::move(planned));
   }
-  return {};
+  std::size_t placed = 0;
+  while (placed < step.tasks_.size() &&
+         (PlaceSingle(planner, step, step.tasks_[placed], in_data_rack) ||
+          PlaceSingle(planner, step, step.tasks_[placed], elsewhere))) {
+    ++placed;
+  }
+  return step.tasks_.size() - placed;
 }
 
 /** Places the tasks of a step; returns how many of them keep waiting. */
@@ -227,7 +250,7 @@
   if (step.spec_->gang_) {
     return PlaceGang(planner, step) ? 0 : step.tasks_.size();
   }
-  return PlaceSingles(planner, step).size();
+  return PlaceSingles(planner, step);
 }
 
 void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
