Read a VM's share of a core, so that small VMs let others claim the term first

Cause: the share was read by a function that returns objects and lists only, so every VM counted as a whole core and none as small. On the large site VMs of 0.12 core claimed at the same millisecond as those of 0.5; the first in the store's zone won. Ruled out: nodes that learn of a loss far apart (all claims of a kill came within 3 ms after 1,800 ms of silence) and a margin that is too short. Change: the number is read as a number. A test of the settings as the platform renders them failed first.

--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -211,8 +211,7 @@
   if (const Json* limits = Member(*object, "limits")) {
     deployment.max_connections_ =
         static_cast<std::uint32_t>(Unsigned(*limits, "max_fds").value_or(0));
-    const Json* share = Member(*limits, "cpu_share");
-    deployment.cpu_share_ = share != nullptr && share->is_number() ? share->get<double>() : 1.0;
+    deployment.cpu_share_ = Number(*limits, "cpu_share").value_or(1.0);
   }
   if (const Json* cloud = Member(*object, "cloud")) {
     deployment.vm_api_ = AddressOf(*cloud, "address");
--- /dev/null
+++ b/test/laburnumledge/platform/documents.cpp
@@ -0,0 +1,39 @@
+#include "laburnumledge/platform/documents.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/core.h>
+
+namespace laburnumledge::platform {
+
+namespace {
+
+/** @brief Settings as the platform renders them, with the given limits. */
+std::string MakeSettings(const std::string& limits) {
+  return fmt::format(
+      R"({{"node_name":"front-1","zone":"zone-a","listen":{{"front":"10.1.0.1:8000","ready":"10.1.0.1:8001"}},)"
+      R"("platform":{{"address":"10.2.0.1:8002","max_record_bytes":1024,"max_call_bytes":2048}},)"
+      R"("bounds":{{"max_hold_ms":6000}},"limits":{}}})",
+      limits);
+}
+
+}  // namespace
+
+TEST_CASE("a deployment holds the VM's limits") {
+  const auto weak = ParseDeployment(MakeSettings(R"({"cpu_share":0.12,"cores":1,"max_fds":4100})"));
+  REQUIRE(weak.has_value());
+  CHECK(weak->cpu_share_ == doctest::Approx(0.12));
+  CHECK(weak->max_connections_ == 4100);
+  const auto whole = ParseDeployment(MakeSettings(R"({"cpu_share":1,"max_fds":8192})"));
+  REQUIRE(whole.has_value());
+  CHECK(whole->cpu_share_ == doctest::Approx(1.0));
+}
+
+TEST_CASE("a share of a core that is missing or malformed counts as a whole core") {
+  for (const char* limits : {R"({})", R"({"cpu_share":"0.5"})", R"({"cpu_share":null})"}) {
+    const auto deployment = ParseDeployment(MakeSettings(limits));
+    REQUIRE(deployment.has_value());
+    CHECK(deployment->cpu_share_ == doctest::Approx(1.0));
+  }
+}
+
+}  // namespace laburnumledge::platform
