Plan nothing while the store records nothing; pace plans by the fleet's size

Cause: while the store is away the leader went on planning starts that it could not send. Plans 20 ms apart gain nothing on 48 workers, where a plan takes some 20 us. Change: after 150 ms without confirmation of a batch no plan is made until one comes. Appends follow each other one at a time, so a plan made then is sent no later. The pace of plans is 40 us for each worker and 20 ms at most.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -24,14 +24,18 @@
  * platform's tolerance for early and late starts. */
 constexpr core::Milliseconds kPlanInterval{100};
 
-/** Mean interval between plans while events keep arriving. A plan costs in proportion to the
- * workers and the waiting steps, and its start commands wait some ten milliseconds for the store
- * anyway. */
-constexpr core::Milliseconds kMinPlanInterval{20};
+/** Mean interval between plans while events keep arriving: for each worker, as a plan's cost grows
+ * with the workers, and at most. Start commands wait some ten milliseconds for the store anyway. */
+constexpr std::chrono::microseconds kPlanPacePerWorker{40};
+constexpr core::Milliseconds kMaxPlanPace{20};
 
 /** Plans that may follow each other without pause, so that a few changes are acted on at once. */
 constexpr int kPlanBurst = 4;
 
+/** Time after which a batch without confirmation shows that the store does not answer. Appends
+ * follow each other one at a time, so a plan that waits for the confirmation is sent no later. */
+constexpr core::Milliseconds kRecordTimeout{150};
+
 /** Longest time between two checks of a worker. */
 constexpr core::Milliseconds kWorkerUpdateInterval{100};
 
@@ -325,11 +329,11 @@
     }
   }
   for (const ledger::JobId& id : due) {
-    RetireJob(id);
+    RetireJob(id, now);
   }
 }
 
-void Dispatcher::RetireJob(const ledger::JobId& id) {
+void Dispatcher::RetireJob(const ledger::JobId& id, core::TimePoint now) {
   const Job& job = job_table_.jobs_.at(id);
   RecordBatch batch;
   for (std::uint32_t number = 0; number < job.next_occurrence_; ++number) {
@@ -342,7 +346,7 @@
   }
   job_table_.jobs_.erase(id);
   retired_jobs_.insert(id);
-  IssueBatch(std::move(batch), {}, {});
+  IssueBatch(std::move(batch), {}, now);
 }
 
 void Dispatcher::OnStatusRecorded(const ledger::JobId& id, ledger::JobState state) {
@@ -352,8 +356,9 @@
   }
 }
 
-void Dispatcher::IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint /*now*/) {
+void Dispatcher::IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now) {
   batch.number_ = next_batch_++;
+  pending.overdue_at_ = now + kRecordTimeout;
   pending_batches_.emplace(batch.number_, std::move(pending));
   actions_.records_.push_back(std::move(batch));
 }
@@ -394,6 +399,23 @@
   }
 }
 
+/** Whether no batch is overdue. While one is, nothing is planned: starts could not be sent, and
+ * more urgent jobs that arrive meanwhile would have to preempt them. */
+bool Dispatcher::IsStoreAnswering(core::TimePoint now) const noexcept {
+  return pending_batches_.empty() || now < pending_batches_.begin()->second.overdue_at_;
+}
+
+core::Clock::duration Dispatcher::PlanPace() const noexcept {
+  return std::min<core::Clock::duration>(
+      kPlanPacePerWorker * static_cast<std::int64_t>(fleet_.workers_.size()), kMaxPlanPace);
+}
+
+/** Earliest time of the next plan by the events since the last one and by the pace of plans. */
+core::TimePoint Dispatcher::EarliestPlan() const noexcept {
+  const core::TimePoint paced = paced_until_ - PlanPace() * (kPlanBurst - 1);
+  return plan_due_ ? paced : std::max(paced, next_plan_);
+}
+
 core::TimePoint Dispatcher::Run(PlanTime time) {
   const core::TimePoint now = time.now_;
   if (!begun_) {
@@ -405,13 +427,15 @@
     RemoveGoneWorkers();
     RetireFinishedJobs(now);
   }
-  const core::TimePoint earliest_plan = paced_until_ - kMinPlanInterval * (kPlanBurst - 1);
-  if ((plan_due_ || now >= next_plan_) && now >= earliest_plan) {
-    paced_until_ = std::max(now, paced_until_) + kMinPlanInterval;
+  if (now >= EarliestPlan() && IsStoreAnswering(now)) {
+    paced_until_ = std::max(now, paced_until_) + PlanPace();
     next_plan_ = now + kPlanInterval;
     RunPlan(time);
   }
-  core::TimePoint next = std::min(plan_due_ ? earliest_plan : next_plan_, next_cleanup_);
+  core::TimePoint next = next_cleanup_;
+  if (IsStoreAnswering(now)) {
+    next = std::min(next, EarliestPlan());
+  }
   if (!due_updates_.empty()) {
     next = std::min(next, due_updates_.begin()->first);
   }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -120,6 +120,7 @@
       std::uint64_t last_result_{};
     };
     std::vector<ProcessedResults> results_;
+    core::TimePoint overdue_at_{};  ///< From then on the store counts as not answering.
   };
 
   /** Orders workers by the time of their next update, then by identifier, so that the order does
@@ -135,7 +136,7 @@
   Worker& FindOrAddWorker(const std::string& id);
   void StopJob(Job& job, ledger::JobState state, core::TimePoint now);
   void SetState(Job& job, ledger::JobState state);
-  void RetireJob(const ledger::JobId& id);
+  void RetireJob(const ledger::JobId& id, core::TimePoint now);
   void RetireFinishedJobs(core::TimePoint now);
 
   void StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
@@ -193,6 +194,9 @@
   void UpdateDueWorkers(core::TimePoint now);
   void UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next);
   void RemoveGoneWorkers();
+  [[nodiscard]] bool IsStoreAnswering(core::TimePoint now) const noexcept;
+  [[nodiscard]] core::Clock::duration PlanPace() const noexcept;
+  [[nodiscard]] core::TimePoint EarliestPlan() const noexcept;
   void RunPlan(PlanTime time);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -252,6 +252,20 @@
   CHECK(plan.starts_.empty());
 }
 
+TEST_CASE(
+    "a start withdrawn before it was sent is neither preempted again nor its room given away") {
+  PlanningHarness harness;
+  Worker& worker = AddWorker(harness.fleet_, MakeEntry("w1"));
+  AssignedRun withdrawn = MakeRunning(8, 2);
+  withdrawn.phase_ = RunPhase::kWithdrawn;
+  AddAssignedRun(worker, {.task_ = {.job_ = JobId(8)}, .run_ = 1}, withdrawn);
+  AddJob(harness.table_, JobId(1), {MakeStep(1, 8)}, 0);
+  AddJob(harness.table_, JobId(2), {MakeStep(1, 2)}, 1);
+  const Plan plan = harness.Make();
+  CHECK(plan.preemptions_.empty());
+  CHECK(plan.starts_.empty());
+}
+
 TEST_CASE("an urgent gang waits for runs already being preempted and preempts no others") {
   // An urgent gang waits for preempted runs to stop while new runs start on other workers. A plan
   // that preempts the newest runs again would stop each time what the plan before it started.
