Preempt only runs whose resources the step needs

Cause: runs were taken in the order of their lost work per GPU until the tasks fitted, and all that were taken were stopped: also runs that hold nothing of what is short, and on the last worker all runs that as many tasks as fit there would need, though only some of the tasks went there. A gang of 5 with 2 GPUs each stopped 18 runs. Change: before the runs of a worker are preempted for a number of tasks, those without which the tasks fit too are dropped, most lost work first.

--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -102,14 +102,35 @@
       .job_ = step.job_->id_, .occurrence_ = step.occurrence_, .step_ = step.index_, .index_ = 0};
 }
 
+/** Drops the runs that need not be preempted for a number of tasks to fit, the one with the most
+ * lost work per GPU first. */
+void KeepNecessaryRuns(WorkerPreemption& preemption, const ReadyStep& step, std::uint32_t count) {
+  const CandidateWorker& candidate = *preemption.candidate_;
+  const auto needs_of = [&candidate](const RunId& run) {
+    return candidate.worker_->assigned_runs_.at(run).needs_;
+  };
+  site::Resources available = candidate.free_after_stops_;
+  for (const RunId& run : preemption.runs_) {
+    available += needs_of(run);
+  }
+  for (std::size_t index = preemption.runs_.size(); index > 0; --index) {
+    const RunId& run = preemption.runs_[index - 1];
+    if (CountFits(step.spec_->task_resources_, available - needs_of(run), count) >= count) {
+      available -= needs_of(run);
+      preemption.runs_.erase(preemption.runs_.begin() + static_cast<std::ptrdiff_t>(index - 1));
+    }
+  }
+}
+
 /** Adds the preemptions to the plan and reserves the resources that they free, so that later steps
  * don't use them. */
 void ReservePreempted(Planner& planner, const ReadyStep& step,
-                      const std::vector<WorkerPreemption>& preemptions, std::size_t wanted) {
+                      std::vector<WorkerPreemption> preemptions, std::size_t wanted) {
   PlannedReservations planned{.step_ = FirstTask(step), .reservations_ = {}};
-  for (const WorkerPreemption& preemption : preemptions) {
+  for (WorkerPreemption& preemption : preemptions) {
     const auto count = static_cast<std::uint32_t>(std::min<std::size_t>(preemption.count_, wanted));
     wanted -= count;
+    KeepNecessaryRuns(preemption, step, count);
     CandidateWorker& candidate = *preemption.candidate_;
     for (const RunId& run : preemption.runs_) {
       candidate.free_after_stops_ += candidate.worker_->assigned_runs_.at(run).needs_;
@@ -197,7 +218,7 @@
   if (!best.has_value()) {
     return false;
   }
-  ReservePreempted(planner, step, *best, wanted);
+  ReservePreempted(planner, step, *std::move(best), wanted);
   return true;
 }
 
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -202,6 +202,32 @@
   CHECK(plan.starts_.empty());
 }
 
+TEST_CASE("only runs whose resources the step needs are preempted") {
+  // Load: urgent gangs that need a part of a worker full of small runs, day after day.
+  PlanningHarness harness;
+  for (const char* id : {"w1", "w2"}) {
+    Worker& worker = AddWorker(harness.fleet_, MakeEntry(id));
+    for (std::uint32_t index = 0; index < 8; ++index) {
+      AddAssignedRun(worker, {.task_ = {.job_ = JobId(9), .index_ = index}, .run_ = 1},
+                     MakeRunning(1, 2));
+    }
+    // The cheapest to stop, but it holds none of the GPUs that are short.
+    AssignedRun small = MakeRunning(0, 2);
+    small.needs_ = {.cpu_millis_ = 1000, .memory_mb_ = 1000, .gpus_ = 0};
+    AddAssignedRun(worker, {.task_ = {.job_ = JobId(8)}, .run_ = 1}, small);
+  }
+  ledger::Step gang = MakeStep(5, 2);
+  gang.gang_ = true;
+  AddJob(harness.table_, JobId(1), {gang}, 0);
+  const Plan plan = harness.Make();
+  CHECK(plan.preemptions_.size() == 10);
+  for (const PlannedPreemption& preemption : plan.preemptions_) {
+    CHECK(preemption.run_.task_.job_ == JobId(9));
+  }
+  REQUIRE(plan.reservations_.size() == 1);
+  CHECK(plan.reservations_[0].reservations_.size() == 2);
+}
+
 TEST_CASE("small runs of lower priority are preempted before a waiting gang is late") {
   PlanningHarness harness;
   for (const char* id : {"w1", "w2"}) {
