Move what decides when plans are made into a file of its own

Change: dispatcher_plan.cpp holds checks of workers, the pace of plans, plans and withdrawn starts; RunPlan is split. No change of behaviour.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -197,7 +197,10 @@
   [[nodiscard]] bool IsStoreAnswering(core::TimePoint now) const noexcept;
   [[nodiscard]] core::Clock::duration PlanPace() const noexcept;
   [[nodiscard]] core::TimePoint EarliestPlan() const noexcept;
+  void OpenReadySteps(PlanTime time);
   void RunPlan(PlanTime time);
+  void ReplaceReservations(const std::vector<PlannedReservations>& planned);
+  void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
   site::Bounds bounds_;
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -353,15 +353,6 @@
   plan_due_ = true;
 }
 
-/** Removes a withdrawn start whose record is stored. */
-void Dispatcher::RemoveUnsentStart(Worker& worker, const RunId& run, core::TimePoint now) {
-  RecordBatch batch;
-  FinishRun(worker, run, RunResult::kStopped, {}, batch, now);
-  if (!batch.tasks_.empty()) {
-    IssueBatch(std::move(batch), {}, now);
-  }
-}
-
 void Dispatcher::MarkRunLost(Worker& worker, const RunId& run, std::string_view reason,
                              core::TimePoint now) {
   // A finished gang's other members are not reported as lost: one result counts for the whole gang.
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -77,23 +77,6 @@
        .deadline_ = now + internal::kCommandTimeout});
 }
 
-void Dispatcher::WithdrawStart(Worker& worker, const RunId& run, std::string_view reason) {
-  // The run keeps its resources until OnRecorded removes it: its record is on its way to the store,
-  // and the task can't have two records in flight.
-  worker.assigned_runs_.at(run).phase_ = RunPhase::kWithdrawn;
-  ++counts_.starts_withdrawn_;
-  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.start_withdrawn",
-                 {{"task", ledger::ToString(run.task_)},
-                  {"run", run.run_},
-                  {"worker", worker.entry_.id_},
-                  {"reason", reason}});
-  StepState* step = FindStep(job_table_, run.task_);
-  Task* task = FindTask(job_table_, run.task_);
-  if (task != nullptr && task->run_ == run.run_ && task->phase_ == TaskPhase::kPlaced) {
-    MarkWaiting(*step, *task);
-  }
-}
-
 void Dispatcher::StopRun(Worker& worker, const RunId& run, std::string_view reason,
                          core::TimePoint now) {
   const auto found = worker.assigned_runs_.find(run);
--- /dev/null
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -0,0 +1,253 @@
+#include <algorithm>
+#include <utility>
+
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using core::EventPriority;
+using core::Level;
+
+/** Longest interval between plans. Bounds how late a due occurrence starts, well within the
+ * platform's tolerance for early and late starts. */
+constexpr core::Milliseconds kPlanInterval{100};
+
+/** Mean interval between plans while events keep arriving: for each worker, as a plan's cost grows
+ * with the workers, and at most. Start commands wait some ten milliseconds for the store anyway. */
+constexpr std::chrono::microseconds kPlanPacePerWorker{40};
+constexpr core::Milliseconds kMaxPlanPace{20};
+
+/** Plans that may follow each other without pause, so that a few changes are acted on at once. */
+constexpr int kPlanBurst = 4;
+
+/** Longest time between two checks of a worker. */
+constexpr core::Milliseconds kWorkerUpdateInterval{100};
+
+/** Interval at which finished jobs and departed workers are removed. */
+constexpr core::Milliseconds kCleanupInterval{100};
+
+/** Reason in log events of runs that a plan preempts. */
+constexpr std::string_view kPreempted = "preempted";
+
+}  // namespace
+
+void Dispatcher::ScheduleUpdate(Worker& worker, core::TimePoint time) {
+  if (worker.next_update_ != time) {
+    due_updates_.erase({worker.next_update_, &worker});
+    worker.next_update_ = time;
+    due_updates_.emplace(time, &worker);
+  }
+}
+
+void Dispatcher::UpdateDueWorkers(core::TimePoint now) {
+  // An update can change other workers. Those are due again and follow in the next call.
+  std::vector<Worker*> due;
+  for (const auto& [time, worker] : due_updates_) {
+    if (time > now) {
+      break;
+    }
+    due.push_back(worker);
+  }
+  for (Worker* worker : due) {
+    ScheduleUpdate(*worker, core::TimePoint::max());
+    core::TimePoint next = now + kWorkerUpdateInterval;
+    UpdateWorker(*worker, now, next);
+    ScheduleUpdate(*worker, std::min(worker->next_update_, next));
+  }
+}
+
+void Dispatcher::RemoveGoneWorkers() {
+  for (auto entry = fleet_.workers_.begin(); entry != fleet_.workers_.end();) {
+    Worker& worker = entry->second;
+    if (worker.listed_ || !worker.assigned_runs_.empty() || !worker.expired_runs_.empty()) {
+      ++entry;
+      continue;
+    }
+    due_updates_.erase({worker.next_update_, &worker});
+    entry = fleet_.workers_.erase(entry);
+  }
+}
+
+/** Whether no batch is overdue. While one is, nothing is planned: starts could not be sent, and
+ * more urgent jobs that arrive meanwhile would have to preempt them. */
+bool Dispatcher::IsStoreAnswering(core::TimePoint now) const noexcept {
+  return pending_batches_.empty() || now < pending_batches_.begin()->second.overdue_at_;
+}
+
+core::Clock::duration Dispatcher::PlanPace() const noexcept {
+  return std::min<core::Clock::duration>(
+      kPlanPacePerWorker * static_cast<std::int64_t>(fleet_.workers_.size()), kMaxPlanPace);
+}
+
+/** Earliest time of the next plan by the events since the last one and by the pace of plans. */
+core::TimePoint Dispatcher::EarliestPlan() const noexcept {
+  const core::TimePoint paced = paced_until_ - PlanPace() * (kPlanBurst - 1);
+  return plan_due_ ? paced : std::max(paced, next_plan_);
+}
+
+core::TimePoint Dispatcher::Run(PlanTime time) {
+  const core::TimePoint now = time.now_;
+  if (!begun_) {
+    return now + kPlanInterval;
+  }
+  UpdateDueWorkers(now);
+  if (now >= next_cleanup_) {
+    next_cleanup_ = now + kCleanupInterval;
+    RemoveGoneWorkers();
+    RetireFinishedJobs(now);
+  }
+  if (now >= EarliestPlan() && IsStoreAnswering(now)) {
+    paced_until_ = std::max(now, paced_until_) + PlanPace();
+    next_plan_ = now + kPlanInterval;
+    RunPlan(time);
+  }
+  core::TimePoint next = next_cleanup_;
+  if (IsStoreAnswering(now)) {
+    next = std::min(next, EarliestPlan());
+  }
+  if (!due_updates_.empty()) {
+    next = std::min(next, due_updates_.begin()->first);
+  }
+  return std::max(next, now);
+}
+
+void Dispatcher::OpenReadySteps(PlanTime time) {
+  for (auto& [id, job] : job_table_.jobs_) {
+    if (ledger::IsFinal(job.state_)) {
+      continue;
+    }
+    CreateDueOccurrences(job, time.wall_);
+    for (auto& [number, occurrence] : job.occurrences_) {
+      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+        StepState& step = occurrence.steps_[index];
+        if (step.ready_since_ == core::TimePoint{} && IsReady(job, occurrence, index)) {
+          step.ready_since_ = time.now_;
+        }
+      }
+    }
+  }
+}
+
+void Dispatcher::ReplaceReservations(const std::vector<PlannedReservations>& planned) {
+  for (auto& [id, job] : job_table_.jobs_) {
+    for (auto& [number, occurrence] : job.occurrences_) {
+      for (StepState& step : occurrence.steps_) {
+        step.reservations_.clear();
+      }
+    }
+  }
+  for (const PlannedReservations& reservations : planned) {
+    FindStep(job_table_, reservations.step_)->reservations_ = reservations.reservations_;
+  }
+}
+
+void Dispatcher::Preempt(const PlannedPreemption& preemption, core::TimePoint now) {
+  ++counts_.preemptions_;
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.preempted",
+                 {{"task", ledger::ToString(preemption.run_.task_)},
+                  {"run", preemption.run_.run_},
+                  {"worker", preemption.worker_->entry_.id_},
+                  {"in_favour_of", preemption.preempting_job_}});
+  if (preemption.worker_->assigned_runs_.at(preemption.run_).gang_) {
+    StopGang(preemption.run_, kPreempted, now);
+  } else {
+    StopRun(*preemption.worker_, preemption.run_, kPreempted, now);
+  }
+}
+
+void Dispatcher::RunPlan(PlanTime time) {
+  OpenReadySteps(time);
+  plan_due_ = false;
+  ++counts_.plans_;
+  UpdateUrgentHeadroom(urgent_headroom_, UrgentDemand(job_table_, fleet_), time.now_);
+  std::int64_t all_gpus = 0;
+  for (const auto& [id, worker] : fleet_.workers_) {
+    all_gpus += worker.listed_ ? worker.entry_.capacity_.gpus_ : 0;
+  }
+  const Plan plan =
+      MakePlan(job_table_, fleet_,
+               {.rules_ = rules_,
+                .bounds_ = bounds_,
+                .durations_ = durations_,
+                .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, all_gpus),
+                .time_ = time});
+  ReplaceReservations(plan.reservations_);
+  RecordBatch batch;
+  PendingBatch pending;
+  for (const PlannedGroup& unit : plan.starts_) {
+    StartUnit(unit, batch, pending, time.now_);
+  }
+  if (!batch.tasks_.empty()) {
+    IssueBatch(std::move(batch), std::move(pending), time.now_);
+  }
+  for (const PlannedPreemption& preemption : plan.preemptions_) {
+    Preempt(preemption, time.now_);
+  }
+}
+
+void Dispatcher::StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
+                           core::TimePoint /*now*/) {
+  std::uint64_t run_number = 0;
+  for (const PlannedStart& start : unit) {
+    run_number = std::max(run_number, FindTask(job_table_, start.task_)->run_ + 1);
+  }
+  Job& job = job_table_.jobs_.at(unit.front().task_.job_);
+  const ledger::Step& spec = job.submission_->steps_[unit.front().task_.step_];
+  for (const PlannedStart& start : unit) {
+    Task& task = *FindTask(job_table_, start.task_);
+    Worker& worker = *start.worker_;
+    MarkPlaced(*FindStep(job_table_, start.task_), task, run_number, worker.entry_.id_);
+    const RunId run{.task_ = start.task_, .run_ = run_number};
+    AddAssignedRun(worker, run,
+                   {.phase_ = RunPhase::kRecording,
+                    .needs_ = spec.task_resources_,
+                    .priority_ = job.treatment_.priority_,
+                    .gang_ = spec.gang_,
+                    .resumed_ = !task.checkpoint_.empty(),
+                    .gang_size_ = spec.gang_ ? spec.count_ : 1,
+                    .next_stop_ = core::TimePoint::max()});
+    ++task.outstanding_runs_;
+    ++job.outstanding_runs_;
+    batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
+                                               .outcome_ = ledger::TaskOutcome::kStarted,
+                                               .run_ = run_number,
+                                               .worker_ = worker.entry_.id_,
+                                               .incarnation_ = worker.incarnation_,
+                                               .failures_ = task.failures_,
+                                               .checkpoint_ = task.checkpoint_,
+                                               .failed_run_ = task.failed_run_,
+                                           });
+    pending.starts_.emplace_back(worker.entry_.id_, run);
+  }
+}
+
+void Dispatcher::WithdrawStart(Worker& worker, const RunId& run, std::string_view reason) {
+  // The run keeps its resources until OnRecorded removes it: its record is on its way to the store,
+  // and the task can't have two records in flight.
+  worker.assigned_runs_.at(run).phase_ = RunPhase::kWithdrawn;
+  ++counts_.starts_withdrawn_;
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.start_withdrawn",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"worker", worker.entry_.id_},
+                  {"reason", reason}});
+  StepState* step = FindStep(job_table_, run.task_);
+  Task* task = FindTask(job_table_, run.task_);
+  if (task != nullptr && task->run_ == run.run_ && task->phase_ == TaskPhase::kPlaced) {
+    MarkWaiting(*step, *task);
+  }
+}
+
+/** Removes a withdrawn start whose record is stored. */
+void Dispatcher::RemoveUnsentStart(Worker& worker, const RunId& run, core::TimePoint now) {
+  RecordBatch batch;
+  FinishRun(worker, run, platform::RunResult::kStopped, {}, batch, now);
+  if (!batch.tasks_.empty()) {
+    IssueBatch(std::move(batch), {}, now);
+  }
+}
+
+}  // namespace laburnumledge::dispatch
