--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -27,7 +27,7 @@
 inline constexpr core::Milliseconds kSmallVmClaimDelay{300};
 
 /** @brief Share of a core below which a VM counts as small. Leading takes about a tenth of a core
- * with 350 workers. */
+ * with 350 to 540 workers. */
 inline constexpr double kSmallVmCoreShare = 0.2;
 
 /** @brief Next action of a node concerning the term. */
