Drop an unused constant of measure_dispatcher

Cause: the linter reports a constant that was left from an earlier form of the program. Change: removed. Result: the linter passes over the file.

--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -24,7 +24,6 @@
 
 constexpr core::Milliseconds kAnswerTime{2};
 constexpr core::Milliseconds kStoreTime{6};
-constexpr core::Milliseconds kListInterval{400};
 constexpr core::Milliseconds kHeartbeatInterval{1500};
 constexpr core::Clock::duration kOneTick{1};
 constexpr int kWorkersPerRack = 12;
