--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -94,6 +94,8 @@
                           "Runs of tasks in this term, by outcome.")),
         jobs_(MakeGauge(registry, "laburnumledge_jobs", "Jobs that have not ended, by priority.")),
         gpus_(MakeGauge(registry, "laburnumledge_gpus", "GPUs of workers, by zone and use.")),
+        capacity_(MakeGauge(registry, "laburnumledge_capacity_gpus",
+                            "GPUs as the latest plan found them, by use, and GPUs waited for.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
@@ -111,6 +113,7 @@
   Family<Counter>& runs_;
   Family<Gauge>& jobs_;
   Family<Gauge>& gpus_;
+  Family<Gauge>& capacity_;
   Family<Gauge>& workers_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -254,6 +257,17 @@
     families_->gpus_.Add({{"zone", zone}, {"use", "used"}}).Set(amounts.first);
     families_->gpus_.Add({{"zone", zone}, {"use", "all"}}).Set(amounts.second);
   }
+  const dispatch::CapacityUse& use = dispatcher.Use();
+  for (const auto& [name, amount] : {std::pair{"urgent", use.urgent_},
+                                     {"other", use.other_},
+                                     {"stopping", use.stopping_},
+                                     {"ineligible", use.ineligible_},
+                                     {"headroom", use.headroom_},
+                                     {"idle", use.idle_},
+                                     {"waiting_urgent", use.waiting_urgent_},
+                                     {"waiting_other", use.waiting_other_}}) {
+    families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
+  }
   for (const char* state : {"ready", "draining", "unreachable", "suspected", "unlisted"}) {
     families_->workers_.Add({{"state", state}}).Set(workers[state]);
   }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -108,6 +108,8 @@
 
   [[nodiscard]] const DispatchCounts& Counts() const noexcept { return counts_; }
   [[nodiscard]] const JobTable& Jobs() const noexcept { return job_table_; }
+  /** @brief Use of the fleet as the latest plan found it. */
+  [[nodiscard]] const CapacityUse& Use() const noexcept { return capacity_use_; }
   [[nodiscard]] const Fleet& Workers() const noexcept { return fleet_; }
 
  private:
@@ -199,6 +201,7 @@
   [[nodiscard]] core::TimePoint EarliestPlan() const noexcept;
   void OpenReadySteps(PlanTime time);
   void RunPlan(PlanTime time);
+  void LogCapacityUse(core::TimePoint now);
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
@@ -221,6 +224,8 @@
   core::TimePoint next_plan_{};    ///< When to plan again even without an event.
   core::TimePoint paced_until_{};  ///< End of the time that past plans take up at the highest rate.
   core::TimePoint next_cleanup_{};
+  CapacityUse capacity_use_;
+  core::TimePoint next_capacity_log_{};
   DispatchCounts counts_;
 };
 
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -26,6 +26,9 @@
 /** Longest time between two checks of a worker. */
 constexpr core::Milliseconds kWorkerUpdateInterval{100};
 
+/** Interval of the log events that tell how the fleet is used. */
+constexpr core::Milliseconds kCapacityLogInterval{1000};
+
 /** Interval at which finished jobs and departed workers are removed. */
 constexpr core::Milliseconds kCleanupInterval{100};
 
@@ -158,6 +161,23 @@
   }
 }
 
+void Dispatcher::LogCapacityUse(core::TimePoint now) {
+  if (now < next_capacity_log_) {
+    return;
+  }
+  next_capacity_log_ = now + kCapacityLogInterval;
+  core::LogEvent(Level::kInfo, EventPriority::kLow, "plan.capacity",
+                 {{"gpus", capacity_use_.all_},
+                  {"urgent", capacity_use_.urgent_},
+                  {"other", capacity_use_.other_},
+                  {"stopping", capacity_use_.stopping_},
+                  {"ineligible", capacity_use_.ineligible_},
+                  {"headroom", capacity_use_.headroom_},
+                  {"idle", capacity_use_.idle_},
+                  {"waiting_urgent", capacity_use_.waiting_urgent_},
+                  {"waiting_other", capacity_use_.waiting_other_}});
+}
+
 void Dispatcher::RunPlan(PlanTime time) {
   OpenReadySteps(time);
   plan_due_ = false;
@@ -174,6 +194,8 @@
                 .durations_ = durations_,
                 .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, all_gpus),
                 .time_ = time});
+  capacity_use_ = plan.use_;
+  LogCapacityUse(time.now_);
   ReplaceReservations(plan.reservations_);
   RecordBatch batch;
   PendingBatch pending;
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -307,6 +307,7 @@
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.candidates_);
   internal::ReserveUrgentHeadroom(planner.candidates_, context.urgent_headroom_gpus_);
   const std::vector<ReadyStep> steps = internal::CollectReadySteps(table, context);
+  planner.plan_.use_ = internal::MeasureCapacityUse(fleet, planner.candidates_, steps);
   // Priorities are planned one after the other, so that reservations of less urgent steps don't
   // keep resources from more urgent steps.
   auto begin = steps.begin();
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "laburnumledge/dispatch/capacity_use.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
@@ -53,6 +54,7 @@
   std::vector<PlannedGroup> starts_;
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
+  CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
 };
 
 /**
