Take runs of finished gangs as ended after a takeover instead of stopping them

Callers saw nothing start for two seconds after the leader was lost, however many workers were idle. Cause: one member's result records a gang as done, the records of the others still say that they were started. The next leader counted them as assigned and, as their job had ended, stopped each of them: a stop, its answer, and a lease call that workers hold open for 1.5 s before the list shows that nothing runs. Class: state inferred from a record that stands for several things. Change: StopJob leaves runs of done tasks alone. The first lease call of a term is answered at once and tells; whatever is freed makes a plan due (FinishRun did not for jobs that had ended). Test: 'runs of a finished gang are free once their worker has answered after a takeover' fails before (20 stops, nothing started).

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -244,12 +244,19 @@
   actions_.statuses_.push_back({.job_ = job.id_, .state_ = state});
 }
 
+/** Whether a task is done. A gang is done with the result of one member, while runs of the others
+ * may still be assigned: they have ended as well, and the next list of their worker shows it. */
+bool Dispatcher::IsTaskDone(const ledger::TaskId& id) {
+  const Task* task = FindTask(job_table_, id);
+  return task != nullptr && task->phase_ == TaskPhase::kDone;
+}
+
 void Dispatcher::StopJob(Job& job, ledger::JobState state, core::TimePoint now) {
   SetState(job, state);
   if (job.outstanding_runs_ > 0) {
     for (auto& [id, worker] : fleet_.workers_) {
       for (auto& [run, assigned] : worker.assigned_runs_) {
-        if (run.task_.job_ == job.id_) {
+        if (run.task_.job_ == job.id_ && !IsTaskDone(run.task_)) {
           StopRun(worker, run, "the job has ended", now);
         }
       }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -136,6 +136,7 @@
   };
 
   Worker& FindOrAddWorker(const std::string& id);
+  [[nodiscard]] bool IsTaskDone(const ledger::TaskId& id);
   void StopJob(Job& job, ledger::JobState state, core::TimePoint now);
   void SetState(Job& job, ledger::JobState state);
   void RetireJob(const ledger::JobId& id, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -225,6 +225,7 @@
                            const std::string& checkpoint, RecordBatch& batch, core::TimePoint now) {
   const AssignedRun assigned = worker.assigned_runs_.at(run);
   RemoveAssignedRun(worker, run);
+  plan_due_ = true;
   Job* job = FindJob(job_table_, run.task_.job_);
   if (Task* task = FindTask(job_table_, run.task_)) {
     --task->outstanding_runs_;
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -303,6 +303,50 @@
   CHECK(actions.records_.empty());
 }
 
+// Guards against a new leader that stops the members of finished gangs, and starts nothing in their
+// place until the stops are answered and each worker has listed its runs once more.
+TEST_CASE("runs of a finished gang are free once their worker has answered after a takeover") {
+  // Load: half a minute of short gangs before the leader is lost, all recorded as done by one
+  // member.
+  Dispatcher next(MakeBounds(), 2);
+  next.SetRules({});
+  ledger::Step gang = MakeStep(2, 4);
+  gang.gang_ = true;
+  const ledger::JobEntry done{.submission_ = MakeSubmission({gang}, 0),
+                              .state_ = ledger::JobState::kCompleted};
+  for (int number = 1; number <= 20; ++number) {
+    next.OnJob(JobId(number), &done, kNow);
+    next.LoadTask({.job_ = JobId(number), .index_ = 0},
+                  {.outcome_ = ledger::TaskOutcome::kDone, .run_ = 2});
+    next.LoadTask({.job_ = JobId(number), .index_ = 1}, {.outcome_ = ledger::TaskOutcome::kStarted,
+                                                         .run_ = 2,
+                                                         .worker_ = "w1",
+                                                         .incarnation_ = 1000});
+  }
+  const ledger::JobEntry waiting{.submission_ = MakeSubmission({MakeStep(8, 1)}, 2)};
+  next.OnJob(JobId(30), &waiting, kNow);
+  next.OnWorker(MakeEntry("w1"), kNow);
+  next.Begin(kNow, kNow + core::Milliseconds(6000));
+  (void)next.Run({.now_ = kNow, .wall_ = kWall});
+  const Actions asked = next.TakeActions();
+  CHECK(asked.stops_.empty());
+  REQUIRE(asked.leases_.size() == 1);
+  CHECK(asked.leases_[0].call_.wait_ == core::Milliseconds{});
+  const core::TimePoint answered = kNow + core::Milliseconds(5);
+  next.OnLease(asked.leases_[0], {.outcome_ = CommandOutcome::kDone, .incarnation_ = 1000},
+               answered);
+  (void)next.Run({.now_ = answered, .wall_ = kWall});
+  std::size_t started = 0;
+  for (const RecordBatch& batch : next.TakeActions().records_) {
+    started += static_cast<std::size_t>(
+        std::count_if(batch.tasks_.begin(), batch.tasks_.end(), [](const auto& entry) {
+          return entry.first.job_ == JobId(30) &&
+                 entry.second.outcome_ == ledger::TaskOutcome::kStarted;
+        }));
+  }
+  CHECK(started == 8);
+}
+
 namespace {
 
 /** @brief Leaves lease calls to the first worker unanswered until its run is lost. */
