Let work that is late already preempt nothing that is less urgent

Cause: a step of a middle priority preempts once 0.8 of its slack has passed, so as not to be late. The rule had no end: a step whose latest start had passed went on until its result was worthless, up to three times the objective. Class: an order by urgency that still holds after its reason is gone. Change: MayPreempt ends at the latest start, as its description says. Urgent steps preempt as before. Test: 'under lasting overload late work preempts nothing that is less urgent' fails before.

--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -181,7 +181,7 @@
   const PlanTime time = planner.context_.time_;
   const auto waited = time.now_ - step.ready_since_;
   const auto slack = (step.latest_start_ - time.wall_) + waited;
-  return !step.past_useful_completion_ && waited >= slack * kPreemptionSlackFraction;
+  return time.wall_ <= step.latest_start_ && waited >= slack * kPreemptionSlackFraction;
 }
 
 bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept {
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -64,7 +64,8 @@
 
 /**
  * @brief Whether a step may preempt less urgent runs: the step is urgent itself, or has waited so
- * long that it may soon miss its completion objective.
+ * long that it may soon miss its completion objective. A step that has missed it already preempts
+ * nothing: it would be late all the same, and make others late.
  */
 [[nodiscard]] bool MayPreempt(const Planner& planner, const ReadyStep& step) noexcept;
 
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -248,6 +248,38 @@
   CHECK(harness.Make(core::Milliseconds(60000)).preemptions_.empty());
 }
 
+// Guards against work that is late already and still throws away the runs of less urgent jobs, so
+// that those are late too or never end.
+TEST_CASE("under lasting overload late work preempts nothing that is less urgent") {
+  // Load: a burst has left gangs of the middle priority waiting until after their latest start. The
+  // lowest priority has runs on what is free, which no gang fits into.
+  PlanningHarness harness;
+  for (int number = 1; number <= 6; ++number) {
+    Worker& worker = AddWorker(harness.fleet_, MakeEntry(fmt::format("w{}", number)));
+    for (std::uint32_t index = 0; index < 8; ++index) {
+      AddAssignedRun(worker, {.task_ = {.job_ = JobId(100 + number), .index_ = index}, .run_ = 1},
+                     MakeRunning(1, 2));
+    }
+  }
+  ledger::Step gang = MakeStep(4, 8);
+  gang.gang_ = true;
+  for (int number = 1; number <= 10; ++number) {
+    AddJob(harness.table_, JobId(number), {gang}, 1);
+  }
+  // Each gang takes 5 s and is on time within 16 s, so its latest start is at 11 s.
+  for (int second = 12; second <= 40; ++second) {
+    CHECK(harness.Make(std::chrono::seconds(second)).preemptions_.empty());
+  }
+}
+
+TEST_CASE("a late urgent step still preempts less urgent runs") {
+  PlanningHarness harness;
+  AddAssignedRun(AddWorker(harness.fleet_, MakeEntry("w1")),
+                 {.task_ = {.job_ = JobId(9)}, .run_ = 1}, MakeRunning(8, 2));
+  AddJob(harness.table_, JobId(1), {MakeStep(1, 8)}, 0);
+  CHECK(harness.Make(std::chrono::seconds(40)).preemptions_.size() == 1);
+}
+
 TEST_CASE("urgent work may use resources reserved for less urgent work") {
   PlanningHarness harness;
   AddWorker(harness.fleet_, MakeEntry("w1"));
