Take the progress of a checkpoint for no speed of the worker

Cause: a run that resumes shows 0 percent while it is restored, then that of its checkpoint. Both fell into one measurement, so that its best rate was several times its true one, and every later measurement was 'far below its own best rate'. Class: a baseline taken before the thing measured had begun. Change: the first progress above 0 of a resumed run begins the measurement. A run that resumes and shows no progress at all is still slow. Test: 'a run that resumes from a checkpoint is not slow for going on at its usual rate' (the function it calls is new; with the plain start the second list gives kSlow).

--- a/src/laburnumledge/dispatch/dispatcher_moves.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_moves.cpp
@@ -83,8 +83,11 @@
     return;  // The members of a gang make no progress until all of them run.
   }
   for (AssignedRun* member : members) {
-    StartProgressMeasurement(member->progress_rate_,
-                             member->resumed_ ? now + bounds_.restore_time_ : now);
+    if (member->resumed_) {
+      StartResumedMeasurement(member->progress_rate_, now + bounds_.restore_time_);
+    } else {
+      StartProgressMeasurement(member->progress_rate_, now);
+    }
   }
 }
 
--- a/src/laburnumledge/dispatch/progress_rate.cpp
+++ b/src/laburnumledge/dispatch/progress_rate.cpp
@@ -35,10 +35,16 @@
   rate.measured_at_ = started;
 }
 
+void StartResumedMeasurement(ProgressRate& rate, core::TimePoint restored) noexcept {
+  StartProgressMeasurement(rate, restored);
+  rate.restores_ = true;
+}
+
 ProgressVerdict MeasureProgress(ProgressRate& rate, std::int64_t percent,
                                 core::Milliseconds predicted, core::TimePoint now) noexcept {
   const double done = static_cast<double>(percent);
-  if (rate.measured_at_ == core::TimePoint{} || done < rate.progress_percent_) {
+  const bool restored = rate.restores_ && done > 0.0;
+  if (rate.measured_at_ == core::TimePoint{} || done < rate.progress_percent_ || restored) {
     StartProgressMeasurement(rate, now);
     rate.progress_percent_ = done;
     return ProgressVerdict::kUnknown;
--- a/src/laburnumledge/dispatch/progress_rate.hpp
+++ b/src/laburnumledge/dispatch/progress_rate.hpp
@@ -12,6 +12,7 @@
   core::TimePoint measured_at_{};  ///< End of the newest measurement; zero before the first.
   double best_rate_{};             ///< Highest measured rate, in percent per second.
   bool measured_{};                ///< A measurement is complete, even if it showed no progress.
+  bool restores_{};                ///< The first progress above 0 is that of the checkpoint.
 };
 
 /** @brief What one progress measurement says about the speed of the run's worker. */
@@ -24,6 +25,9 @@
 /** @brief Starts measuring a run that has made no progress yet. */
 void StartProgressMeasurement(ProgressRate& rate, core::TimePoint started) noexcept;
 
+/** @brief Starts measuring a run that resumes from a checkpoint, once its worker lists progress. */
+void StartResumedMeasurement(ProgressRate& rate, core::TimePoint restored) noexcept;
+
 /**
  * @brief Updates the progress rate of a run from its reported progress.
  * @param rate Progress rate of the run.
--- a/test/laburnumledge/dispatch/progress_rate.cpp
+++ b/test/laburnumledge/dispatch/progress_rate.cpp
@@ -34,6 +34,27 @@
         ProgressVerdict::kNormal);
 }
 
+// Guards against sound workers that get no work because a run there resumed: the progress that its
+// checkpoint holds is no speed of the worker.
+TEST_CASE("a run that resumes from a checkpoint is not slow for going on at its usual rate") {
+  ProgressRate rate;
+  StartResumedMeasurement(rate, fixture::kNow);
+  CHECK(MeasureProgress(rate, 60, kPredicted, fixture::kNow + kListInterval) ==
+        ProgressVerdict::kUnknown);
+  CHECK(MeasureProgress(rate, 75, kPredicted, fixture::kNow + 2 * kListInterval) ==
+        ProgressVerdict::kNormal);
+  CHECK(rate.best_rate_ == doctest::Approx(10.0));
+  CHECK(MeasureProgress(rate, 78, kPredicted, fixture::kNow + 3 * kListInterval) ==
+        ProgressVerdict::kSlow);
+}
+
+TEST_CASE("a run that resumes from a checkpoint and shows no progress at all is slow") {
+  ProgressRate rate;
+  StartResumedMeasurement(rate, fixture::kNow);
+  CHECK(MeasureProgress(rate, 0, kPredicted, fixture::kNow + kListInterval) ==
+        ProgressVerdict::kSlow);
+}
+
 TEST_CASE("a run without progress is slow only if clear progress was predicted") {
   ProgressRate rate;
   StartProgressMeasurement(rate, fixture::kNow);
