Place work that can still be on time before work that is late

Cause: among steps of one priority the earliest latest start went first. That is right while all can be on time; with a backlog the oldest steps go first, which are late already, and each later job becomes late while it waits for them. Class: earliest deadline first under overload. Change: a step whose latest start has passed comes after those that can be on time, before those whose result would be worthless. What is late runs where the others leave room. Test: 'after a burst, jobs that can still be on time are placed before jobs that are late' fails before.

--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -33,7 +33,7 @@
 
 bool IsPlacedBefore(const ReadyStep& left, const ReadyStep& right) noexcept {
   const auto key = [](const ReadyStep& step) {
-    return std::tuple(step.job_->treatment_.priority_, step.past_useful_completion_,
+    return std::tuple(step.job_->treatment_.priority_, step.past_useful_completion_, step.late_,
                       step.latest_start_, std::string_view{step.job_->id_}, step.occurrence_,
                       step.index_);
   };
@@ -68,6 +68,7 @@
   step.latest_start_ = objective - chain;
   step.past_useful_completion_ =
       time.wall_ + chain > due + (objective - due) * kUsefulCompletionFactor;
+  step.late_ = time.wall_ > step.latest_start_;
   step.ready_since_ = state.ready_since_;
   const bool last_attempt =
       !spec.long_running_ &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -31,6 +31,7 @@
   std::vector<std::uint32_t> tasks_;  ///< Indices of the tasks that can start.
   core::Milliseconds duration_{};     ///< Predicted duration of one task.
   bool past_useful_completion_{};     ///< Cannot finish before its result is worthless.
+  bool late_{};                       ///< Can't meet the completion objective any more.
   ledger::WallTime latest_start_{};   ///< Latest start that meets the completion objective.
   core::TimePoint ready_since_{};
   /** One more failure ends the job: the step waits a while for a worker without recent failures. */
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -272,6 +272,35 @@
   }
 }
 
+// Guards against a backlog whose oldest jobs are served first although they are late already, so
+// that every later job is late as well.
+TEST_CASE("after a burst, jobs that can still be on time are placed before jobs that are late") {
+  // Load: ten jobs were left behind by a burst and can no longer be on time; two jobs have just
+  // come. One worker's GPUs are free.
+  PlanningHarness harness;
+  AddWorker(harness.fleet_, MakeEntry("w1"));
+  constexpr std::chrono::seconds kBacklog{20};
+  for (int number = 1; number <= 12; ++number) {
+    Job& job = AddJob(harness.table_, JobId(number), {MakeStep(4, 1)});
+    if (number > 10) {
+      ledger::Submission fresh = *job.submission_;
+      fresh.accepted_ += kBacklog;
+      job.submission_ = std::make_shared<const ledger::Submission>(std::move(fresh));
+    }
+  }
+  const auto started_jobs = [&harness](core::Milliseconds later) {
+    std::set<std::string> jobs;
+    for (const PlannedGroup& group : harness.Make(later).starts_) {
+      jobs.insert(group.front().task_.job_);
+    }
+    return jobs;
+  };
+  CHECK(started_jobs(kBacklog) == std::set<std::string>{JobId(11), JobId(12)});
+  // What is late still runs where the others leave room.
+  AddWorker(harness.fleet_, MakeEntry("w2"));
+  CHECK(started_jobs(kBacklog) == std::set<std::string>{JobId(1), JobId(2), JobId(11), JobId(12)});
+}
+
 TEST_CASE("a late urgent step still preempts less urgent runs") {
   PlanningHarness harness;
   AddAssignedRun(AddWorker(harness.fleet_, MakeEntry("w1")),
