Give up a task under which workers crash

Cause: a run that its worker no longer lists was started again whatever the reason. Only results 'failed' were counted as attempts, and a crashed worker reports none. Class: a retry without a budget for one kind of failure. Change: a run whose worker comes back as another incarnation, without having announced that it leaves, counts as a crash under its task; the count is stored in the task's record (two new fields), so that the next leader goes on from it, and finds crashes without a leader by the recorded incarnation. After two crashes, if nothing else explains the latest, or three in any case, the job fails and its other runs are stopped. Tasks under which a worker has crashed are kept off each other's workers, so that the tasks that merely ran beside a deadly one are not given up with it.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -24,9 +24,9 @@
  * follow each other one at a time, so a plan that waits for the confirmation is sent no later. */
 constexpr core::Milliseconds kRecordTimeout{150};
 
-/** Gives all members of a gang the same failure count: a failed run counts for the whole gang,
- * whichever member's record holds it. */
-void ShareGangFailures(Job& job) noexcept {
+/** Gives all members of a gang the same counts of failures and crashes: a run counts for the whole
+ * gang, whichever member's record holds it. */
+void ShareGangCounts(Job& job) noexcept {
   for (auto& [number, occurrence] : job.occurrences_) {
     for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
       if (!job.submission_->steps_[index].gang_) {
@@ -34,11 +34,17 @@
       }
       std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
       std::uint32_t failures = 0;
+      std::uint32_t crashes = 0;
+      std::uint64_t crashed_run = 0;
       for (const Task& task : tasks) {
         failures = std::max(failures, task.failures_);
+        crashes = std::max(crashes, task.crashes_);
+        crashed_run = std::max(crashed_run, task.crashed_run_);
       }
       for (Task& task : tasks) {
         task.failures_ = failures;
+        task.crashes_ = crashes;
+        task.crashed_run_ = crashed_run;
       }
     }
   }
@@ -47,11 +53,11 @@
 bool HasUsedUpAttempts(const Job& job) noexcept {
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-      if (job.submission_->steps_[index].long_running_) {
-        continue;
-      }
+      const bool counts_failures = !job.submission_->steps_[index].long_running_;
       for (const Task& task : occurrence.steps_[index].tasks_) {
-        if (task.phase_ != TaskPhase::kDone && task.failures_ >= job.treatment_.max_attempts_) {
+        const bool used_up = counts_failures && task.failures_ >= job.treatment_.max_attempts_;
+        if (task.phase_ != TaskPhase::kDone &&
+            (used_up || task.crashes_ >= internal::kMaxCrashes)) {
           return true;
         }
       }
@@ -125,6 +131,8 @@
   task->failures_ = record.failures_;
   task->checkpoint_ = record.checkpoint_;
   task->failed_run_ = record.failed_run_;
+  task->crashes_ = record.crashes_;
+  task->crashed_run_ = record.crashed_run_;
   if (record.outcome_ == ledger::TaskOutcome::kStarted) {
     if (task->phase_ == TaskPhase::kWaiting) {
       MarkPlaced(step, *task, record.run_, record.worker_);
@@ -136,6 +144,8 @@
                     .priority_ = job->treatment_.priority_,
                     .command_attempts_ = internal::kMaxStartAttempts,
                     .gang_ = spec.gang_,
+                    .suspected_ = record.crashes_ > 0,
+                    .incarnation_ = record.incarnation_,
                     .gang_size_ = spec.gang_ ? spec.count_ : 1});
     ++task->outstanding_runs_;
     ++job->outstanding_runs_;
@@ -164,7 +174,7 @@
     }
   }
   for (auto& [id, job] : job_table_.jobs_) {
-    ShareGangFailures(job);
+    ShareGangCounts(job);
     if (!ledger::IsFinal(job.state_) && HasUsedUpAttempts(job)) {
       // The failed result is stored, but the job's state that follows from it is not.
       StopJob(job, ledger::JobState::kFailed, now);
@@ -197,11 +207,12 @@
   Worker& worker = FindOrAddWorker(entry.id_);
   const bool changed = worker.entry_.incarnation_ != entry.incarnation_;
   const bool was_eligible = worker.listed_ && !worker.entry_.draining_;
+  const bool was_draining = worker.listed_ && worker.entry_.draining_;
   worker.entry_ = entry;
   worker.listed_ = true;
   worker.entry_seen_ = now;
   if (changed && worker.incarnation_ != entry.incarnation_) {
-    AdoptIncarnation(worker, entry.incarnation_);
+    AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
     worker.next_lease_ = now;
   }
   UpdateClock(worker, entry.clock_, now);
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -157,7 +157,13 @@
   void RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void AwaitRunList(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
 
-  void AdoptIncarnation(Worker& worker, site::Incarnation incarnation);
+  void AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
+                        core::TimePoint now);
+  void OnCrash(Worker& worker, core::TimePoint now);
+  [[nodiscard]] bool IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
+                                   core::TimePoint now) const;
+  [[nodiscard]] bool CountCrash(const Worker& worker, const RunId& run, core::TimePoint now);
+  void GiveUpCrashingTask(const Worker& worker, const RunId& run, core::TimePoint now);
   void ProcessResults(Worker& worker, const std::vector<platform::FinishedRun>& rows,
                       core::TimePoint now);
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -27,7 +27,8 @@
 
 }  // namespace
 
-void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation) {
+void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
+                                  core::TimePoint now) {
   if (worker.incarnation_ != 0) {
     core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.restarted",
                    {{"worker", worker.entry_.id_},
@@ -35,6 +36,9 @@
                     {"runs", worker.assigned_runs_.size()}});
   }
   worker.incarnation_ = incarnation;
+  if (!was_draining) {
+    OnCrash(worker, now);
+  }
   worker.results_processed_ = 0;
   worker.results_recorded_ = 0;
   worker.results_acknowledged_ = 0;
@@ -339,7 +343,9 @@
                                                           .incarnation_ = 0,
                                                           .failures_ = task->failures_,
                                                           .checkpoint_ = task->checkpoint_,
-                                                          .failed_run_ = task->failed_run_});
+                                                          .failed_run_ = task->failed_run_,
+                                                          .crashes_ = task->crashes_,
+                                                          .crashed_run_ = task->crashed_run_});
   if (end != RunResult::kStopped) {
     step->retry_at_ = std::max(step->retry_at_, now + kRetryDelay);
   }
@@ -366,8 +372,13 @@
                     {"worker", worker.entry_.id_},
                     {"reason", reason}});
   }
+  const AssignedRun& assigned = worker.assigned_runs_.at(run);
+  const bool gives_up = assigned.crashed_ && CountCrash(worker, run, now);
   RecordBatch batch;
   FinishRun(worker, run, RunResult::kLeaseExpired, {}, batch, now);
+  if (gives_up) {
+    GiveUpCrashingTask(worker, run, now);
+  }
   if (!batch.tasks_.empty()) {
     IssueBatch(std::move(batch), {}, now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -307,7 +307,7 @@
           std::max(worker->results_acknowledged_, action.call_.acknowledged_);
     }
     if (worker->incarnation_ != result.incarnation_) {
-      AdoptIncarnation(*worker, result.incarnation_);
+      AdoptIncarnation(*worker, result.incarnation_, worker->entry_.draining_, now);
     }
     if (result.clock_.has_value()) {
       UpdateClock(*worker, *result.clock_, now);
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -228,6 +228,8 @@
                     .needs_ = spec.task_resources_,
                     .priority_ = job.treatment_.priority_,
                     .gang_ = spec.gang_,
+                    .suspected_ = task.crashes_ > 0,
+                    .incarnation_ = worker.incarnation_,
                     .resumed_ = !task.checkpoint_.empty(),
                     .gang_size_ = spec.gang_ ? spec.count_ : 1,
                     .next_stop_ = core::TimePoint::max()});
@@ -241,6 +243,8 @@
                                                .failures_ = task.failures_,
                                                .checkpoint_ = task.checkpoint_,
                                                .failed_run_ = task.failed_run_,
+                                               .crashes_ = task.crashes_,
+                                               .crashed_run_ = task.crashed_run_,
                                            });
     pending.starts_.emplace_back(worker.entry_.id_, run);
   }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -41,10 +42,14 @@
   std::uint32_t command_attempts_{};  ///< Commands sent in the present phase.
   bool command_in_flight_{};
   bool gang_{};
-  bool resumed_{};                ///< Started from a checkpoint.
-  std::uint32_t gang_size_{1};    ///< Tasks that fail together with this run.
-  core::TimePoint settled_at_{};  ///< Lease calls sent from then on show whether the run exists.
-  core::TimePoint started_{};     ///< When the start was confirmed.
+  bool suspected_{};                 ///< A worker has crashed under an earlier run of the task.
+  bool crashed_{};                   ///< The worker has crashed since the run was assigned to it.
+  bool only_suspect_{};              ///< Nothing but the run's job explains that crash.
+  site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
+  bool resumed_{};                   ///< Started from a checkpoint.
+  std::uint32_t gang_size_{1};       ///< Tasks that fail together with this run.
+  core::TimePoint settled_at_{};     ///< Lease calls sent from then on show whether the run exists.
+  core::TimePoint started_{};        ///< When the start was confirmed.
   core::WorkerTime lease_deadline_{};  ///< In the start command, on the worker's clock.
   core::TimePoint next_stop_{};        ///< When an unanswered stop command is resent.
   ProgressRate progress_rate_;
@@ -65,6 +70,8 @@
   std::uint32_t times_suspected_{};    ///< Since the last success; each one doubles the next pause.
   bool slow_{};                        ///< Suspected only because its runs progress slowly.
   core::TimePoint failed_at_{};        ///< Last failure that the worker may have caused.
+  core::TimePoint crashed_at_{};       ///< When the worker was last seen to have crashed.
+  std::set<ledger::JobId> crashed_jobs_;  ///< Jobs that had runs on the worker then.
 };
 
 /** @brief Value of Worker::acknowledgement_limit_ that allows every acknowledgement. */
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -78,6 +78,9 @@
       });
   step.avoids_failed_workers_ =
       last_attempt && time.now_ < state.retry_at_ + kFailedWorkerAvoidance;
+  step.suspected_ =
+      std::any_of(step.tasks_.begin(), step.tasks_.end(),
+                  [&state](std::uint32_t task) { return state.tasks_[task].crashes_ > 0; });
   steps.push_back(std::move(step));
 }
 
@@ -128,6 +131,9 @@
       if (IsBeingStopped(assigned)) {
         candidate.free_after_stops_ += assigned.needs_;
       }
+      if (assigned.suspected_) {
+        candidate.suspected_job_ = &run.task_.job_;
+      }
     }
     candidate.probe_only_ = worker.health_.times_suspected_ > 0;
     candidate.recently_failed_ = worker.health_.failed_at_ != core::TimePoint{} &&
@@ -194,7 +200,12 @@
   const bool avoids_failed = step.avoids_failed_workers_ &&
                              !(planner.mostly_idle_ && planner.context_.time_.now_ >=
                                                            step.state_->retry_at_ + kMaxIdleWait);
-  return (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
+  // Suspects are kept apart: if two that ran together were together again, a second crash would
+  // tell no more than the first.
+  const bool beside_suspect = step.suspected_ && candidate.suspected_job_ != nullptr &&
+                              *candidate.suspected_job_ != step.job_->id_;
+  return (!beside_suspect || ExceedsIdleWait(planner, step)) &&
+         (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
          candidate.worker_->entry_.service_ == step.job_->treatment_.service_ &&
          HasLabel(*candidate.worker_, step.spec_->constraint_) &&
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -156,6 +156,8 @@
   message.set_failures(record.failures_);
   message.set_checkpoint(record.checkpoint_);
   message.set_failed_run(record.failed_run_);
+  message.set_crashes(record.crashes_);
+  message.set_crashed_run(record.crashed_run_);
   return message.SerializeAsString();
 }
 
@@ -175,6 +177,8 @@
       .failures_ = message->failures(),
       .checkpoint_ = message->checkpoint(),
       .failed_run_ = message->failed_run(),
+      .crashes_ = message->crashes(),
+      .crashed_run_ = message->crashed_run(),
   };
 }
 
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -112,7 +112,9 @@
   std::int64_t incarnation_{};
   std::uint32_t failures_{};
   std::string checkpoint_;
-  std::uint64_t failed_run_{};  ///< Newest run that is counted in failures_.
+  std::uint64_t failed_run_{};   ///< Newest run that is counted in failures_.
+  std::uint32_t crashes_{};      ///< Runs under which a worker has crashed.
+  std::uint64_t crashed_run_{};  ///< Newest run that is counted in crashes_.
 };
 
 /** @brief Term: period in which one node is the leader. */
--- a/test/exhaustive/takeover/simulation_workers.cpp
+++ b/test/exhaustive/takeover/simulation_workers.cpp
@@ -65,7 +65,7 @@
     node->faults_until_ = std::max(node->faults_until_, now_ + kWorkerOutage);
   }
   if (choice == kWorkerCrashes) {
-    support::Crash(fake_workers_.workers_.at(worker), now_ + kWorkerDowntime);
+    support::Crash(fake_workers_, fake_workers_.workers_.at(worker), now_ + kWorkerDowntime);
   }
   const bool sender_crashes = choice == kSenderCrashesAfterSend || choice == kSenderRestarts;
   const bool arrives =
--- a/test/randomised/dispatch/runs.cpp
+++ b/test/randomised/dispatch/runs.cpp
@@ -62,6 +62,16 @@
   SimulateAllSeeds({.lost_answer_ = 20, .worker_cut_ = 60, .leader_cut_ = 150});
 }
 
+// Guards against one task that crashes worker after worker (issue 26, BUDGET).
+TEST_CASE("a task that crashes its workers is given up, and all other jobs finish") {
+  SimulateAllSeeds({.lost_answer_ = 10, .deadly_job_ = 150});
+}
+
+TEST_CASE("a task that crashes its workers is given up while leaders crash as well") {
+  SimulateAllSeeds(
+      {.lost_answer_ = 10, .leader_crash_ = 150, .store_outage_ = 40, .deadly_job_ = 150});
+}
+
 TEST_CASE("rules hold and jobs finish with all kinds of faults at once") {
   SimulateAllSeeds({.lost_answer_ = 40,
                     .late_call_ = 40,
--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -67,6 +67,20 @@
   return {.length_ = length, .fails_ = core::Hash(run) % 1000 < faults_.failing_run_};
 }
 
+/** Crashes a worker soon after it has started a task of a deadly job. */
+void World::CrashUnder(const std::string& id, const platform::StartCommand& order) {
+  if (core::Hash("deadly " + order.task_.job_) % 1000 >= faults_.deadly_job_) {
+    return;
+  }
+  Schedule(now_ + RandomDuration(20, 800), [this, id, order] {
+    support::FakeWorker& worker = fake_workers_.workers_.at(id);
+    const auto run = worker.runs_.find(order.task_);
+    if (run != worker.runs_.end() && run->second.number_ == order.run_) {
+      support::Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
+    }
+  });
+}
+
 void World::SubmitJob(int number) {
   std::vector<ledger::Step> steps;
   ledger::Step first = fixture::MakeStep(1 + random_(4), static_cast<std::int64_t>(1 + random_(4)));
@@ -177,6 +191,9 @@
                   worker == nullptr
                       ? platform::CommandResult{.outcome_ = CommandOutcome::kUnknown}
                       : support::DoStart(fake_workers_, *worker, start.command_, now_);
+              if (worker != nullptr && result.outcome_ == CommandOutcome::kDone) {
+                CrashUnder(start.worker_.id_, start.command_);
+              }
               return std::function<void()>([this, leader, start, active, result] {
                 if (active()) {
                   leader->dispatcher_->OnStarted(start, result, now_);
@@ -278,7 +295,7 @@
   for (auto& [id, worker] : fake_workers_.workers_) {
     support::Advance(fake_workers_, worker, now_);
     if (Chance(faults_.worker_crash_)) {
-      support::Crash(worker, now_ + RandomDuration(500, 4000));
+      support::Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
       reachability_[id] = {};
     } else if (Chance(faults_.worker_cut_)) {
       reachability_[id].cut_until_ = now_ + RandomDuration(500, 9000);
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -27,6 +27,7 @@
   std::uint32_t leader_cut_{};    ///< Per second: the leader goes on without the store.
   std::uint32_t store_outage_{};  ///< Per second.
   std::uint32_t cancel_{};        ///< Per second and job.
+  std::uint32_t deadly_job_{};    ///< Per job: its tasks crash every worker that starts them.
 };
 
 /** @brief Which leaders can reach a worker. */
@@ -89,6 +90,7 @@
   void StoreBatch(const LeaderPointer& leader, const dispatch::RecordBatch& batch);
   void StoreStatus(const LeaderPointer& leader, const dispatch::StatusChange& change);
 
+  void CrashUnder(const std::string& worker, const platform::StartCommand& order);
   [[nodiscard]] support::RunCourse CourseOf(const platform::StartCommand& order);
   [[nodiscard]] bool Reachable(const std::string& worker, std::uint64_t term) const;
   void Deliver(std::uint64_t term, const std::string& worker, core::TimePoint deadline,
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -33,6 +33,11 @@
                                         kDone);
 }
 
+/** The platform forbids to start a task three times more after three workers have crashed under it.
+ */
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxStartsAfterCrashes = 3;
+
 /** Whether a step of an occurrence has ended; one end stands for a whole gang. */
 bool HasEnded(const FakeWorkers& field, const ledger::Submission& submission,
               const ledger::TaskId& task, std::uint32_t step) {
@@ -60,6 +65,10 @@
   if (field.noted_failed_[order.task_] >= static_cast<int>(submission.scheduling_.max_attempts_)) {
     Break(field, now, "BUDGET " + name);
   }
+  if (field.crashes_[order.task_] >= kMaxCrashes &&
+      ++field.starts_after_crashes_[order.task_] >= kMaxStartsAfterCrashes) {
+    Break(field, now, "BUDGET of workers that crash under " + name);
+  }
   if (order.spec_ != submission.payload_) {
     Break(field, now, "UNASKED text of " + name);
   }
@@ -133,7 +142,10 @@
   }
 }
 
-void Crash(FakeWorker& worker, core::TimePoint back) {
+void Crash(FakeWorkers& field, FakeWorker& worker, core::TimePoint back) {
+  for (const auto& [task, run] : worker.runs_) {
+    ++field.crashes_[task];
+  }
   worker = FakeWorker{.id_ = worker.id_,
                       .incarnation_ = worker.incarnation_ + 1,
                       .started_ = back,
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -54,6 +54,8 @@
   std::map<ledger::TaskId, int> noted_done_;
   std::map<ledger::TaskId, int> noted_failed_;
   std::map<ledger::TaskId, core::TimePoint> done_at_;
+  std::map<ledger::TaskId, int> crashes_;               ///< Workers that crashed under a task.
+  std::map<ledger::TaskId, int> starts_after_crashes_;  ///< Starts after three such crashes.
   std::vector<std::string> broken_;
 };
 
@@ -76,7 +78,7 @@
 void Advance(FakeWorkers& field, FakeWorker& worker, core::TimePoint now);
 
 /** @brief The worker loses all it knows and comes back as another incarnation. */
-void Crash(FakeWorker& worker, core::TimePoint back);
+void Crash(FakeWorkers& field, FakeWorker& worker, core::TimePoint back);
 
 /** @brief Carries out a start, and notes each rule that it breaks. */
 platform::CommandResult DoStart(FakeWorkers& field, FakeWorker& worker,
