Withdraw starts for which a worker's capacity no longer suffices

Cause: a start is sent once its record is stored; by then only the worker's listing, draining and zone were checked again. Class: a check whose result is used after a wait. Plans themselves count a shrunk capacity and runs that are being stopped; a test now says so. Change: a recorded start is withdrawn while what is assigned to its worker exceeds the capacity. Test: 'starts that no longer fit when their record is stored are withdrawn' fails before (6 starts into 4 GPUs).

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -350,6 +350,9 @@
                         !rules_.zones_out_.contains(worker->entry_.zone_);
     if (assigned->second.phase_ == RunPhase::kRecording && !usable) {
       WithdrawStart(*worker, run, "the worker no longer takes work");
+    } else if (assigned->second.phase_ == RunPhase::kRecording &&
+               !Fits(worker->used_, worker->entry_.capacity_)) {
+      WithdrawStart(*worker, run, "the worker's capacity has shrunk");
     }
     if (assigned->second.phase_ == RunPhase::kRecording) {
       SendStart(*worker, run, assigned->second, now);
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -234,6 +234,53 @@
   CHECK(restarted_at < started + core::Milliseconds(6000 + 3000));
 }
 
+// Guards against a start that brings a worker over a capacity that has shrunk meanwhile (LIMIT).
+TEST_CASE("starts that no longer fit when their record is stored are withdrawn") {
+  Harness harness;
+  harness.Submit(JobId(1), {MakeStep(8, 1)});
+  const std::vector<StartAction> running = harness.StartWaitingTasks();
+  REQUIRE(running.size() == 8);
+  harness.dispatcher_.OnWorker(MakeEntry("w2"), harness.now_);
+  harness.Submit(JobId(2), {MakeStep(6, 1)});
+  harness.Run();
+  const Actions recording = harness.actions_;
+  // The store answers seconds later. The capacity has shrunk to four GPUs meanwhile.
+  site::WorkerEntry shrunk = MakeEntry("w2");
+  shrunk.capacity_.gpus_ = 4;
+  harness.dispatcher_.OnWorker(shrunk, harness.now_);
+  harness.now_ += std::chrono::seconds(5);
+  for (const RecordBatch& batch : recording.records_) {
+    harness.dispatcher_.OnRecorded(batch.number_, harness.now_);
+  }
+  std::size_t started = harness.Run().starts_.size();
+  CHECK(started == 4);
+  // Those that were withdrawn start once the worker has its capacity back.
+  harness.ConfirmRecords();
+  CHECK(harness.Run().starts_.empty());
+  harness.dispatcher_.OnWorker(MakeEntry("w2"), harness.now_);
+  harness.Run(core::Milliseconds(200));
+  harness.ConfirmRecords();
+  started += harness.Run().starts_.size();
+  CHECK(started == 6);
+}
+
+TEST_CASE("while its capacity is smaller than what runs there a worker gets nothing") {
+  Harness harness;
+  harness.Submit(JobId(1), {MakeStep(8, 1)});
+  const std::vector<StartAction> running = harness.StartWaitingTasks();
+  REQUIRE(running.size() == 8);
+  site::WorkerEntry shrunk = MakeEntry("w1");
+  shrunk.capacity_.gpus_ = 6;
+  harness.dispatcher_.OnWorker(shrunk, harness.now_);
+  harness.Submit(JobId(2), {MakeStep(1, 1)}, 0);
+  // Runs that are being stopped still count: the urgent task waits until there is room.
+  for (int turn = 0; turn < 10; ++turn) {
+    harness.Run(core::Milliseconds(100));
+    harness.ConfirmRecords();
+    CHECK(harness.actions_.starts_.empty());
+  }
+}
+
 TEST_CASE("an unanswered start command is resent with a higher fencing token") {
   Harness harness;
   harness.Submit(JobId(1), {MakeStep(1, 1)});
