Name the crash suspects apart from suspected workers, and forget crashes of proven services

Read again as a newcomer: 'suspected' is a worker's state elsewhere, so what concerns tasks under which a worker has crashed is called crash_suspect. A worker that was draining when it left has not crashed, also if it was unlisted meanwhile. A long-running task that has worked for a minute loses its earlier crashes: over months it would otherwise be given up for crashes with other causes (unit test added; with the counts kept it fails).

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -144,7 +144,7 @@
                     .priority_ = job->treatment_.priority_,
                     .command_attempts_ = internal::kMaxStartAttempts,
                     .gang_ = spec.gang_,
-                    .suspected_ = record.crashes_ > 0,
+                    .crash_suspect_ = record.crashes_ > 0,
                     .incarnation_ = record.incarnation_,
                     .gang_size_ = spec.gang_ ? spec.count_ : 1});
     ++task->outstanding_runs_;
@@ -207,7 +207,7 @@
   Worker& worker = FindOrAddWorker(entry.id_);
   const bool changed = worker.entry_.incarnation_ != entry.incarnation_;
   const bool was_eligible = worker.listed_ && !worker.entry_.draining_;
-  const bool was_draining = worker.listed_ && worker.entry_.draining_;
+  const bool was_draining = worker.entry_.draining_;
   worker.entry_ = entry;
   worker.listed_ = true;
   worker.entry_seen_ = now;
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -19,7 +19,8 @@
  * without power. */
 constexpr core::Milliseconds kCommonCauseWindow{3000};
 
-/** Time at work after which a long-running task is not suspected of having crashed its worker. */
+/** Time at work after which a long-running task is no longer suspected of crashing its workers: it
+ * would otherwise be given up some day for crashes that have other causes. */
 constexpr core::Milliseconds kProvenRunTime{60000};
 
 }  // namespace
@@ -79,19 +80,17 @@
   }
   const ledger::Step& spec = job->submission_->steps_[run.task_.step_];
   const auto assigned = worker.assigned_runs_.find(run);
-  if (spec.long_running_ && assigned != worker.assigned_runs_.end() &&
-      assigned->second.started_ != core::TimePoint{} &&
-      now > assigned->second.started_ + kProvenRunTime) {
-    return false;
-  }
+  const bool is_assigned = assigned != worker.assigned_runs_.end();
+  const bool proven = spec.long_running_ && is_assigned &&
+                      assigned->second.started_ != core::TimePoint{} &&
+                      now > assigned->second.started_ + kProvenRunTime;
   for (Task& member : FindStep(job_table_, run.task_)->tasks_) {
     if (spec.gang_ || &member == task) {
-      ++member.crashes_;
+      member.crashes_ = proven ? 0 : member.crashes_ + 1;
       member.crashed_run_ = run.run_;
     }
   }
-  const bool only_suspect =
-      assigned != worker.assigned_runs_.end() && assigned->second.only_suspect_;
+  const bool only_suspect = is_assigned && assigned->second.only_suspect_;
   core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.worker_crashed",
                  {{"task", ledger::ToString(run.task_)},
                   {"run", run.run_},
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -228,7 +228,7 @@
                     .needs_ = spec.task_resources_,
                     .priority_ = job.treatment_.priority_,
                     .gang_ = spec.gang_,
-                    .suspected_ = task.crashes_ > 0,
+                    .crash_suspect_ = task.crashes_ > 0,
                     .incarnation_ = worker.incarnation_,
                     .resumed_ = !task.checkpoint_.empty(),
                     .gang_size_ = spec.gang_ ? spec.count_ : 1,
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -42,7 +42,7 @@
   std::uint32_t command_attempts_{};  ///< Commands sent in the present phase.
   bool command_in_flight_{};
   bool gang_{};
-  bool suspected_{};                 ///< A worker has crashed under an earlier run of the task.
+  bool crash_suspect_{};             ///< A worker has crashed under an earlier run of the task.
   bool crashed_{};                   ///< The worker has crashed since the run was assigned to it.
   bool only_suspect_{};              ///< Nothing but the run's job explains that crash.
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -78,8 +78,8 @@
   candidate.free_ -= step.spec_->task_resources_;
   candidate.free_after_stops_ -= step.spec_->task_resources_;
   ++candidate.assigned_tasks_;
-  if (step.suspected_) {
-    candidate.suspected_job_ = &step.job_->id_;
+  if (step.crash_suspect_) {
+    candidate.crash_suspect_job_ = &step.job_->id_;
   }
   planned.push_back({.task_ = {.job_ = step.job_->id_,
                                .occurrence_ = step.occurrence_,
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -78,7 +78,7 @@
       });
   step.avoids_failed_workers_ =
       last_attempt && time.now_ < state.retry_at_ + kFailedWorkerAvoidance;
-  step.suspected_ =
+  step.crash_suspect_ =
       std::any_of(step.tasks_.begin(), step.tasks_.end(),
                   [&state](std::uint32_t task) { return state.tasks_[task].crashes_ > 0; });
   steps.push_back(std::move(step));
@@ -131,8 +131,8 @@
       if (IsBeingStopped(assigned)) {
         candidate.free_after_stops_ += assigned.needs_;
       }
-      if (assigned.suspected_) {
-        candidate.suspected_job_ = &run.task_.job_;
+      if (assigned.crash_suspect_) {
+        candidate.crash_suspect_job_ = &run.task_.job_;
       }
     }
     candidate.probe_only_ = worker.health_.times_suspected_ > 0;
@@ -202,8 +202,8 @@
                                                            step.state_->retry_at_ + kMaxIdleWait);
   // Suspects are kept apart: if two that ran together were together again, a second crash would
   // tell no more than the first.
-  const bool beside_suspect = step.suspected_ && candidate.suspected_job_ != nullptr &&
-                              *candidate.suspected_job_ != step.job_->id_;
+  const bool beside_suspect = step.crash_suspect_ && candidate.crash_suspect_job_ != nullptr &&
+                              *candidate.crash_suspect_job_ != step.job_->id_;
   return (!beside_suspect || ExceedsIdleWait(planner, step)) &&
          (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -16,9 +16,9 @@
   site::Resources free_after_stops_;
   bool probe_only_{};          ///< Was suspected: takes one run at a time until a run succeeds.
   std::set<RunId> preempted_;  ///< Runs that this plan preempts.
-  std::uint32_t assigned_tasks_{};        ///< Tasks assigned here of the step that is being placed.
-  bool urgent_headroom_{};                ///< Kept free for urgent jobs.
-  const ledger::JobId* suspected_job_{};  ///< Job here under which a worker has crashed before.
+  std::uint32_t assigned_tasks_{};  ///< Tasks assigned here of the step that is being placed.
+  bool urgent_headroom_{};          ///< Kept free for urgent jobs.
+  const ledger::JobId* crash_suspect_job_{};  ///< Job here under which a worker has crashed before.
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
 };
 
@@ -37,7 +37,7 @@
   core::TimePoint ready_since_{};
   /** One more failure ends the job: the step waits a while for a worker without recent failures. */
   bool avoids_failed_workers_{};
-  bool suspected_{};  ///< A worker has crashed under one of the tasks.
+  bool crash_suspect_{};  ///< A worker has crashed under one of the tasks.
 };
 
 /** @brief State of one planning pass. */
--- a/test/laburnumledge/dispatch/crashes.cpp
+++ b/test/laburnumledge/dispatch/crashes.cpp
@@ -213,6 +213,19 @@
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kFailed);
 }
 
+TEST_CASE("a long-running task that has worked for a minute is not given up for later crashes") {
+  CrashHarness harness(6);
+  ledger::Step serving = MakeStep(1, 8);
+  serving.long_running_ = true;
+  harness.Submit(JobId(1), {serving});
+  for (int crash = 0; crash < 6; ++crash) {
+    harness.Advance(std::chrono::seconds(crash % 2 == 0 ? 70 : 10));
+    REQUIRE(harness.WorkersOf(JobId(1)).size() == 1);
+    harness.Crash(harness.WorkersOf(JobId(1)));
+  }
+  CHECK(harness.states_[JobId(1)] == ledger::JobState::kRunning);
+}
+
 TEST_CASE("a worker that leaves as announced has not crashed") {
   CrashHarness harness(1);
   harness.Submit(JobId(1), {MakeStep(1, 8)});
