Count the crash of a worker that comes back under another identifier

Class: an identity that does not survive the event it is meant to show. Change: the newest worker at each address is known; one that comes up at the address of another, younger and without that one having announced that it leaves, shows that the other has crashed. Its runs are counted, also those whose lease had passed. When they may start again is unchanged. Test: 'a worker that comes back under another identifier has crashed' fails before (9 starts; at most 4 allowed).

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -211,6 +211,9 @@
   worker.entry_ = entry;
   worker.listed_ = true;
   worker.entry_seen_ = now;
+  if (changed && entry.address_.port_ != 0) {
+    FindCrashedPredecessor(worker, now);
+  }
   if (changed && worker.incarnation_ != entry.incarnation_) {
     AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
     worker.next_lease_ = now;
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -159,6 +159,7 @@
 
   void AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
                         core::TimePoint now);
+  void FindCrashedPredecessor(const Worker& worker, core::TimePoint now);
   void OnCrash(Worker& worker, core::TimePoint now);
   [[nodiscard]] bool IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
                                    core::TimePoint now) const;
@@ -218,6 +219,8 @@
   site::Rules rules_;
   JobTable job_table_;
   Fleet fleet_;
+  /** Identifier of the newest worker at each IP address and port. */
+  std::map<std::pair<std::string, std::uint16_t>, std::string> worker_by_address_;
   DurationModel durations_;
   UrgentHeadroom urgent_headroom_;
   Actions actions_;
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <string>
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
@@ -25,12 +26,33 @@
 
 }  // namespace
 
+/** Finds the worker that had a new worker's address before: a worker that crashed may come back
+ * under another identifier, and its address tells that it is the same one. */
+void Dispatcher::FindCrashedPredecessor(const Worker& worker, core::TimePoint now) {
+  const site::WorkerEntry& entry = worker.entry_;
+  std::string& newest = worker_by_address_[{entry.address_.ip_, entry.address_.port_}];
+  Worker* other = newest == entry.id_ ? nullptr : FindWorker(fleet_, newest);
+  if (other != nullptr && other->entry_.incarnation_ >= entry.incarnation_) {
+    return;
+  }
+  newest = entry.id_;
+  if (other == nullptr || other->entry_.draining_) {
+    return;
+  }
+  other->crashed_ = true;
+  core::LogEvent(
+      Level::kWarning, EventPriority::kHigh, "worker.replaced",
+      {{"worker", other->entry_.id_}, {"by", entry.id_}, {"runs", other->assigned_runs_.size()}});
+  OnCrash(*other, now);
+}
+
 /** Marks the runs that a worker had when it crashed; they are counted once they are removed. */
 void Dispatcher::OnCrash(Worker& worker, core::TimePoint now) {
   std::set<ledger::JobId> jobs;
   for (auto& [run, assigned] : worker.assigned_runs_) {
-    if (internal::MayBeOnWorker(assigned) && assigned.incarnation_ != 0 &&
-        assigned.incarnation_ != worker.incarnation_) {
+    const bool of_earlier =
+        assigned.incarnation_ != 0 && assigned.incarnation_ != worker.incarnation_;
+    if (internal::MayBeOnWorker(assigned) && (of_earlier || worker.crashed_)) {
       assigned.crashed_ = true;
       assigned.only_suspect_ = IsOnlySuspect(worker, run.task_.job_, now);
       jobs.insert(run.task_.job_);
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -81,6 +81,7 @@
 struct Worker {
   site::WorkerEntry entry_;
   bool listed_{};                    ///< The platform lists the worker.
+  bool crashed_{};                   ///< Another worker has come up at its address.
   core::TimePoint entry_seen_{};     ///< When `entry_` was last read.
   site::Incarnation incarnation_{};  ///< As reported by the worker; 0 before its first answer.
   std::uint64_t fence_token_{};      ///< Token of commands that are sent now.
--- a/test/laburnumledge/dispatch/crashes.cpp
+++ b/test/laburnumledge/dispatch/crashes.cpp
@@ -41,6 +41,7 @@
   [[nodiscard]] site::WorkerEntry EntryOf(const std::string& id) const {
     site::WorkerEntry entry = MakeEntry(id, id);
     entry.incarnation_ = incarnations_.at(id);
+    entry.address_.ip_ = "10.0.0." + id.substr(0, id.find('\''));
     return entry;
   }
 
@@ -104,6 +105,17 @@
     Advance(core::Milliseconds(500));
   }
 
+  /** @brief Crashes a worker, which comes back under another identifier at the same address. */
+  void Replace(const std::string& id, core::Milliseconds back_after) {
+    const std::string successor = id + "'";
+    down_.insert(id);
+    running_[id].clear();
+    Advance(back_after);
+    incarnations_[successor] = incarnations_.at(id) + 1;
+    dispatcher_.OnWorker(EntryOf(successor), now_);
+    dispatcher_.OnWorkerGone(id, now_);
+  }
+
   /** @brief Takes all workers' power for a second; they come back one after the other. */
   void LosePower() {
     for (const auto& [id, incarnation] : incarnations_) {
@@ -149,6 +161,23 @@
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kFailed);
 }
 
+TEST_CASE("a worker that comes back under another identifier has crashed") {
+  // Before and after the lease of its run has passed.
+  for (const core::Milliseconds back_after : {core::Milliseconds(2000), core::Milliseconds(9000)}) {
+    CrashHarness harness(12);
+    harness.Submit(JobId(1), {MakeStep(1, 8)});
+    for (int crash = 0; crash < 8; ++crash) {
+      harness.Advance(std::chrono::seconds(2));
+      for (const std::string& worker : harness.WorkersOf(JobId(1))) {
+        harness.Replace(worker, back_after);
+      }
+      harness.Advance(std::chrono::seconds(10));
+    }
+    CHECK(harness.starts_[{.job_ = JobId(1)}] <= 4);
+    CHECK(harness.states_[JobId(1)] == ledger::JobState::kFailed);
+  }
+}
+
 TEST_CASE("tasks that ran beside one that crashes its workers are not given up with it") {
   // The deadly task and seven others fill one worker, so that the first crash hits them all.
   CrashHarness harness(12);
--- a/test/laburnumledge/dispatch/fixture.hpp
+++ b/test/laburnumledge/dispatch/fixture.hpp
@@ -38,7 +38,7 @@
                                    const std::string& zone = "zone-a") {
   return {.id_ = id,
           .service_ = "grinding",
-          .address_ = {.ip_ = "10.0.0.1", .port_ = 8000},
+          .address_ = {.ip_ = "10.0.0." + id, .port_ = 8000},
           .zone_ = zone,
           .rack_ = rack,
           .labels_ = {"a", rack},
