Keep what concerns a worker's return in dispatcher_crashes

The function is moved as it was. The title of a randomised test said that all other jobs finish; it checks that every job ends, completed or failed, and says so now.

--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -26,6 +26,26 @@
 
 }  // namespace
 
+void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
+                                  core::TimePoint now) {
+  if (worker.incarnation_ != 0) {
+    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.restarted",
+                   {{"worker", worker.entry_.id_},
+                    {"incarnation", incarnation},
+                    {"runs", worker.assigned_runs_.size()}});
+  }
+  worker.incarnation_ = incarnation;
+  if (!was_draining) {
+    OnCrash(worker, now);
+  }
+  worker.results_processed_ = 0;
+  worker.results_recorded_ = 0;
+  worker.results_acknowledged_ = 0;
+  worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
+  worker.expired_runs_.clear();
+  worker.clock_.reset();
+}
+
 /** Finds the worker that had a new worker's address before: a worker that crashed may come back
  * under another identifier, and its address tells that it is the same one. */
 void Dispatcher::FindCrashedPredecessor(const Worker& worker, core::TimePoint now) {
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -27,26 +27,6 @@
 
 }  // namespace
 
-void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
-                                  core::TimePoint now) {
-  if (worker.incarnation_ != 0) {
-    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.restarted",
-                   {{"worker", worker.entry_.id_},
-                    {"incarnation", incarnation},
-                    {"runs", worker.assigned_runs_.size()}});
-  }
-  worker.incarnation_ = incarnation;
-  if (!was_draining) {
-    OnCrash(worker, now);
-  }
-  worker.results_processed_ = 0;
-  worker.results_recorded_ = 0;
-  worker.results_acknowledged_ = 0;
-  worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
-  worker.expired_runs_.clear();
-  worker.clock_.reset();
-}
-
 void Dispatcher::UpdateHealth(Worker& worker, bool success, core::TimePoint now) {
   Health& health = worker.health_;
   if (success) {
--- a/test/randomised/dispatch/runs.cpp
+++ b/test/randomised/dispatch/runs.cpp
@@ -63,7 +63,7 @@
 }
 
 // Guards against one task that crashes worker after worker (issue 26, BUDGET).
-TEST_CASE("a task that crashes its workers is given up, and all other jobs finish") {
+TEST_CASE("a task that crashes its workers is given up, and every job ends") {
   SimulateAllSeeds({.lost_answer_ = 10, .deadly_job_ = 150});
 }
 
