Enforce organisations' quotas at planning and at the start

Change: the configuration's quotas and weights are read. A plan starts of an organisation only what its quota leaves; a gang fits as a whole or waits. Runs count from the decision to start them until their end is listed or their lease has expired, also after a takeover. Starts that a lower quota forbids meanwhile are withdrawn before they are sent. What waits for a quota holds no reservation and no urgent headroom and preempts nothing of others; guaranteed urgent work preempts less urgent runs of its own organisation. A step that can never fit is refused with 429 at submission. Log event plan.quota and gauge laburnumledge_organisation_gpus show use, limit and waiting by organisation.

Deployments without quotas plan as before.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -96,6 +96,9 @@
         gpus_(MakeGauge(registry, "laburnumledge_gpus", "GPUs of workers, by zone and use.")),
         capacity_(MakeGauge(registry, "laburnumledge_capacity_gpus",
                             "GPUs as the latest plan found them, by use, and GPUs waited for.")),
+        organisations_(MakeGauge(registry, "laburnumledge_organisation_gpus",
+                                 "GPUs of organisations with a quota, as the latest plan found "
+                                 "them: used, limit, and waited for because of the quota.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
@@ -114,6 +117,7 @@
   Family<Gauge>& jobs_;
   Family<Gauge>& gpus_;
   Family<Gauge>& capacity_;
+  Family<Gauge>& organisations_;
   Family<Gauge>& workers_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -268,11 +272,28 @@
                                      {"waiting_other", use.waiting_other_}}) {
     families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
   }
+  UpdateOrganisations(dispatcher);
   for (const char* state : {"ready", "draining", "unreachable", "suspected", "unlisted"}) {
     families_->workers_.Add({{"state", state}}).Set(workers[state]);
   }
 }
 
+void NodeMetrics::UpdateOrganisations(const dispatch::Dispatcher& dispatcher) {
+  const std::vector<std::int64_t>& waiting = dispatcher.QuotaWaitingGpus();
+  const auto set = [this](const std::string& organisation, const char* kind, std::int64_t gpus) {
+    families_->organisations_.Add({{"organisation", organisation}, {"kind", kind}})
+        .Set(static_cast<double>(gpus));
+  };
+  for (std::size_t index = 0; index < waiting.size(); ++index) {
+    const dispatch::OrganisationLimits& limits = dispatcher.KnownOrganisations().all_[index];
+    if (limits.quota_ != site::kUnlimited) {
+      set(limits.name_, "used", dispatcher.UseByOrganisation()[index].assigned_.gpus_);
+      set(limits.name_, "limit", limits.quota_.gpus_);
+      set(limits.name_, "waiting_on_quota", waiting[index]);
+    }
+  }
+}
+
 void NodeMetrics::UpdateTerm(std::uint64_t number, bool holds) {
   families_->term_.Add({}).Set(static_cast<double>(number));
   families_->holds_term_.Add({}).Set(holds ? 1.0 : 0.0);
--- a/src/laburnumledge/control/metrics.hpp
+++ b/src/laburnumledge/control/metrics.hpp
@@ -58,6 +58,8 @@
   [[nodiscard]] std::string Text();
 
  private:
+  void UpdateOrganisations(const dispatch::Dispatcher& dispatcher);
+
   struct Families;
   prometheus::Registry registry_;
   std::unique_ptr<Families> families_;
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/dispatch/planner.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -24,6 +25,9 @@
  * follow each other one at a time, so a plan that waits for the confirmation is sent no later. */
 constexpr core::Milliseconds kRecordTimeout{150};
 
+/** Reason in log events of starts that a quota no longer allows. */
+constexpr std::string_view kOverQuota = "the organisation's quota is used up";
+
 /** Gives all members of a gang the same counts of failures and crashes: a run counts for the whole
  * gang, whichever member's record holds it. */
 void ShareGangCounts(Job& job) noexcept {
@@ -83,6 +87,7 @@
 
 void Dispatcher::SetRules(const site::Rules& rules) {
   rules_ = rules;
+  ReplaceLimits(organisations_, rules_.configuration_);
   for (auto& [id, job] : job_table_.jobs_) {
     if (const site::Route* route = site::FindRoute(rules_, job.submission_->route_)) {
       job.treatment_ = route->scheduling_;
@@ -103,6 +108,7 @@
   Job* job = FindJob(job_table_, id);
   if (job == nullptr) {
     job = &job_table_.jobs_.emplace(id, MakeJob(id, *entry)).first->second;
+    job->organisation_ = FindOrAddOrganisation(organisations_, entry->submission_->organisation_);
     if (const site::Route* route = site::FindRoute(rules_, job->submission_->route_)) {
       job->treatment_ = route->scheduling_;
     }
@@ -141,6 +147,7 @@
     AddAssignedRun(worker, {.task_ = id, .run_ = record.run_},
                    {.phase_ = RunPhase::kStartSent,
                     .needs_ = spec.task_resources_,
+                    .organisation_ = job->organisation_,
                     .priority_ = job->treatment_.priority_,
                     .command_attempts_ = internal::kMaxStartAttempts,
                     .gang_ = spec.gang_,
@@ -326,6 +333,36 @@
   actions_.records_.push_back(std::move(batch));
 }
 
+/** Withdraws starts that an organisation's quota no longer allows: a configuration with a lower
+ * quota has come into force, or unknown runs were found, while the starts were being recorded. */
+void Dispatcher::WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now) {
+  if (!organisations_.has_quotas_ || batch.starts_.empty()) {
+    return;
+  }
+  std::vector<OrganisationUse> use = MeasureOrganisationUse(organisations_, fleet_);
+  for (const auto& [id, run] : batch.starts_) {
+    Worker* worker = FindWorker(fleet_, id);
+    if (worker == nullptr) {
+      continue;
+    }
+    const auto found = worker->assigned_runs_.find(run);
+    if (found == worker->assigned_runs_.end() || found->second.phase_ != RunPhase::kRecording) {
+      continue;
+    }
+    const AssignedRun& assigned = found->second;
+    site::Resources& used = use[assigned.organisation_].assigned_;
+    if (Fits(used, organisations_.all_[assigned.organisation_].quota_)) {
+      continue;
+    }
+    used -= assigned.needs_ * assigned.gang_size_;
+    if (assigned.gang_) {
+      StopGang(run, kOverQuota, now);
+    } else {
+      WithdrawStart(*worker, run, kOverQuota);
+    }
+  }
+}
+
 void Dispatcher::OnRecorded(std::uint64_t number, core::TimePoint now) {
   const auto found = pending_batches_.find(number);
   if (found == pending_batches_.end()) {
@@ -341,6 +378,7 @@
       ScheduleUpdate(*worker, now);
     }
   }
+  WithdrawStartsOverQuota(pending, now);
   for (const auto& [id, run] : pending.starts_) {
     Worker* worker = FindWorker(fleet_, id);
     const auto assigned = worker == nullptr ? decltype(worker->assigned_runs_.end()){}
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -111,6 +111,15 @@
   /** @brief Use of the fleet as the latest plan found it. */
   [[nodiscard]] const CapacityUse& Use() const noexcept { return capacity_use_; }
   [[nodiscard]] const Fleet& Workers() const noexcept { return fleet_; }
+  [[nodiscard]] const Organisations& KnownOrganisations() const noexcept { return organisations_; }
+  /** @brief Use by organisation index as the latest plan found it; empty before the first plan. */
+  [[nodiscard]] const std::vector<OrganisationUse>& UseByOrganisation() const noexcept {
+    return organisation_use_;
+  }
+  /** @brief GPUs that wait for a quota, by organisation index; empty without quotas. */
+  [[nodiscard]] const std::vector<std::int64_t>& QuotaWaitingGpus() const noexcept {
+    return quota_waiting_gpus_;
+  }
 
  private:
   /** Work that waits until a batch of records is stored. */
@@ -210,6 +219,8 @@
   void OpenReadySteps(PlanTime time);
   void RunPlan(PlanTime time);
   void LogCapacityUse(core::TimePoint now);
+  void LogQuotas() const;
+  void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
@@ -217,6 +228,7 @@
   site::Bounds bounds_;
   std::uint64_t first_fence_token_{};
   site::Rules rules_;
+  Organisations organisations_;
   JobTable job_table_;
   Fleet fleet_;
   /** Identifier of the newest worker at each IP address and port. */
@@ -235,6 +247,8 @@
   core::TimePoint paced_until_{};  ///< End of the time that past plans take up at the highest rate.
   core::TimePoint next_cleanup_{};
   CapacityUse capacity_use_;
+  std::vector<OrganisationUse> organisation_use_;  ///< As the latest plan found it, by index.
+  std::vector<std::int64_t> quota_waiting_gpus_;   ///< See Plan::quota_waiting_gpus_.
   core::TimePoint next_capacity_log_{};
   DispatchCounts counts_;
 };
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -129,6 +129,7 @@
     if (run.task_.step_ < job->submission_->steps_.size()) {
       orphan.needs_ = job->submission_->steps_[run.task_.step_].task_resources_;
     }
+    orphan.organisation_ = job->organisation_;
     ++job->outstanding_runs_;
   }
   if (Task* task = FindTask(job_table_, run.task_)) {
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -176,13 +176,36 @@
                   {"idle", capacity_use_.idle_},
                   {"waiting_urgent", capacity_use_.waiting_urgent_},
                   {"waiting_other", capacity_use_.waiting_other_}});
+  LogQuotas();
+}
+
+void Dispatcher::LogQuotas() const {
+  for (std::size_t index = 0; index < quota_waiting_gpus_.size(); ++index) {
+    const OrganisationLimits& limits = organisations_.all_[index];
+    if (limits.quota_ == site::kUnlimited) {
+      continue;
+    }
+    const site::Resources& used = organisation_use_[index].assigned_;
+    core::LogEvent(Level::kInfo, EventPriority::kLow, "plan.quota",
+                   {{"organisation", limits.name_},
+                    {"gpus", used.gpus_},
+                    {"gpus_limit", limits.quota_.gpus_},
+                    {"cpu_millis", used.cpu_millis_},
+                    {"cpu_millis_limit", limits.quota_.cpu_millis_},
+                    {"memory_mb", used.memory_mb_},
+                    {"memory_mb_limit", limits.quota_.memory_mb_},
+                    {"waiting_gpus", quota_waiting_gpus_[index]}});
+  }
 }
 
 void Dispatcher::RunPlan(PlanTime time) {
   OpenReadySteps(time);
   plan_due_ = false;
   ++counts_.plans_;
-  UpdateUrgentHeadroom(urgent_headroom_, UrgentDemand(job_table_, fleet_), time.now_);
+  std::vector<OrganisationUse> organisation_use = MeasureOrganisationUse(organisations_, fleet_);
+  UpdateUrgentHeadroom(urgent_headroom_,
+                       UrgentDemand(job_table_, fleet_, organisations_, organisation_use),
+                       time.now_);
   std::int64_t all_gpus = 0;
   for (const auto& [id, worker] : fleet_.workers_) {
     all_gpus += worker.listed_ ? worker.entry_.capacity_.gpus_ : 0;
@@ -192,9 +215,13 @@
                {.rules_ = rules_,
                 .bounds_ = bounds_,
                 .durations_ = durations_,
+                .organisations_ = &organisations_,
+                .organisation_use_ = organisation_use,
                 .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, all_gpus),
                 .time_ = time});
   capacity_use_ = plan.use_;
+  organisation_use_ = std::move(organisation_use);
+  quota_waiting_gpus_ = plan.quota_waiting_gpus_;
   LogCapacityUse(time.now_);
   ReplaceReservations(plan.reservations_);
   RecordBatch batch;
@@ -226,6 +253,7 @@
     AddAssignedRun(worker, run,
                    {.phase_ = RunPhase::kRecording,
                     .needs_ = spec.task_resources_,
+                    .organisation_ = job.organisation_,
                     .priority_ = job.treatment_.priority_,
                     .gang_ = spec.gang_,
                     .crash_suspect_ = task.crashes_ > 0,
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "laburnumledge/core/time.hpp"
+#include "laburnumledge/dispatch/organisations.hpp"
 #include "laburnumledge/dispatch/progress_rate.hpp"
 #include "laburnumledge/ledger/job.hpp"
 #include "laburnumledge/site/deployment.hpp"
@@ -38,6 +39,7 @@
 struct AssignedRun {
   RunPhase phase_{RunPhase::kRecording};
   site::Resources needs_;
+  OrganisationIndex organisation_{kNoOrganisation};
   std::uint32_t priority_{};
   std::uint32_t command_attempts_{};  ///< Commands sent in the present phase.
   bool command_in_flight_{};
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "laburnumledge/dispatch/durations.hpp"
+#include "laburnumledge/dispatch/organisations.hpp"
 #include "laburnumledge/ledger/job.hpp"
 #include "laburnumledge/ledger/jobs.hpp"
 #include "laburnumledge/site/configuration.hpp"
@@ -62,6 +63,7 @@
   ledger::JobId id_;
   std::shared_ptr<const ledger::Submission> submission_;
   ledger::SchedulingParameters treatment_;
+  OrganisationIndex organisation_{kNoOrganisation};
   ledger::JobState state_{ledger::JobState::kQueued};  ///< As last recorded, or to be recorded.
   std::map<std::uint32_t, Occurrence> occurrences_;    ///< Occurrences that are due, by number.
   std::uint32_t next_occurrence_{};                    ///< First that is not created yet.
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -10,6 +10,7 @@
 
 #include "laburnumledge/dispatch/planner.hpp"
 #include "laburnumledge/dispatch/preemption.hpp"
+#include "laburnumledge/dispatch/quota.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -67,8 +68,7 @@
                                                              const ReadyStep& step,
                                                              std::uint32_t wanted) noexcept {
   const site::Resources left =
-      offer.candidate_->free_ -
-      internal::MultiplyResources(step.spec_->task_resources_, std::min(offer.count_, wanted));
+      offer.candidate_->free_ - step.spec_->task_resources_ * std::min(offer.count_, wanted);
   return {offer.candidate_->recently_failed_, !offer.candidate_->urgent_headroom_, left.gpus_,
           left.cpu_millis_};
 }
@@ -256,11 +256,10 @@
   return PlaceSingles(planner, step);
 }
 
-void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
-  if (holds_reservations) {
-    internal::ReleaseReservations(planner, step);
-  }
+/** Plans a step of which no task has to wait for a quota. */
+void PlanStepWithinQuota(Planner& planner, const ReadyStep& step, bool holds_reservations) {
   const std::size_t missing = PlaceStep(planner, step);
+  internal::UseQuota(planner, step, step.tasks_.size() - missing);
   if (missing == 0) {
     return;
   }
@@ -275,6 +274,27 @@
   }
 }
 
+void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
+  if (holds_reservations) {
+    internal::ReleaseReservations(planner, step);
+  }
+  const std::size_t within_quota = internal::CountTasksWithinQuota(planner, step);
+  if (within_quota == step.tasks_.size()) {
+    PlanStepWithinQuota(planner, step, holds_reservations);
+    return;
+  }
+  ReadyStep waiting = step;
+  if (within_quota > 0) {
+    const auto rest = waiting.tasks_.begin() + static_cast<std::ptrdiff_t>(within_quota);
+    ReadyStep startable = step;
+    startable.tasks_.assign(step.tasks_.begin(),
+                            step.tasks_.begin() + static_cast<std::ptrdiff_t>(within_quota));
+    waiting.tasks_.erase(waiting.tasks_.begin(), rest);
+    PlanStepWithinQuota(planner, startable, false);
+  }
+  internal::WaitForQuota(planner, waiting);
+}
+
 /** Plans the steps of one priority, after their reservations have been applied. */
 void PlanPriority(Planner& planner, std::span<const ReadyStep> steps) {
   std::vector<bool> holds_reservations;
@@ -307,6 +327,10 @@
       .context_ = context,
       .candidates_ = internal::CollectCandidates(fleet, context.rules_, context.time_.now_),
       .plan_ = {}};
+  if (context.organisations_ != nullptr) {
+    planner.quota_rooms_ =
+        internal::CollectQuotaRooms(*context.organisations_, context.organisation_use_);
+  }
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.candidates_);
   internal::ReserveUrgentHeadroom(planner.candidates_, context.urgent_headroom_gpus_);
   const std::vector<ReadyStep> steps = internal::CollectReadySteps(table, context);
@@ -322,6 +346,9 @@
     PlanPriority(planner, {begin, end});
     begin = end;
   }
+  for (const internal::QuotaRoom& room : planner.quota_rooms_) {
+    planner.plan_.quota_waiting_gpus_.push_back(room.waiting_gpus_);
+  }
   return std::move(planner.plan_);
 }
 
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -23,7 +23,9 @@
   const site::Rules& rules_;
   const site::Bounds& bounds_;
   const DurationModel& durations_;
-  std::int64_t urgent_headroom_gpus_{};  ///< GPUs kept free for urgent jobs.
+  const Organisations* organisations_{};             ///< Null if no organisation has limits.
+  std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
+  std::int64_t urgent_headroom_gpus_{};              ///< GPUs kept free for urgent jobs.
   PlanTime time_;
 };
 
@@ -54,6 +56,8 @@
   std::vector<PlannedGroup> starts_;
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
+  std::vector<std::int64_t> quota_waiting_gpus_;   ///< Waited for because of a quota, by
+                                                  ///< organisation; empty without quotas.
   CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
 };
 
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -239,10 +239,4 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
 }
 
-site::Resources MultiplyResources(const site::Resources& each, std::uint32_t count) noexcept {
-  return {.cpu_millis_ = each.cpu_millis_ * count,
-          .memory_mb_ = each.memory_mb_ * count,
-          .gpus_ = each.gpus_ * count};
-}
-
 }  // namespace laburnumledge::dispatch::internal
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -40,11 +40,21 @@
   bool crash_suspect_{};  ///< A worker has crashed under one of the tasks.
 };
 
+/** @brief What an organisation's quota leaves in the plan under way. */
+struct QuotaRoom {
+  site::Resources free_{site::kUnlimited};              ///< Free for immediate starts.
+  site::Resources free_after_stops_{site::kUnlimited};  ///< Free once stopping runs are gone.
+  std::int64_t urgent_gpus_{};   ///< In use by the organisation's urgent runs.
+  std::int64_t waiting_gpus_{};  ///< Asked for by tasks that wait for the quota.
+  bool held_back_{};             ///< More urgent work of the organisation waits for the quota.
+};
+
 /** @brief State of one planning pass. */
 struct Planner {
   const PlanContext& context_;
   std::vector<CandidateWorker> candidates_;
   Plan plan_;
+  std::vector<QuotaRoom> quota_rooms_{};  ///< By organisation; empty without quotas.
   bool mostly_idle_{};  ///< So few resources are in use that no step that fits may wait for long.
 };
 
@@ -90,8 +100,4 @@
 [[nodiscard]] std::uint32_t CountFits(const site::Resources& each, const site::Resources& available,
                                       std::uint32_t limit) noexcept;
 
-/** @brief Resources that a number of equal tasks need together. */
-[[nodiscard]] site::Resources MultiplyResources(const site::Resources& each,
-                                                std::uint32_t count) noexcept;
-
 }  // namespace laburnumledge::dispatch::internal
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -17,16 +17,6 @@
  * its task runs again. */
 constexpr core::Milliseconds kMinLostTime{1000};
 
-/** Core-seconds of work that are lost if a run is stopped now, including the rest of its gang. */
-double LostWork(const AssignedRun& assigned, core::TimePoint now) noexcept {
-  core::Clock::duration unsaved = kMinLostTime;
-  if (assigned.phase_ == RunPhase::kRunning) {
-    unsaved += now - std::max(assigned.started_, assigned.checkpointed_);
-  }
-  return site::WeightInCores(assigned.needs_) * assigned.gang_size_ *
-         std::chrono::duration<double>(unsaved).count();
-}
-
 bool IsPreemptible(const AssignedRun& assigned, const ReadyStep& step) noexcept {
   return assigned.priority_ > step.job_->treatment_.priority_ && !IsBeingStopped(assigned);
 }
@@ -138,7 +128,7 @@
       planner.plan_.preemptions_.push_back(
           {.run_ = run, .worker_ = candidate.worker_, .preempting_job_ = step.job_->id_});
     }
-    candidate.free_after_stops_ -= MultiplyResources(step.spec_->task_resources_, count);
+    candidate.free_after_stops_ -= step.spec_->task_resources_ * count;
     planned.reservations_.push_back({.worker_ = candidate.worker_->entry_.id_, .tasks_ = count});
   }
   planner.plan_.reservations_.push_back(std::move(planned));
@@ -156,13 +146,21 @@
 
 }  // namespace
 
+double LostWork(const AssignedRun& assigned, core::TimePoint now) noexcept {
+  core::Clock::duration unsaved = kMinLostTime;
+  if (assigned.phase_ == RunPhase::kRunning) {
+    unsaved += now - std::max(assigned.started_, assigned.checkpointed_);
+  }
+  return site::WeightInCores(assigned.needs_) * assigned.gang_size_ *
+         std::chrono::duration<double>(unsaved).count();
+}
+
 bool ApplyReservations(Planner& planner, const ReadyStep& step) {
   std::size_t held = 0;
   for (const Reservation& reservation : step.state_->reservations_) {
     const CandidateWorker* candidate = FindCandidate(planner, reservation.worker_);
     if (candidate == nullptr || !CanHost(planner, *candidate, step) ||
-        !Fits(MultiplyResources(step.spec_->task_resources_, reservation.tasks_),
-              candidate->free_after_stops_)) {
+        !Fits(step.spec_->task_resources_ * reservation.tasks_, candidate->free_after_stops_)) {
       return false;
     }
     held += reservation.tasks_;
@@ -172,7 +170,7 @@
   }
   for (const Reservation& reservation : step.state_->reservations_) {
     FindCandidate(planner, reservation.worker_)->free_after_stops_ -=
-        MultiplyResources(step.spec_->task_resources_, reservation.tasks_);
+        step.spec_->task_resources_ * reservation.tasks_;
   }
   return true;
 }
@@ -180,7 +178,7 @@
 void ReleaseReservations(Planner& planner, const ReadyStep& step) {
   for (const Reservation& reservation : step.state_->reservations_) {
     FindCandidate(planner, reservation.worker_)->free_after_stops_ +=
-        MultiplyResources(step.spec_->task_resources_, reservation.tasks_);
+        step.spec_->task_resources_ * reservation.tasks_;
   }
 }
 
--- a/src/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.cpp
@@ -17,13 +17,16 @@
 
 }  // namespace
 
-std::int64_t UrgentDemand(const JobTable& table, const Fleet& fleet) noexcept {
+std::int64_t UrgentDemand(const JobTable& table, const Fleet& fleet,
+                          const Organisations& organisations,
+                          const std::vector<OrganisationUse>& use) {
   std::int64_t demand = 0;
   for (const auto& [id, worker] : fleet.workers_) {
     for (const auto& [run, assigned] : worker.assigned_runs_) {
       demand += assigned.priority_ == 0 ? assigned.needs_.gpus_ : 0;
     }
   }
+  std::vector<std::int64_t> waiting(organisations.all_.size());
   for (const auto& [id, job] : table.jobs_) {
     if (job.treatment_.priority_ != 0 || job.cancelled_ || ledger::IsFinal(job.state_)) {
       continue;
@@ -31,12 +34,16 @@
     for (const auto& [number, occurrence] : job.occurrences_) {
       for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
         if (IsReady(job, occurrence, index)) {
-          demand += occurrence.steps_[index].waiting_ *
-                    job.submission_->steps_[index].task_resources_.gpus_;
+          waiting[job.organisation_] += occurrence.steps_[index].waiting_ *
+                                        job.submission_->steps_[index].task_resources_.gpus_;
         }
       }
     }
   }
+  for (std::size_t index = 0; index < waiting.size(); ++index) {
+    const std::int64_t quota = organisations.all_[index].quota_.gpus_;
+    demand += std::clamp<std::int64_t>(quota - use[index].assigned_.gpus_, 0, waiting[index]);
+  }
   return demand;
 }
 
--- a/src/laburnumledge/dispatch/urgent_headroom.hpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.hpp
@@ -5,6 +5,7 @@
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
+#include "laburnumledge/dispatch/organisations.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -20,8 +21,18 @@
   core::TimePoint updated_at_{};
 };
 
-/** @brief GPUs that urgent jobs currently use or wait for. */
-[[nodiscard]] std::int64_t UrgentDemand(const JobTable& table, const Fleet& fleet) noexcept;
+/**
+ * @brief GPUs that urgent jobs currently use or wait for.
+ *
+ * Work that waits for its organisation's quota does not count: kept resources would not help it.
+ *
+ * @param table, fleet Jobs and workers.
+ * @param organisations Organisations with their quotas.
+ * @param use Resources in use by organisation index.
+ */
+[[nodiscard]] std::int64_t UrgentDemand(const JobTable& table, const Fleet& fleet,
+                                        const Organisations& organisations,
+                                        const std::vector<OrganisationUse>& use);
 
 /** @brief Updates the demand: a higher demand counts at once, a lower one after a slow decay. */
 void UpdateUrgentHeadroom(UrgentHeadroom& headroom, std::int64_t demand,
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -1,5 +1,7 @@
 #include "laburnumledge/entry/job_calls.hpp"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 #include <chrono>
 #include <optional>
@@ -9,6 +11,7 @@
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/ledger/codec.hpp"
 #include "laburnumledge/platform/documents.hpp"
+#include "laburnumledge/site/quota.hpp"
 
 namespace laburnumledge::entry {
 
@@ -24,6 +27,7 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kMethodNotAllowed = 405;
 constexpr unsigned kGone = 410;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -90,6 +94,7 @@
   [[nodiscard]] std::uint64_t OwnVersion() const noexcept;
   void Refuse(const PendingCallPointer& pending, unsigned status, std::string_view reason,
               core::Milliseconds retry_after = {});
+  [[nodiscard]] std::optional<std::size_t> BeyondQuota(const ledger::Submission& submission) const;
   [[nodiscard]] bool StoreIsSuspected() const noexcept;
 };
 
@@ -217,6 +222,17 @@
   }
 }
 
+/** First step that the quota of the submission's organisation can never hold, if there is one. */
+std::optional<std::size_t> JobCalls::Implementation::BeyondQuota(
+    const ledger::Submission& submission) const {
+  for (const site::Organisation& organisation : context_.rules_.configuration_.organisations_) {
+    if (organisation.name_ == submission.organisation_) {
+      return site::StepBeyondQuota(submission, organisation.quota_);
+    }
+  }
+  return std::nullopt;
+}
+
 void JobCalls::Implementation::SubmitJob(const PendingCallPointer& pending) {
   const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
   if (known != nullptr && known->submission_ != nullptr) {
@@ -237,6 +253,12 @@
   submission->scheduling_ = route->scheduling_;
   submission->organisation_ = pending->organisation_;
   submission->accepted_ = WallNow();
+  if (const std::optional<std::size_t> step = BeyondQuota(*submission)) {
+    Refuse(pending, kTooManyRequests,
+           fmt::format("step {} needs more than the quota of organisation \"{}\" allows", *step,
+                       pending->organisation_));
+    return;
+  }
   const ledger::Step& first = submission->steps_.front();
   core::LogEvent(Level::kInfo, EventPriority::kLow, "job.submitted",
                  {{"job", pending->job_},
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -106,9 +106,25 @@
   return route;
 }
 
+/** Limit of an organisation's runs; an amount of 0, or none, is no limit. */
+site::Resources QuotaOf(const Json& object) {
+  site::Resources quota = ResourcesOf(object);
+  for (std::int64_t* amount : {&quota.cpu_millis_, &quota.memory_mb_, &quota.gpus_}) {
+    if (*amount <= 0 || *amount > site::kUnlimitedAmount) {
+      *amount = site::kUnlimitedAmount;
+    }
+  }
+  return quota;
+}
+
 site::Organisation OrganisationOf(const Json& object) {
-  site::Organisation organisation{
-      .name_ = Text(object, "name").value_or(""), .keys_ = {}, .guaranteed_gpus_ = 0};
+  constexpr std::uint64_t kMaxWeight = std::numeric_limits<std::uint32_t>::max();
+  site::Organisation organisation{.name_ = Text(object, "name").value_or(""),
+                                  .weight_ = static_cast<std::uint32_t>(std::min(
+                                      kMaxWeight, Unsigned(object, "weight").value_or(0)))};
+  if (const Json* quota = Member(object, "max_count")) {
+    organisation.quota_ = QuotaOf(*quota);
+  }
   if (const Json* keys = Member(object, "api_keys")) {
     for (const Json& key : *keys) {
       if (key.is_string()) {
--- a/src/laburnumledge/site/configuration.hpp
+++ b/src/laburnumledge/site/configuration.hpp
@@ -10,6 +10,7 @@
 
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/ledger/job.hpp"
+#include "laburnumledge/site/resources.hpp"
 
 namespace laburnumledge::site {
 
@@ -37,11 +38,13 @@
   bool standby_{};            ///< Its VMs are powered off.
 };
 
-/** @brief Organisation with its API keys and its guaranteed GPUs. */
+/** @brief Organisation with its API keys, guarantee, quota and weight. */
 struct Organisation {
   std::string name_;
   std::vector<std::string> keys_;
   std::int64_t guaranteed_gpus_{};
+  Resources quota_{kUnlimited};  ///< Maximum of its runs on all workers together.
+  std::uint32_t weight_{};       ///< Share while the fleet is full; 0 if not given.
 };
 
 /** @brief Limits of HTTP requests. */
--- a/src/laburnumledge/site/resources.hpp
+++ b/src/laburnumledge/site/resources.hpp
@@ -36,12 +36,25 @@
   return left -= right;
 }
 
+/** @brief Amount that a number of equal tasks need together. */
+[[nodiscard]] constexpr Resources operator*(const Resources& each, std::uint32_t count) noexcept {
+  return {.cpu_millis_ = each.cpu_millis_ * count,
+          .memory_mb_ = each.memory_mb_ * count,
+          .gpus_ = each.gpus_ * count};
+}
+
 /** @brief Whether the free resources satisfy every part of a request. */
 [[nodiscard]] constexpr bool Fits(const Resources& needed, const Resources& available) noexcept {
   return needed.cpu_millis_ <= available.cpu_millis_ && needed.memory_mb_ <= available.memory_mb_ &&
          needed.gpus_ <= available.gpus_;
 }
 
+/** @brief Amount that stands for no limit: more than any fleet has, and far from an overflow when
+ * amounts are added. */
+inline constexpr std::int64_t kUnlimitedAmount = std::int64_t{1} << 50U;
+inline constexpr Resources kUnlimited{
+    .cpu_millis_ = kUnlimitedAmount, .memory_mb_ = kUnlimitedAmount, .gpus_ = kUnlimitedAmount};
+
 /** @brief Cores whose lost work costs as much as that of one GPU, by the platform's prices. */
 inline constexpr std::int64_t kCoresPerGpu = 8;
 
--- a/test/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/test/laburnumledge/dispatch/urgent_headroom.cpp
@@ -29,7 +29,9 @@
                  {.phase_ = RunPhase::kRunning, .needs_ = {.gpus_ = 4}, .priority_ = 0});
   AddJob(table, JobId(1), {MakeStep(3, 2)}, 0);
   AddJob(table, JobId(2), {MakeStep(3, 2)}, 1);
-  CHECK(UrgentDemand(table, fleet) == 10);
+  const Organisations organisations;
+  const std::vector<OrganisationUse> use = MeasureOrganisationUse(organisations, fleet);
+  CHECK(UrgentDemand(table, fleet, organisations, use) == 10);
 }
 
 TEST_CASE("less urgent tasks leave urgent headroom free, and urgent tasks use it first") {
--- a/test/laburnumledge/platform/documents.cpp
+++ b/test/laburnumledge/platform/documents.cpp
@@ -36,4 +36,22 @@
   }
 }
 
+TEST_CASE("an organisation's quota and weight are read, and 0 or a malformed amount is no limit") {
+  // Guards against an absent limit that is taken for a limit of nothing.
+  const auto configuration = ParseConfiguration(
+      R"({"version":3,"routes":[],"tenants":[
+          {"name":"crew","weight":3,"max_count":{"cpu":1000,"mem_mb":2048,"gpus":4}},
+          {"name":"free","weight":-1,"max_count":{"cpu":0,"mem_mb":"much","gpus":-4}},
+          {"name":"plain"}]})");
+  REQUIRE(configuration.has_value());
+  const auto& organisations = configuration->organisations_;
+  REQUIRE(organisations.size() == 3);
+  CHECK(organisations[0].weight_ == 3);
+  CHECK(organisations[0].quota_ ==
+        site::Resources{.cpu_millis_ = 1000, .memory_mb_ = 2048, .gpus_ = 4});
+  CHECK(organisations[1].weight_ == 0);
+  CHECK(organisations[1].quota_ == site::kUnlimited);
+  CHECK(organisations[2].quota_ == site::kUnlimited);
+}
+
 }  // namespace laburnumledge::platform
--- /dev/null
+++ b/test/laburnumledge/site/quota.cpp
@@ -0,0 +1,22 @@
+#include "laburnumledge/site/quota.hpp"
+
+#include <doctest/doctest.h>
+
+namespace laburnumledge::site {
+
+TEST_CASE("a step that can never fit the quota is found at submission") {
+  // Guards against jobs that are accepted and then wait for ever.
+  ledger::Submission submission;
+  submission.steps_ = {{.count_ = 20, .task_resources_ = {.gpus_ = 1}},
+                       {.count_ = 4, .task_resources_ = {.gpus_ = 3}}};
+  Resources quota = kUnlimited;
+  CHECK(StepBeyondQuota(submission, quota) == std::nullopt);
+  quota.gpus_ = 3;
+  CHECK(StepBeyondQuota(submission, quota) == std::nullopt);
+  submission.steps_[1].gang_ = true;
+  CHECK(StepBeyondQuota(submission, quota) == 1);
+  quota.gpus_ = 12;
+  CHECK(StepBeyondQuota(submission, quota) == std::nullopt);
+}
+
+}  // namespace laburnumledge::site
