Mend what a review of the quota checks found

Cause: a start that needs nothing of an overdrawn kind of resource was planned and withdrawn in every plan; a gang that waited for its quota held back its organisation's work without end; a step that preempted others kept no part of its quota; starts were resent, and withdrawn the most urgent first, without regard to a lowered quota; guaranteed urgent steps counted the same freed quota twice, and stopping runs against their guarantee; own runs were preempted in vain; impossible steps were not told apart; urgent headroom regarded only the quota's GPUs; all runs were scanned without quotas as well.

Change: FitsQuota tests the kinds that a start needs. Holding back ends once the result is worthless. Reserved tasks use up quota. Unanswered starts are not resent above the quota. The least urgent starts are withdrawn first. Own runs are preempted as whole gangs, and only if that makes room. Steps that the quota can never hold are counted in plan.quota and a gauge; no limit shows as 0 in the log and not at all in the metrics.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -99,6 +99,9 @@
         organisations_(MakeGauge(registry, "laburnumledge_organisation_gpus",
                                  "GPUs of organisations with a quota, as the latest plan found "
                                  "them: used, limit, and waited for because of the quota.")),
+        impossible_steps_(MakeGauge(registry, "laburnumledge_organisation_impossible_steps",
+                                    "Queued steps that their organisation's quota can never "
+                                    "hold.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
@@ -118,6 +121,7 @@
   Family<Gauge>& gpus_;
   Family<Gauge>& capacity_;
   Family<Gauge>& organisations_;
+  Family<Gauge>& impossible_steps_;
   Family<Gauge>& workers_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -279,18 +283,23 @@
 }
 
 void NodeMetrics::UpdateOrganisations(const dispatch::Dispatcher& dispatcher) {
-  const std::vector<std::int64_t>& waiting = dispatcher.QuotaWaitingGpus();
-  const auto set = [this](const std::string& organisation, const char* kind, std::int64_t gpus) {
-    families_->organisations_.Add({{"organisation", organisation}, {"kind", kind}})
-        .Set(static_cast<double>(gpus));
-  };
-  for (std::size_t index = 0; index < waiting.size(); ++index) {
+  const std::vector<dispatch::QuotaWait>& waits = dispatcher.QuotaWaits();
+  for (std::size_t index = 0; index < waits.size(); ++index) {
     const dispatch::OrganisationLimits& limits = dispatcher.KnownOrganisations().all_[index];
-    if (limits.quota_ != site::kUnlimited) {
-      set(limits.name_, "used", dispatcher.UseByOrganisation()[index].assigned_.gpus_);
-      set(limits.name_, "limit", limits.quota_.gpus_);
-      set(limits.name_, "waiting_on_quota", waiting[index]);
+    if (limits.quota_ == site::kUnlimited) {
+      continue;
+    }
+    const auto set = [&](const char* kind, std::int64_t gpus) {
+      families_->organisations_.Add({{"organisation", limits.name_}, {"kind", kind}})
+          .Set(static_cast<double>(gpus));
+    };
+    set("used", dispatcher.UseByOrganisation()[index].assigned_.gpus_);
+    if (limits.quota_.gpus_ != site::kUnlimitedAmount) {
+      set("limit", limits.quota_.gpus_);
     }
+    set("waiting_on_quota", waits[index].gpus_);
+    families_->impossible_steps_.Add({{"organisation", limits.name_}})
+        .Set(static_cast<double>(waits[index].impossible_steps_));
   }
 }
 
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/internal.hpp"
-#include "laburnumledge/dispatch/planner.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -25,9 +24,6 @@
  * follow each other one at a time, so a plan that waits for the confirmation is sent no later. */
 constexpr core::Milliseconds kRecordTimeout{150};
 
-/** Reason in log events of starts that a quota no longer allows. */
-constexpr std::string_view kOverQuota = "the organisation's quota is used up";
-
 /** Gives all members of a gang the same counts of failures and crashes: a run counts for the whole
  * gang, whichever member's record holds it. */
 void ShareGangCounts(Job& job) noexcept {
@@ -333,36 +329,6 @@
   actions_.records_.push_back(std::move(batch));
 }
 
-/** Withdraws starts that an organisation's quota no longer allows: a configuration with a lower
- * quota has come into force, or unknown runs were found, while the starts were being recorded. */
-void Dispatcher::WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now) {
-  if (!organisations_.has_quotas_ || batch.starts_.empty()) {
-    return;
-  }
-  std::vector<OrganisationUse> use = MeasureOrganisationUse(organisations_, fleet_);
-  for (const auto& [id, run] : batch.starts_) {
-    Worker* worker = FindWorker(fleet_, id);
-    if (worker == nullptr) {
-      continue;
-    }
-    const auto found = worker->assigned_runs_.find(run);
-    if (found == worker->assigned_runs_.end() || found->second.phase_ != RunPhase::kRecording) {
-      continue;
-    }
-    const AssignedRun& assigned = found->second;
-    site::Resources& used = use[assigned.organisation_].assigned_;
-    if (Fits(used, organisations_.all_[assigned.organisation_].quota_)) {
-      continue;
-    }
-    used -= assigned.needs_ * assigned.gang_size_;
-    if (assigned.gang_) {
-      StopGang(run, kOverQuota, now);
-    } else {
-      WithdrawStart(*worker, run, kOverQuota);
-    }
-  }
-}
-
 void Dispatcher::OnRecorded(std::uint64_t number, core::TimePoint now) {
   const auto found = pending_batches_.find(number);
   if (found == pending_batches_.end()) {
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -116,10 +116,8 @@
   [[nodiscard]] const std::vector<OrganisationUse>& UseByOrganisation() const noexcept {
     return organisation_use_;
   }
-  /** @brief GPUs that wait for a quota, by organisation index; empty without quotas. */
-  [[nodiscard]] const std::vector<std::int64_t>& QuotaWaitingGpus() const noexcept {
-    return quota_waiting_gpus_;
-  }
+  /** @brief What waits for a quota, by organisation index; empty without quotas. */
+  [[nodiscard]] const std::vector<QuotaWait>& QuotaWaits() const noexcept { return quota_waits_; }
 
  private:
   /** Work that waits until a batch of records is stored. */
@@ -221,6 +219,7 @@
   void LogCapacityUse(core::TimePoint now);
   void LogQuotas() const;
   void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
+  [[nodiscard]] bool QuotaAllowsRetry(const AssignedRun& assigned) const;
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
@@ -248,7 +247,7 @@
   core::TimePoint next_cleanup_{};
   CapacityUse capacity_use_;
   std::vector<OrganisationUse> organisation_use_;  ///< As the latest plan found it, by index.
-  std::vector<std::int64_t> quota_waiting_gpus_;   ///< See Plan::quota_waiting_gpus_.
+  std::vector<QuotaWait> quota_waits_;             ///< See Plan::quota_waits_.
   core::TimePoint next_capacity_log_{};
   DispatchCounts counts_;
 };
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -207,7 +207,7 @@
 
 void Dispatcher::RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned,
                             core::TimePoint now) {
-  if (assigned.command_attempts_ < internal::kMaxStartAttempts) {
+  if (assigned.command_attempts_ < internal::kMaxStartAttempts && QuotaAllowsRetry(assigned)) {
     SendStart(worker, run, assigned, now);
   } else {
     AwaitRunList(worker, run, assigned, now);
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -179,25 +179,6 @@
   LogQuotas();
 }
 
-void Dispatcher::LogQuotas() const {
-  for (std::size_t index = 0; index < quota_waiting_gpus_.size(); ++index) {
-    const OrganisationLimits& limits = organisations_.all_[index];
-    if (limits.quota_ == site::kUnlimited) {
-      continue;
-    }
-    const site::Resources& used = organisation_use_[index].assigned_;
-    core::LogEvent(Level::kInfo, EventPriority::kLow, "plan.quota",
-                   {{"organisation", limits.name_},
-                    {"gpus", used.gpus_},
-                    {"gpus_limit", limits.quota_.gpus_},
-                    {"cpu_millis", used.cpu_millis_},
-                    {"cpu_millis_limit", limits.quota_.cpu_millis_},
-                    {"memory_mb", used.memory_mb_},
-                    {"memory_mb_limit", limits.quota_.memory_mb_},
-                    {"waiting_gpus", quota_waiting_gpus_[index]}});
-  }
-}
-
 void Dispatcher::RunPlan(PlanTime time) {
   OpenReadySteps(time);
   plan_due_ = false;
@@ -221,7 +202,7 @@
                 .time_ = time});
   capacity_use_ = plan.use_;
   organisation_use_ = std::move(organisation_use);
-  quota_waiting_gpus_ = plan.quota_waiting_gpus_;
+  quota_waits_ = plan.quota_waits_;
   LogCapacityUse(time.now_);
   ReplaceReservations(plan.reservations_);
   RecordBatch batch;
--- /dev/null
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -0,0 +1,82 @@
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using core::EventPriority;
+using core::Level;
+
+/** Reason in log events of starts that a quota no longer allows. */
+constexpr std::string_view kOverQuota = "the organisation's quota is used up";
+
+/** Limit as the configuration writes it: 0 for none. */
+std::int64_t LimitOrZero(std::int64_t limit) noexcept {
+  return limit == site::kUnlimitedAmount ? 0 : limit;
+}
+
+}  // namespace
+
+/** Withdraws starts that an organisation's quota no longer allows, the least urgent first: a
+ * configuration with a lower quota has come into force, or unknown runs were found, while the
+ * starts were being recorded. */
+void Dispatcher::WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now) {
+  if (!organisations_.has_quotas_ || batch.starts_.empty()) {
+    return;
+  }
+  std::vector<OrganisationUse> use = MeasureOrganisationUse(organisations_, fleet_);
+  for (auto start = batch.starts_.rbegin(); start != batch.starts_.rend(); ++start) {
+    const RunId& run = start->second;
+    Worker* worker = FindWorker(fleet_, start->first);
+    if (worker == nullptr) {
+      continue;
+    }
+    const auto found = worker->assigned_runs_.find(run);
+    if (found == worker->assigned_runs_.end() || found->second.phase_ != RunPhase::kRecording) {
+      continue;
+    }
+    const AssignedRun& assigned = found->second;
+    site::Resources& used = use[assigned.organisation_].assigned_;
+    if (FitsQuota(assigned.needs_, used, organisations_.all_[assigned.organisation_].quota_)) {
+      continue;
+    }
+    used -= assigned.needs_ * assigned.gang_size_;
+    if (assigned.gang_) {
+      StopGang(run, kOverQuota, now);
+    } else {
+      WithdrawStart(*worker, run, kOverQuota);
+    }
+  }
+}
+
+/** Whether an unanswered start may be sent again: a quota may have been lowered since it was sent
+ * first. */
+bool Dispatcher::QuotaAllowsRetry(const AssignedRun& assigned) const {
+  return !organisations_.has_quotas_ ||
+         FitsQuota(assigned.needs_,
+                   MeasureOrganisationUse(organisations_, fleet_)[assigned.organisation_].assigned_,
+                   organisations_.all_[assigned.organisation_].quota_);
+}
+
+void Dispatcher::LogQuotas() const {
+  for (std::size_t index = 0; index < quota_waits_.size(); ++index) {
+    const OrganisationLimits& limits = organisations_.all_[index];
+    if (limits.quota_ == site::kUnlimited) {
+      continue;
+    }
+    const site::Resources& used = organisation_use_[index].assigned_;
+    core::LogEvent(Level::kInfo, EventPriority::kLow, "plan.quota",
+                   {{"organisation", limits.name_},
+                    {"gpus", used.gpus_},
+                    {"gpus_limit", LimitOrZero(limits.quota_.gpus_)},
+                    {"cpu_millis", used.cpu_millis_},
+                    {"cpu_millis_limit", LimitOrZero(limits.quota_.cpu_millis_)},
+                    {"memory_mb", used.memory_mb_},
+                    {"memory_mb_limit", LimitOrZero(limits.quota_.memory_mb_)},
+                    {"waiting_gpus", quota_waits_[index].gpus_},
+                    {"impossible_steps", quota_waits_[index].impossible_steps_}});
+  }
+}
+
+}  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/organisations.cpp
+++ b/src/laburnumledge/dispatch/organisations.cpp
@@ -37,17 +37,31 @@
   }
 }
 
+bool FitsQuota(const site::Resources& needs, const site::Resources& used,
+               const site::Resources& quota) noexcept {
+  const auto fits = [](std::int64_t needed, std::int64_t in_use, std::int64_t limit) {
+    return needed == 0 || in_use <= limit;
+  };
+  return fits(needs.cpu_millis_, used.cpu_millis_, quota.cpu_millis_) &&
+         fits(needs.memory_mb_, used.memory_mb_, quota.memory_mb_) &&
+         fits(needs.gpus_, used.gpus_, quota.gpus_);
+}
+
 std::vector<OrganisationUse> MeasureOrganisationUse(const Organisations& organisations,
                                                     const Fleet& fleet) {
   std::vector<OrganisationUse> use(organisations.all_.size());
+  if (!organisations.has_quotas_ && !organisations.has_weights_) {
+    return use;
+  }
   for (const auto& [id, worker] : fleet.workers_) {
     for (const auto& [run, assigned] : worker.assigned_runs_) {
       OrganisationUse& organisation = use[assigned.organisation_];
       organisation.assigned_ += assigned.needs_;
       if (internal::IsBeingStopped(assigned)) {
         organisation.stopping_ += assigned.needs_;
+      } else if (assigned.priority_ == 0) {
+        organisation.urgent_gpus_ += assigned.needs_.gpus_;
       }
-      organisation.urgent_gpus_ += assigned.priority_ == 0 ? assigned.needs_.gpus_ : 0;
     }
   }
   return use;
--- a/src/laburnumledge/dispatch/organisations.hpp
+++ b/src/laburnumledge/dispatch/organisations.hpp
@@ -54,10 +54,17 @@
 struct OrganisationUse {
   site::Resources assigned_;
   site::Resources stopping_;    ///< Part of `assigned_` that is being stopped.
-  std::int64_t urgent_gpus_{};  ///< Part of `assigned_` that urgent runs have.
+  std::int64_t urgent_gpus_{};  ///< Part of `assigned_` of urgent runs that aren't being stopped.
 };
 
-/** @brief Resources in use by organisation index. Linear in the number of runs. */
+/** @brief Whether an organisation's use, which includes a start's needs, keeps the quota in every
+ * kind of resource that the start needs. A kind that was overdrawn before by a lower quota does not
+ * keep a start from running that needs none of it. */
+[[nodiscard]] bool FitsQuota(const site::Resources& needs, const site::Resources& used,
+                             const site::Resources& quota) noexcept;
+
+/** @brief Resources in use by organisation index. Linear in the number of runs; without quotas and
+ * weights all are zero, as nothing reads them. */
 [[nodiscard]] std::vector<OrganisationUse> MeasureOrganisationUse(
     const Organisations& organisations, const Fleet& fleet);
 
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -267,10 +267,12 @@
       internal::ApplyReservations(planner, step)) {
     // Runs are being preempted for this step already: wait for their resources, preempt no others.
     internal::KeepReservations(planner, step);
+    internal::UseQuota(planner, step, missing);
     return;
   }
-  if (internal::MayPreempt(planner, step)) {
-    internal::PreemptForStep(planner, step, missing);
+  if (internal::MayPreempt(planner, step) && internal::PreemptForStep(planner, step, missing)) {
+    // Otherwise less urgent work could take the quota before the preempted runs are gone.
+    internal::UseQuota(planner, step, missing);
   }
 }
 
@@ -347,7 +349,7 @@
     begin = end;
   }
   for (const internal::QuotaRoom& room : planner.quota_rooms_) {
-    planner.plan_.quota_waiting_gpus_.push_back(room.waiting_gpus_);
+    planner.plan_.quota_waits_.push_back(room.wait_);
   }
   return std::move(planner.plan_);
 }
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -51,13 +51,18 @@
   std::vector<Reservation> reservations_;
 };
 
+/** @brief What waits for the quota of one organisation. */
+struct QuotaWait {
+  std::int64_t gpus_{};               ///< GPUs that the waiting tasks ask for.
+  std::uint32_t impossible_steps_{};  ///< Steps that the present quota can never hold.
+};
+
 /** @brief Result of one planning pass. */
 struct Plan {
   std::vector<PlannedGroup> starts_;
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
-  std::vector<std::int64_t> quota_waiting_gpus_;   ///< Waited for because of a quota, by
-                                                  ///< organisation; empty without quotas.
+  std::vector<QuotaWait> quota_waits_;             ///< By organisation; empty without quotas.
   CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
 };
 
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -44,9 +44,9 @@
 struct QuotaRoom {
   site::Resources free_{site::kUnlimited};              ///< Free for immediate starts.
   site::Resources free_after_stops_{site::kUnlimited};  ///< Free once stopping runs are gone.
-  std::int64_t urgent_gpus_{};   ///< In use by the organisation's urgent runs.
-  std::int64_t waiting_gpus_{};  ///< Asked for by tasks that wait for the quota.
-  bool held_back_{};             ///< More urgent work of the organisation waits for the quota.
+  std::int64_t urgent_gpus_{};  ///< In use by, or claimed for, its urgent work.
+  QuotaWait wait_;              ///< What waits for the quota.
+  bool held_back_{};            ///< More urgent work of the organisation waits for the quota.
 };
 
 /** @brief State of one planning pass. */
--- a/src/laburnumledge/dispatch/preemption.hpp
+++ b/src/laburnumledge/dispatch/preemption.hpp
@@ -25,8 +25,7 @@
 void ReleaseReservations(Planner& planner, const ReadyStep& step);
 
 /** @brief Core-seconds of work that are lost if a run is stopped now, including the rest of its
- * gang.
- */
+ * gang. */
 [[nodiscard]] double LostWork(const AssignedRun& assigned, core::TimePoint now) noexcept;
 
 /** @brief Takes the step's present reservations over into the plan. */
--- a/src/laburnumledge/dispatch/quota.cpp
+++ b/src/laburnumledge/dispatch/quota.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/dispatch/quota.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "laburnumledge/dispatch/internal.hpp"
@@ -14,11 +15,11 @@
  * by the platform's rule on idle capacity. */
 constexpr int kIdleQuotaDivisor = 2;
 
-/** Own run of an organisation that an urgent step may preempt. */
-struct OwnRun {
+/** Own run of an organisation, or a gang's runs, that an urgent step may preempt. */
+struct OwnRuns {
   double lost_work_per_gpu_{};
-  RunId run_;
-  CandidateWorker* candidate_{};
+  site::Resources needs_;
+  std::vector<std::pair<RunId, CandidateWorker*>> runs_;
 };
 
 bool UsesHalfOfQuota(const site::Resources& free, const site::Resources& quota) noexcept {
@@ -29,42 +30,71 @@
          half(free.gpus_, quota.gpus_);
 }
 
-std::vector<OwnRun> CollectOwnRuns(Planner& planner, const ReadyStep& step) {
-  std::vector<OwnRun> runs;
+/** Less urgent runs of the step's organisation, least lost work per GPU first. A gang is one entry,
+ * as it is stopped as a whole. */
+std::vector<OwnRuns> CollectOwnRuns(Planner& planner, const ReadyStep& step) {
+  std::map<RunId, OwnRuns> units;
   for (CandidateWorker& candidate : planner.candidates_) {
     for (const auto& [run, assigned] : candidate.worker_->assigned_runs_) {
-      if (assigned.organisation_ == step.job_->organisation_ &&
-          assigned.priority_ > step.job_->treatment_.priority_ && !IsBeingStopped(assigned) &&
-          !candidate.preempted_.contains(run)) {
-        const double gpus = static_cast<double>(std::max<std::int64_t>(1, assigned.needs_.gpus_));
-        runs.push_back(
-            {.lost_work_per_gpu_ = LostWork(assigned, planner.context_.time_.now_) / gpus,
-             .run_ = run,
-             .candidate_ = &candidate});
+      if (assigned.organisation_ != step.job_->organisation_ ||
+          assigned.priority_ <= step.job_->treatment_.priority_ || IsBeingStopped(assigned) ||
+          candidate.preempted_.contains(run)) {
+        continue;
       }
+      RunId first = run;
+      first.task_.index_ = assigned.gang_ ? 0 : run.task_.index_;
+      OwnRuns& unit = units[first];
+      unit.needs_ += assigned.needs_;
+      unit.lost_work_per_gpu_ =
+          std::max(unit.lost_work_per_gpu_, LostWork(assigned, planner.context_.time_.now_));
+      unit.runs_.emplace_back(run, &candidate);
     }
   }
-  std::sort(runs.begin(), runs.end(), [](const OwnRun& left, const OwnRun& right) {
-    return std::pair(left.lost_work_per_gpu_, left.run_) <
-           std::pair(right.lost_work_per_gpu_, right.run_);
+  std::vector<OwnRuns> runs;
+  for (auto& [first, unit] : units) {
+    unit.lost_work_per_gpu_ /= static_cast<double>(std::max<std::int64_t>(1, unit.needs_.gpus_));
+    runs.push_back(std::move(unit));
+  }
+  std::stable_sort(runs.begin(), runs.end(), [](const OwnRuns& left, const OwnRuns& right) {
+    return left.lost_work_per_gpu_ < right.lost_work_per_gpu_;
   });
   return runs;
 }
 
-void PreemptOwnRuns(Planner& planner, const ReadyStep& step, const site::Resources& wanted) {
+void Preempt(Planner& planner, const ReadyStep& step, const OwnRuns& unit) {
+  for (const auto& [run, candidate] : unit.runs_) {
+    candidate->free_after_stops_ += candidate->worker_->assigned_runs_.at(run).needs_;
+    candidate->preempted_.insert(run);
+  }
+  const auto& [run, candidate] = unit.runs_.front();
+  planner.plan_.preemptions_.push_back(
+      {.run_ = run, .worker_ = candidate->worker_, .preempting_job_ = step.job_->id_});
+}
+
+/** Makes room in the quota for an urgent step within the guarantee: for all tasks of a gang, or as
+ * many single tasks as can fit. Preempts nothing if that would not make room. */
+void PreemptOwnRuns(Planner& planner, const ReadyStep& step, std::uint32_t waiting) {
   QuotaRoom& room = planner.quota_rooms_[step.job_->organisation_];
-  for (const OwnRun& own : CollectOwnRuns(planner, step)) {
-    if (Fits(wanted, room.free_after_stops_)) {
-      return;
+  const site::Resources& each = step.spec_->task_resources_;
+  const std::vector<OwnRuns> runs = CollectOwnRuns(planner, step);
+  site::Resources most = room.free_after_stops_;
+  for (const OwnRuns& unit : runs) {
+    most += unit.needs_;
+  }
+  const std::uint32_t count = CountFits(each, most, waiting);
+  if (count == 0 || (step.spec_->gang_ && count < waiting)) {
+    return;
+  }
+  for (const OwnRuns& unit : runs) {
+    if (CountFits(each, room.free_after_stops_, count) == count) {
+      break;
     }
-    CandidateWorker& candidate = *own.candidate_;
-    const site::Resources needs = candidate.worker_->assigned_runs_.at(own.run_).needs_;
-    room.free_after_stops_ += needs;
-    candidate.free_after_stops_ += needs;
-    candidate.preempted_.insert(own.run_);
-    planner.plan_.preemptions_.push_back(
-        {.run_ = own.run_, .worker_ = candidate.worker_, .preempting_job_ = step.job_->id_});
+    room.free_after_stops_ += unit.needs_;
+    Preempt(planner, step, unit);
   }
+  // Further urgent steps need room of their own.
+  room.free_after_stops_ -= each * count;
+  room.urgent_gpus_ += (each * count).gpus_;
 }
 
 }  // namespace
@@ -114,15 +144,17 @@
       planner.context_.organisations_->all_[step.job_->organisation_];
   const auto waiting = static_cast<std::uint32_t>(step.tasks_.size());
   const std::uint32_t most = CountFits(step.spec_->task_resources_, limits.quota_, waiting);
-  room.waiting_gpus_ += waiting * step.spec_->task_resources_.gpus_;
+  const std::int64_t waiting_gpus = (step.spec_->task_resources_ * waiting).gpus_;
+  room.wait_.gpus_ += waiting_gpus;
   if (most == 0 || (step.spec_->gang_ && most < waiting)) {
     // The quota can never hold it: holding back other work would not help it.
+    ++room.wait_.impossible_steps_;
     return;
   }
-  room.held_back_ = room.held_back_ || UsesHalfOfQuota(room.free_, limits.quota_);
-  const site::Resources wanted = step.spec_->task_resources_ * most;
-  if (IsUrgent(step) && room.urgent_gpus_ + wanted.gpus_ <= limits.guaranteed_gpus_) {
-    PreemptOwnRuns(planner, step, wanted);
+  room.held_back_ = room.held_back_ ||
+                    (!step.past_useful_completion_ && UsesHalfOfQuota(room.free_, limits.quota_));
+  if (IsUrgent(step) && room.urgent_gpus_ + waiting_gpus <= limits.guaranteed_gpus_) {
+    PreemptOwnRuns(planner, step, waiting);
   }
 }
 
--- a/src/laburnumledge/dispatch/quota.hpp
+++ b/src/laburnumledge/dispatch/quota.hpp
@@ -22,9 +22,11 @@
 /**
  * @brief Handles a step of which tasks wait for their organisation's quota.
  *
- * Less urgent work of the same organisation no longer starts in this plan, unless the organisation
- * uses less than half of its quota: then the rule on idle capacity comes first. An urgent step
- * within the guarantee preempts less urgent runs of its own organisation.
+ * Later steps of the same organisation no longer start in this plan, so that single tasks don't
+ * take each freed part of the quota from a gang. That ends once the step's result is worthless:
+ * runs of any length may use the quota. It does not apply while the organisation uses less than
+ * half of its quota: then the rule on idle capacity comes first. An urgent step within the
+ * guarantee preempts less urgent runs of its own organisation.
  */
 void WaitForQuota(Planner& planner, const ReadyStep& step);
 
--- a/src/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "laburnumledge/dispatch/planner.hpp"
+
 namespace laburnumledge::dispatch {
 
 namespace {
@@ -26,24 +28,27 @@
       demand += assigned.priority_ == 0 ? assigned.needs_.gpus_ : 0;
     }
   }
-  std::vector<std::int64_t> waiting(organisations.all_.size());
+  std::vector<site::Resources> room;
+  for (std::size_t index = 0; index < organisations.all_.size(); ++index) {
+    room.push_back(organisations.all_[index].quota_ - use[index].assigned_);
+  }
   for (const auto& [id, job] : table.jobs_) {
     if (job.treatment_.priority_ != 0 || job.cancelled_ || ledger::IsFinal(job.state_)) {
       continue;
     }
     for (const auto& [number, occurrence] : job.occurrences_) {
       for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-        if (IsReady(job, occurrence, index)) {
-          waiting[job.organisation_] += occurrence.steps_[index].waiting_ *
-                                        job.submission_->steps_[index].task_resources_.gpus_;
+        if (!IsReady(job, occurrence, index)) {
+          continue;
         }
+        const site::Resources& each = job.submission_->steps_[index].task_resources_;
+        const std::uint32_t tasks =
+            internal::CountFits(each, room[job.organisation_], occurrence.steps_[index].waiting_);
+        room[job.organisation_] -= each * tasks;
+        demand += (each * tasks).gpus_;
       }
     }
   }
-  for (std::size_t index = 0; index < waiting.size(); ++index) {
-    const std::int64_t quota = organisations.all_[index].quota_.gpus_;
-    demand += std::clamp<std::int64_t>(quota - use[index].assigned_.gpus_, 0, waiting[index]);
-  }
   return demand;
 }
 
--- a/test/laburnumledge/dispatch/quota.cpp
+++ b/test/laburnumledge/dispatch/quota.cpp
@@ -85,7 +85,7 @@
   const Plan plan = harness.Make();
   CHECK(CountStarts(plan, 1) == 6);
   CHECK(CountStarts(plan, 2) == 8);
-  CHECK(plan.quota_waiting_gpus_.at(harness.organisations_.index_by_name_.at("greedy")) == 14);
+  CHECK(plan.quota_waits_.at(harness.organisations_.index_by_name_.at("greedy")).gpus_ == 14);
 }
 
 TEST_CASE("each kind of resource counts towards the quota") {
@@ -161,6 +161,66 @@
   CHECK(CountStarts(harness.Make(), 2) == 4);
 }
 
+TEST_CASE("a gang whose result is worthless no longer holds back its organisation's other work") {
+  // Guards against a gang that waits for long-running runs and blocks its organisation for ever.
+  QuotaHarness harness;
+  harness.SetQuota("crew", 10);
+  harness.AddRun("w1", 9, "crew", 6, 2);
+  Job& gang = harness.Add(1, "crew", {MakeGang(8, 1)});
+  ledger::Submission old = *gang.submission_;
+  old.accepted_ -= std::chrono::hours(1);
+  gang.submission_ = std::make_shared<const ledger::Submission>(old);
+  harness.Add(2, "crew", {MakeStep(4, 1)}, 2);
+  CHECK(CountStarts(harness.Make(), 2) == 4);
+}
+
+TEST_CASE("guaranteed urgent steps that wait together get room for all of them at once") {
+  // Guards against a guarantee that is missed because two steps count the same freed quota.
+  QuotaHarness harness;
+  harness.SetQuota("crew", 10, 8);
+  harness.AddRun("w1", 9, "crew", 5, 2);
+  harness.AddRun("w2", 8, "crew", 5, 2);
+  harness.Add(1, "crew", {MakeGang(4, 1)}, 0);
+  harness.Add(2, "crew", {MakeGang(4, 1)}, 0);
+  CHECK(harness.Make().preemptions_.size() == 2);
+  harness.Add(3, "crew", {MakeGang(4, 1)}, 0);
+  CHECK(harness.Make().preemptions_.size() == 2);
+}
+
+TEST_CASE("own runs are not preempted if that can't make room in the quota") {
+  QuotaHarness harness;
+  harness.SetQuota("crew", 10, 10);
+  harness.AddRun("w1", 9, "crew", 2, 2);
+  harness.AddRun("w2", 8, "crew", 8, 1);
+  harness.fleet_.workers_.at("w2").entry_.draining_ = true;
+  harness.Add(1, "crew", {MakeGang(4, 1)}, 0);
+  CHECK(harness.Make().preemptions_.empty());
+}
+
+TEST_CASE("what preempts others keeps its part of the quota until they are gone") {
+  // Guards against runs that are preempted in vain, as less urgent work takes the quota meanwhile.
+  QuotaHarness harness;
+  harness.SetQuota("crew", 8);
+  for (int worker = 1; worker <= 3; ++worker) {
+    harness.AddRun(fmt::format("w{}", worker), 10 + worker, "other", 8, 2);
+  }
+  harness.Add(1, "crew", {MakeGang(2, 4)}, 0);
+  harness.AddRun("w4", 9, "other", 4, 2);
+  harness.Add(2, "crew", {MakeStep(4, 1)}, 2);
+  const Plan plan = harness.Make();
+  CHECK_FALSE(plan.preemptions_.empty());
+  CHECK(CountStarts(plan, 2) == 0);
+}
+
+TEST_CASE("steps that a later quota makes impossible are counted") {
+  QuotaHarness harness;
+  harness.SetQuota("crew", 4);
+  harness.Add(1, "crew", {MakeGang(5, 1)});
+  const Plan plan = harness.Make();
+  const OrganisationIndex crew = harness.organisations_.index_by_name_.at("crew");
+  CHECK(plan.quota_waits_.at(crew).impossible_steps_ == 1);
+}
+
 TEST_CASE("without quotas nothing is limited") {
   QuotaHarness harness;
   harness.rules_.configuration_.organisations_ = {{.name_ = "crew", .guaranteed_gpus_ = 4}};
@@ -168,7 +228,7 @@
   harness.Add(1, "crew", {MakeStep(32, 1)});
   const Plan plan = harness.Make();
   CHECK(CountStarts(plan, 1) == 32);
-  CHECK(plan.quota_waiting_gpus_.empty());
+  CHECK(plan.quota_waits_.empty());
 }
 
 }  // namespace laburnumledge::dispatch
