Order work by the organisations' weighted shares while capacity is lacking

Cause: at equal priority the deadline alone decided, so an organisation that submits much took the fleet from the others.

Change: while a step does not fit, steps of equal priority are taken by weighted dominant resource fairness: the organisation with the least share in use, to which an eighth of its past service is added (half-life 2 s), comes next, single tasks in parts up to the next organisation's share. Before these come urgent steps within their organisation's guarantee, after them jobs beyond weight jobs a second by their time of acceptance, then work whose result is worthless. Without weights, and while everything fits, the order is as before.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -105,6 +105,7 @@
   if (job == nullptr) {
     job = &job_table_.jobs_.emplace(id, MakeJob(id, *entry)).first->second;
     job->organisation_ = FindOrAddOrganisation(organisations_, entry->submission_->organisation_);
+    uncounted_.push_back(id);
     if (const site::Route* route = site::FindRoute(rules_, job->submission_->route_)) {
       job->treatment_ = route->scheduling_;
     }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
+#include "laburnumledge/dispatch/share.hpp"
 #include "laburnumledge/dispatch/urgent_headroom.hpp"
 #include "laburnumledge/ledger/jobs.hpp"
 #include "laburnumledge/platform/workers.hpp"
@@ -218,6 +219,8 @@
   void RunPlan(PlanTime time);
   void LogCapacityUse(core::TimePoint now);
   void LogQuotas() const;
+  [[nodiscard]] Plan MakeFairPlan(PlanTime time,
+                                  const std::vector<OrganisationUse>& organisation_use);
   void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
   [[nodiscard]] bool QuotaAllowsRetry(const AssignedRun& assigned) const;
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
@@ -247,7 +250,10 @@
   core::TimePoint next_cleanup_{};
   CapacityUse capacity_use_;
   std::vector<OrganisationUse> organisation_use_;  ///< As the latest plan found it, by index.
-  std::vector<QuotaWait> quota_waits_;             ///< See Plan::quota_waits_.
+  Shares shares_;
+  bool ordered_by_share_{};               ///< The latest plan lacked capacity.
+  std::vector<ledger::JobId> uncounted_;  ///< Jobs that CountJobRates has not seen.
+  std::vector<QuotaWait> quota_waits_;    ///< See Plan::quota_waits_.
   core::TimePoint next_capacity_log_{};
   DispatchCounts counts_;
 };
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -187,19 +187,7 @@
   UpdateUrgentHeadroom(urgent_headroom_,
                        UrgentDemand(job_table_, fleet_, organisations_, organisation_use),
                        time.now_);
-  std::int64_t all_gpus = 0;
-  for (const auto& [id, worker] : fleet_.workers_) {
-    all_gpus += worker.listed_ ? worker.entry_.capacity_.gpus_ : 0;
-  }
-  const Plan plan =
-      MakePlan(job_table_, fleet_,
-               {.rules_ = rules_,
-                .bounds_ = bounds_,
-                .durations_ = durations_,
-                .organisations_ = &organisations_,
-                .organisation_use_ = organisation_use,
-                .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, all_gpus),
-                .time_ = time});
+  const Plan plan = MakeFairPlan(time, organisation_use);
   capacity_use_ = plan.use_;
   organisation_use_ = std::move(organisation_use);
   quota_waits_ = plan.quota_waits_;
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -59,6 +59,39 @@
                    organisations_.all_[assigned.organisation_].quota_);
 }
 
+/** Makes a plan. Its order follows the organisations' shares while work waits for capacity: if the
+ * latest plan lacked capacity or, where that is new, if this one does without shares. */
+Plan Dispatcher::MakeFairPlan(PlanTime time, const std::vector<OrganisationUse>& organisation_use) {
+  site::Resources fleet;
+  for (const auto& [id, worker] : fleet_.workers_) {
+    fleet += worker.listed_ ? worker.entry_.capacity_ : site::Resources{};
+  }
+  const bool weighted = organisations_.has_weights_;
+  if (weighted) {
+    UpdateShares(shares_, organisation_use, fleet, time.now_);
+    CountJobRates(shares_, organisations_, job_table_, uncounted_);
+  }
+  uncounted_.clear();
+  const auto make = [&](bool by_share) {
+    return MakePlan(job_table_, fleet_,
+                    {.rules_ = rules_,
+                     .bounds_ = bounds_,
+                     .durations_ = durations_,
+                     .organisations_ = &organisations_,
+                     .organisation_use_ = organisation_use,
+                     .shares_ = by_share ? &shares_ : nullptr,
+                     .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
+                     .time_ = time});
+  };
+  const bool by_share = weighted && ordered_by_share_;
+  Plan plan = make(by_share);
+  if (weighted && !by_share && plan.lacks_capacity_) {
+    plan = make(true);
+  }
+  ordered_by_share_ = plan.lacks_capacity_;
+  return plan;
+}
+
 void Dispatcher::LogQuotas() const {
   for (std::size_t index = 0; index < quota_waits_.size(); ++index) {
     const OrganisationLimits& limits = organisations_.all_[index];
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -69,7 +69,8 @@
   std::uint32_t next_occurrence_{};                    ///< First that is not created yet.
   std::uint32_t completed_occurrences_{};              ///< Occurrences whose tasks are all done.
   bool cancelled_{};
-  bool final_recorded_{};             ///< The final state of the job is stored.
+  bool beyond_rate_{};     ///< Submitted beyond its organisation's rate of jobs; see CountJobRates.
+  bool final_recorded_{};  ///< The final state of the job is stored.
   core::TimePoint finished_since_{};  ///< When it was final with no runs left, or zero.
   std::uint32_t outstanding_runs_{};  ///< Runs of its tasks that may still exist on workers.
 };
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -11,6 +11,7 @@
 #include "laburnumledge/dispatch/planner.hpp"
 #include "laburnumledge/dispatch/preemption.hpp"
 #include "laburnumledge/dispatch/quota.hpp"
+#include "laburnumledge/dispatch/share.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -248,7 +249,9 @@
 /** Places the tasks of a step; returns how many of them keep waiting. */
 std::size_t PlaceStep(Planner& planner, const ReadyStep& step) {
   for (CandidateWorker& candidate : planner.candidates_) {
-    candidate.assigned_tasks_ = 0;
+    // By shares a step may be placed in parts, of which a worker that is probed takes one task.
+    const bool keeps = candidate.probe_only_ && !planner.shares_.empty();
+    candidate.assigned_tasks_ = keeps ? candidate.assigned_tasks_ : 0;
   }
   if (step.spec_->gang_) {
     return PlaceGang(planner, step) ? 0 : step.tasks_.size();
@@ -256,23 +259,30 @@
   return PlaceSingles(planner, step);
 }
 
+/** Counts tasks that start, or for which resources are being freed, for their organisation. */
+void CountForOrganisation(Planner& planner, const ReadyStep& step, std::size_t tasks) noexcept {
+  internal::UseQuota(planner, step, tasks);
+  internal::AddToShare(planner, step, tasks);
+}
+
 /** Plans a step of which no task has to wait for a quota. */
 void PlanStepWithinQuota(Planner& planner, const ReadyStep& step, bool holds_reservations) {
   const std::size_t missing = PlaceStep(planner, step);
-  internal::UseQuota(planner, step, step.tasks_.size() - missing);
+  CountForOrganisation(planner, step, step.tasks_.size() - missing);
   if (missing == 0) {
     return;
   }
+  planner.plan_.lacks_capacity_ = true;
   if (holds_reservations && missing == step.tasks_.size() &&
       internal::ApplyReservations(planner, step)) {
     // Runs are being preempted for this step already: wait for their resources, preempt no others.
     internal::KeepReservations(planner, step);
-    internal::UseQuota(planner, step, missing);
+    CountForOrganisation(planner, step, missing);
     return;
   }
   if (internal::MayPreempt(planner, step) && internal::PreemptForStep(planner, step, missing)) {
     // Otherwise less urgent work could take the quota before the preempted runs are gone.
-    internal::UseQuota(planner, step, missing);
+    CountForOrganisation(planner, step, missing);
   }
 }
 
@@ -297,16 +307,41 @@
   internal::WaitForQuota(planner, waiting);
 }
 
+/** Plans the steps of one band of a priority: by the organisations' shares, if they count. */
+void PlanBand(Planner& planner, std::span<const ReadyStep> steps,
+              std::span<const char> holds_reservations) {
+  if (planner.shares_.empty() || steps.front().band_ == internal::ShareBand::kGuaranteed) {
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+      PlanStep(planner, steps[index], holds_reservations[index] != 0);
+    }
+    return;
+  }
+  internal::ShareOrder order = internal::MakeShareOrder(planner, steps);
+  while (!order.queue_.empty()) {
+    const internal::ShareTurn turn = internal::TakeTurn(order, planner);
+    const std::size_t before = planner.plan_.starts_.size();
+    PlanStep(planner, turn.part_, holds_reservations[turn.position_] != 0);
+    internal::EndTurn(order, planner, turn, planner.plan_.starts_.size() - before);
+  }
+}
+
 /** Plans the steps of one priority, after their reservations have been applied. */
 void PlanPriority(Planner& planner, std::span<const ReadyStep> steps) {
-  std::vector<bool> holds_reservations;
+  std::vector<char> holds_reservations;  // Not of bool, so that a part of it is a span.
   holds_reservations.reserve(steps.size());
   for (const ReadyStep& step : steps) {
-    holds_reservations.push_back(!step.state_->reservations_.empty() &&
-                                 internal::ApplyReservations(planner, step));
+    const bool holds =
+        !step.state_->reservations_.empty() && internal::ApplyReservations(planner, step);
+    holds_reservations.push_back(holds ? 1 : 0);
   }
-  for (std::size_t index = 0; index < steps.size(); ++index) {
-    PlanStep(planner, steps[index], holds_reservations[index]);
+  auto begin = steps.begin();
+  while (begin != steps.end()) {
+    const auto end = std::find_if(
+        begin, steps.end(), [begin](const ReadyStep& step) { return step.band_ != begin->band_; });
+    PlanBand(
+        planner, {begin, end},
+        std::span(holds_reservations).subspan(static_cast<std::size_t>(begin - steps.begin())));
+    begin = end;
   }
 }
 
@@ -333,6 +368,9 @@
     planner.quota_rooms_ =
         internal::CollectQuotaRooms(*context.organisations_, context.organisation_use_);
   }
+  if (context.shares_ != nullptr) {
+    planner.shares_ = internal::CollectShares(*context.shares_, context.organisation_use_);
+  }
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.candidates_);
   internal::ReserveUrgentHeadroom(planner.candidates_, context.urgent_headroom_gpus_);
   const std::vector<ReadyStep> steps = internal::CollectReadySteps(table, context);
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -12,6 +12,8 @@
 
 namespace laburnumledge::dispatch {
 
+struct Shares;
+
 /** @brief Time of a plan on the steady clock and on the wall clock. */
 struct PlanTime {
   core::TimePoint now_{};
@@ -25,7 +27,8 @@
   const DurationModel& durations_;
   const Organisations* organisations_{};             ///< Null if no organisation has limits.
   std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
-  std::int64_t urgent_headroom_gpus_{};              ///< GPUs kept free for urgent jobs.
+  const Shares* shares_{};  ///< Null if shares don't affect the order; needs organisations.
+  std::int64_t urgent_headroom_gpus_{};  ///< GPUs kept free for urgent jobs.
   PlanTime time_;
 };
 
@@ -63,7 +66,8 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<QuotaWait> quota_waits_;             ///< By organisation; empty without quotas.
-  CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
+  bool lacks_capacity_{};  ///< A step within its quota did not fit beside what runs.
+  CapacityUse use_;        ///< Use of the fleet before the plan is carried out.
 };
 
 /**
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/dispatch/share.hpp"
 
 namespace laburnumledge::dispatch::internal {
 
@@ -33,9 +34,9 @@
 
 bool IsPlacedBefore(const ReadyStep& left, const ReadyStep& right) noexcept {
   const auto key = [](const ReadyStep& step) {
-    return std::tuple(step.job_->treatment_.priority_, step.past_useful_completion_, step.late_,
-                      step.latest_start_, std::string_view{step.job_->id_}, step.occurrence_,
-                      step.index_);
+    return std::tuple(step.job_->treatment_.priority_, step.band_, step.past_useful_completion_,
+                      step.late_, step.latest_start_, std::string_view{step.job_->id_},
+                      step.occurrence_, step.index_);
   };
   return key(left) < key(right);
 }
@@ -113,6 +114,9 @@
       }
     }
   }
+  if (context.shares_ != nullptr) {
+    AssignBands(steps, *context.organisations_, context.organisation_use_);
+  }
   std::sort(steps.begin(), steps.end(), IsPlacedBefore);
   return steps;
 }
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -22,6 +22,14 @@
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
 };
 
+/** @brief Order of steps of the same priority while work waits for capacity. */
+enum class ShareBand : unsigned char {
+  kGuaranteed,  ///< Urgent, and the organisation's urgent work is within its guarantee.
+  kOwed,        ///< Within the organisation's rate of jobs.
+  kBeyondRate,
+  kWorthless,  ///< Can't finish before its result is worthless.
+};
+
 /** @brief Step of an occurrence with tasks that can start now. */
 struct ReadyStep {
   const Job* job_{};
@@ -38,6 +46,7 @@
   /** One more failure ends the job: the step waits a while for a worker without recent failures. */
   bool avoids_failed_workers_{};
   bool crash_suspect_{};  ///< A worker has crashed under one of the tasks.
+  ShareBand band_{};      ///< The same for all steps without shares.
 };
 
 /** @brief What an organisation's quota leaves in the plan under way. */
@@ -55,6 +64,7 @@
   std::vector<CandidateWorker> candidates_;
   Plan plan_;
   std::vector<QuotaRoom> quota_rooms_{};  ///< By organisation; empty without quotas.
+  std::vector<double> shares_{};  ///< By organisation; empty if the order is without shares.
   bool mostly_idle_{};  ///< So few resources are in use that no step that fits may wait for long.
 };
 
