Check quotas in the randomised runs and in the search over takeovers

Cause: no test had quotas that change, or a count that a takeover restores.

Change: fake workers check each start against the highest quota in force, with a tenth and one task more. The randomised world has three organisations whose quotas change, are read late and can be too small for a gang, with all other faults. The search over takeovers runs with a quota of one run at a time, without overshoot, and must find a new leader that counts only its own starts.

--- a/test/exhaustive/takeover/search.cpp
+++ b/test/exhaustive/takeover/search.cpp
@@ -29,11 +29,12 @@
 
 /** Searches for a schedule that violates the given rule, or any rule if it is empty. The rule of
  * the finding is empty if there is no such schedule. */
-Finding SearchSchedules(std::size_t faults, Defect defect, bool cancels, const std::string& rule) {
+Finding SearchSchedules(std::size_t faults, Defect defect, Simulation::Course course,
+                        const std::string& rule) {
   core::SetLevel(core::Level::kError);
   Finding finding;
   finding.counts_ = ForEachSchedule(faults, [&](Schedule& schedule) {
-    Simulation simulation(schedule, defect, cancels);
+    Simulation simulation(schedule, defect, course);
     simulation.Run();
     if (!simulation.Violations().empty() &&
         simulation.Violations().front().find(rule) != std::string::npos) {
@@ -49,15 +50,18 @@
 void CheckDefectFound(Defect defect, const std::string& rule) {
   Finding finding;
   for (std::size_t faults = 0; faults <= kDefectFaults && finding.rule_.empty(); ++faults) {
-    finding = SearchSchedules(faults, defect, defect == Defect::kCancellationsLost, rule);
+    finding = SearchSchedules(faults, defect,
+                              {.cancels_ = defect == Defect::kCancellationsLost,
+                               .quota_ = defect == Defect::kRestoredRunsUncounted},
+                              rule);
   }
   CAPTURE(finding.schedule_);
   CAPTURE(finding.counts_.schedules_);
   CHECK(finding.rule_ != "");
 }
 
-void CheckNoViolation(bool cancels) {
-  const Finding finding = SearchSchedules(FaultsFromEnvironment(), Defect::kNone, cancels, "");
+void CheckNoViolation(Simulation::Course course) {
+  const Finding finding = SearchSchedules(FaultsFromEnvironment(), Defect::kNone, course, "");
   MESSAGE("schedules " << finding.counts_.schedules_ << ", choice points "
                        << finding.counts_.choice_points_);
   CAPTURE(finding.schedule_);
@@ -68,11 +72,15 @@
 }  // namespace
 
 TEST_CASE("no schedule of faults violates a rule while jobs run to completion") {
-  CheckNoViolation(false);
+  CheckNoViolation({});
 }
 
 TEST_CASE("no schedule of faults violates a rule while a job is cancelled") {
-  CheckNoViolation(true);
+  CheckNoViolation({.cancels_ = true});
+}
+
+TEST_CASE("no schedule of faults makes a new leader start beyond an organisation's quota") {
+  CheckNoViolation({.quota_ = true});
 }
 
 TEST_CASE("the search finds a new leader that does not wait for the leases of earlier terms") {
@@ -99,6 +107,10 @@
   CheckDefectFound(Defect::kDependenciesLost, "ORDER");
 }
 
+TEST_CASE("the search finds a new leader that counts only its own starts for a quota") {
+  CheckDefectFound(Defect::kRestoredRunsUncounted, "QUOTA");
+}
+
 TEST_CASE("the search finds job states that a takeover does not store again") {
   CheckDefectFound(Defect::kUnstoredStatesLost, "LOST");
 }
--- a/test/exhaustive/takeover/simulation.cpp
+++ b/test/exhaustive/takeover/simulation.cpp
@@ -41,7 +41,7 @@
   return std::make_shared<const ledger::Submission>(std::move(submission));
 }
 
-Simulation::Simulation(Schedule& schedule, Defect defect, bool cancels)
+Simulation::Simulation(Schedule& schedule, Defect defect, Course course)
     : schedule_(schedule),
       defect_(defect),
       bounds_(fixture::MakeBounds()),
@@ -65,7 +65,14 @@
     jobs_.entries_[kSingleTaskJob].submission_ =
         std::make_shared<const ledger::Submission>(std::move(single));
   });
-  if (cancels) {
+  if (course.quota_) {
+    site::Organisation crew{.name_ = "crew"};
+    crew.quota_.gpus_ = fixture::kWorkerCapacity.gpus_;
+    rules_.configuration_.organisations_.push_back(crew);
+    fake_workers_.quota_ = [crew](const std::string&) { return crew.quota_; };
+    fake_workers_.quota_without_overshoot_ = true;
+  }
+  if (course.cancels_) {
     At(now_ + kCancelDelay, [this] {
       jobs_.entries_.at(kChainJob).cancelled_ = true;
       cancelled_at_[kChainJob] = now_;
--- a/test/exhaustive/takeover/simulation.hpp
+++ b/test/exhaustive/takeover/simulation.hpp
@@ -24,6 +24,7 @@
   kFailureCountsLost,         ///< BUDGET: failures of earlier terms are not counted.
   kCancellationsLost,         ///< UNASKED: cancellations of earlier terms are not seen.
   kDependenciesLost,          ///< ORDER: steps are loaded without their dependencies.
+  kRestoredRunsUncounted,     ///< QUOTA: a new leader counts only what it has started itself.
   kUnstoredStatesLost,        ///< LOST: a job state that was not stored in time is never stored.
 };
 
@@ -37,8 +38,13 @@
  */
 class Simulation {
  public:
-  /** @param cancels Whether the first job is cancelled while it runs. */
-  Simulation(Schedule& schedule, Defect defect, bool cancels);
+  /** @brief What happens besides the faults. */
+  struct Course {
+    bool cancels_{};  ///< The first job is cancelled while it runs.
+    bool quota_{};    ///< The organisation's quota holds one run at a time.
+  };
+
+  Simulation(Schedule& schedule, Defect defect, Course course);
 
   /** @brief Runs until all jobs have ended and faults are over, until a rule is violated, or until
    * the time limit. */
--- a/test/exhaustive/takeover/simulation_store.cpp
+++ b/test/exhaustive/takeover/simulation_store.cpp
@@ -197,6 +197,15 @@
     if (defect_ == Defect::kDependenciesLost && term > 1 && id == kChainJob) {
       read.submission_ = MakeChainSubmission(false);
     }
+    const bool has_run =
+        std::any_of(records_.begin(), records_.end(), [&id = id](const auto& task) {
+          return task.first.job_ == id && task.second.outcome_ == ledger::TaskOutcome::kStarted;
+        });
+    if (defect_ == Defect::kRestoredRunsUncounted && has_run) {
+      ledger::Submission uncounted = *read.submission_;
+      uncounted.organisation_.clear();
+      read.submission_ = std::make_shared<const ledger::Submission>(std::move(uncounted));
+    }
     dispatcher.OnJob(id, &read, now_);
   }
   for (const auto& [id, record] : records_) {
--- a/test/randomised/dispatch/runs.cpp
+++ b/test/randomised/dispatch/runs.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint64_t kFirstSeed = 20261204;
 constexpr int kRuns = 60;
+constexpr int kQuotaRuns = 300;
 constexpr int kFaultySeconds = 30;
 
 std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
@@ -20,13 +21,13 @@
   return text == nullptr ? fallback : std::stoull(text);
 }
 
-void SimulateAllSeeds(const Faults& faults) {
+void SimulateAllSeeds(const Faults& faults, std::uint64_t default_runs = kRuns) {
   // LABURNUMLEDGE_LEVEL=info logs the dispatchers' decisions.
   const char* level = std::getenv("LABURNUMLEDGE_LEVEL");
   core::SetLevel(
       core::ParseLevel(level == nullptr ? "error" : level).value_or(core::Level::kError));
   const std::uint64_t first = FromEnvironment("LABURNUMLEDGE_SEED", kFirstSeed);
-  const std::uint64_t runs = FromEnvironment("LABURNUMLEDGE_RUNS", kRuns);
+  const std::uint64_t runs = FromEnvironment("LABURNUMLEDGE_RUNS", default_runs);
   for (std::uint64_t seed = first; seed < first + runs; ++seed) {
     World world(seed, faults);
     world.Simulate(kFaultySeconds);
@@ -72,6 +73,21 @@
       {.lost_answer_ = 10, .leader_crash_ = 150, .store_outage_ = 40, .deadly_job_ = 150});
 }
 
+// Guards against starts beyond a quota: counts that a takeover, a late command or a new quota makes
+// wrong. The first 300 seeds run in CI.
+TEST_CASE("no start breaks a quota while quotas change and everything else fails") {
+  SimulateAllSeeds({.lost_answer_ = 40,
+                    .late_call_ = 40,
+                    .failing_run_ = 30,
+                    .worker_crash_ = 20,
+                    .worker_cut_ = 40,
+                    .leader_crash_ = 100,
+                    .leader_cut_ = 60,
+                    .store_outage_ = 60,
+                    .quota_change_ = 200},
+                   kQuotaRuns);
+}
+
 TEST_CASE("rules hold and jobs finish with all kinds of faults at once") {
   SimulateAllSeeds({.lost_answer_ = 40,
                     .late_call_ = 40,
--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -93,7 +93,14 @@
     steps.push_back(second);
   }
   const std::string id = fixture::JobId(number);
-  jobs_.entries_[id].submission_ = fixture::MakeSubmission(std::move(steps), random_(3));
+  ledger::Submission submission = *fixture::MakeSubmission(std::move(steps), random_(3));
+  if (faults_.quota_change_ > 0) {
+    submission.organisation_ =
+        fmt::format("o{}", static_cast<std::uint32_t>(number) % kOrganisations);
+    submission.accepted_ = support::WallAt(now_);
+  }
+  jobs_.entries_[id].submission_ =
+      std::make_shared<const ledger::Submission>(std::move(submission));
   if (leader_ != nullptr) {
     leader_->dispatcher_->OnJob(id, &jobs_.entries_[id], now_);
     Pump(leader_);
@@ -301,6 +308,9 @@
       reachability_[id].cut_until_ = now_ + RandomDuration(500, 9000);
     }
   }
+  if (faults_.quota_change_ > 0 && Chance(faults_.quota_change_)) {
+    PublishQuotas(false);
+  }
   if (Chance(faults_.store_outage_)) {
     outage_until_ = now_ + RandomDuration(500, 5000);
   }
@@ -326,6 +336,11 @@
 }
 
 void World::Simulate(int seconds) {
+  if (faults_.quota_change_ > 0) {
+    fake_workers_.quota_ = [this](const std::string& name) { return HighestQuota(name); };
+    PublishQuotas(false);
+    rules_.configuration_.organisations_ = quotas_.front().organisations_;
+  }
   TakeOver({});
   const core::TimePoint calm = now_ + std::chrono::seconds(seconds);
   const core::TimePoint end = calm + std::chrono::seconds(120);
@@ -333,7 +348,12 @@
     Schedule(now_ + std::chrono::seconds(second) + RandomDuration(0, 900),
              [this] { InjectFaults(); });
   }
-  Schedule(calm, [this] { faults_ = {}; });
+  Schedule(calm, [this] {
+    if (faults_.quota_change_ > 0) {
+      PublishQuotas(true);
+    }
+    faults_ = {};
+  });
   // The platform's list is read every 500 ms; a restarted worker shows by its incarnation.
   for (int reading = 1; reading < 2 * (seconds + 120); ++reading) {
     Schedule(now_ + core::Milliseconds(500 * reading), [this] {
--- a/test/randomised/dispatch/world.hpp
+++ b/test/randomised/dispatch/world.hpp
@@ -27,6 +27,7 @@
   std::uint32_t leader_cut_{};    ///< Per second: the leader goes on without the store.
   std::uint32_t store_outage_{};  ///< Per second.
   std::uint32_t cancel_{};        ///< Per second and job.
+  std::uint32_t quota_change_{};  ///< Per second: other quotas; 0: there are no organisations.
   std::uint32_t deadly_job_{};    ///< Per job: its tasks crash every worker that starts them.
 };
 
@@ -38,6 +39,15 @@
   std::uint64_t last_term_that_reaches_{};
 };
 
+/** @brief Organisations of jobs, if there are quotas. */
+inline constexpr std::uint32_t kOrganisations = 3;
+
+/** @brief Quotas that were published, and when. */
+struct PublishedQuotas {
+  core::TimePoint published_{};
+  std::vector<site::Organisation> organisations_;
+};
+
 /** @brief Simulates dispatchers of successive terms with fake workers and a fake store, in virtual
  * time. */
 class World {
@@ -84,6 +94,8 @@
   void CancelJob(const std::string& id);
   void InjectFaults();
   void CrashLeader();
+  void PublishQuotas(bool calm);
+  [[nodiscard]] site::Resources HighestQuota(const std::string& organisation) const;
   void TakeOver(core::Clock::duration unconfirmed);
   void Pump(const LeaderPointer& leader);
   void Perform(const LeaderPointer& leader, const dispatch::Actions& actions);
@@ -109,6 +121,7 @@
   std::uint64_t term_{};
   core::TimePoint outage_until_{};
   core::TimePoint earlier_leases_end_{};
+  std::vector<PublishedQuotas> quotas_;
   std::vector<dispatch::Actions> issued_actions_;
 };
 
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -56,6 +56,10 @@
   std::map<ledger::TaskId, core::TimePoint> done_at_;
   std::map<ledger::TaskId, int> crashes_;               ///< Workers that crashed under a task.
   std::map<ledger::TaskId, int> starts_after_crashes_;  ///< Starts after three such crashes.
+  /** Highest quota of an organisation in any configuration that may be in force; null without
+   * quotas. */
+  std::function<site::Resources(const std::string&)> quota_;
+  bool quota_without_overshoot_{};  ///< Allows no more than the quota, as the dispatcher does.
   std::vector<std::string> broken_;
 };
 
