--- a/test/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/fixture.hpp"
 
@@ -20,15 +22,24 @@
     dispatcher_.Begin(now_, now_);
   }
 
-  void SetQuota(std::int64_t gpus) {
+  void SetOrganisations(std::vector<site::Organisation> organisations) {
     site::Rules rules;
-    rules.configuration_.organisations_.push_back({.name_ = "crew"});
-    rules.configuration_.organisations_.back().quota_.gpus_ = gpus;
+    rules.configuration_.organisations_ = std::move(organisations);
     dispatcher_.SetRules(rules);
   }
 
-  void Submit(int number, ledger::Step step, std::uint32_t priority) {
-    const ledger::JobEntry entry{.submission_ = MakeSubmission({std::move(step)}, priority)};
+  void SetQuota(std::int64_t gpus) {
+    site::Organisation crew{.name_ = "crew"};
+    crew.quota_.gpus_ = gpus;
+    SetOrganisations({crew});
+  }
+
+  void Submit(int number, ledger::Step step, std::uint32_t priority,
+              const std::string& organisation = "crew") {
+    ledger::Submission submission = *MakeSubmission({std::move(step)}, priority);
+    submission.organisation_ = organisation;
+    const ledger::JobEntry entry{
+        .submission_ = std::make_shared<const ledger::Submission>(std::move(submission))};
     dispatcher_.OnJob(JobId(number), &entry, now_);
   }
 
@@ -39,6 +50,16 @@
   }
 };
 
+/** Tasks of one job that a plan starts. */
+std::int64_t CountStarts(const Actions& actions, int job) {
+  std::int64_t count = 0;
+  for (const RecordBatch& batch : actions.records_) {
+    count += std::count_if(batch.tasks_.begin(), batch.tasks_.end(),
+                           [job](const auto& entry) { return entry.first.job_ == JobId(job); });
+  }
+  return count;
+}
+
 }  // namespace
 
 TEST_CASE("starts beyond a quota that was lowered while they were recorded are withdrawn") {
@@ -83,4 +104,42 @@
   CHECK(crew.Run().starts_.empty());
 }
 
+TEST_CASE("weights divide a worker from the first plan on in which not all work fits") {
+  QuotaDispatcher harness;
+  std::int64_t first = 2;
+  SUBCASE("with weights") {
+    harness.SetOrganisations({{.name_ = "a", .weight_ = 1}, {.name_ = "b", .weight_ = 3}});
+  }
+  SUBCASE("without weights the order is by deadline and identifier") {
+    harness.SetOrganisations({{.name_ = "a"}, {.name_ = "b"}});
+    first = 8;
+  }
+  harness.Submit(1, MakeStep(8, 1), 1, "a");
+  harness.Submit(2, MakeStep(8, 1), 1, "b");
+  const Actions planned = harness.Run();
+  CHECK(CountStarts(planned, 1) == first);
+  CHECK(CountStarts(planned, 2) == 8 - first);
+}
+
+TEST_CASE("urgent work within its organisation's guarantee goes before the shares") {
+  // Guards against guarantees that weights make void.
+  QuotaDispatcher harness;
+  harness.SetOrganisations(
+      {{.name_ = "a", .guaranteed_gpus_ = 4, .weight_ = 1}, {.name_ = "b", .weight_ = 7}});
+  harness.Submit(1, MakeStep(8, 1), 0, "b");
+  harness.Submit(2, MakeStep(4, 1), 0, "a");
+  CHECK(CountStarts(harness.Run(), 2) == 4);
+}
+
+TEST_CASE("jobs beyond the rate come after those of others, whatever the shares") {
+  QuotaDispatcher harness;
+  harness.SetOrganisations({{.name_ = "a", .weight_ = 1}, {.name_ = "b", .weight_ = 1}});
+  harness.Submit(1, MakeStep(1, 1), 1, "a");
+  harness.Submit(2, MakeStep(8, 1), 1, "a");
+  harness.Submit(3, MakeStep(6, 1), 1, "b");
+  const Actions planned = harness.Run();
+  CHECK(CountStarts(planned, 2) == 1);
+  CHECK(CountStarts(planned, 3) == 6);
+}
+
 }  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/dispatch/share.cpp
+++ b/test/laburnumledge/dispatch/share.cpp
@@ -104,7 +104,7 @@
     job.occurrences_.at(0).steps_[0].ready_since_ = kNow + passed_;
     for (std::uint32_t task = 0; task < job_tasks_; ++task) {
       // Lengths from half to one and a half times the mean.
-      const double length = length_ * (0.5 + random_(1001) / 1000.0);
+      const double length = length_ * (0.5 + static_cast<double>(random_(1001)) / 1000.0);
       lengths_[{.job_ = id, .index_ = task}] = length;
       ideal_[organisation].emplace(Seconds(), length);
     }
--- a/test/randomised/dispatch/world_quotas.cpp
+++ b/test/randomised/dispatch/world_quotas.cpp
@@ -21,7 +21,8 @@
   for (std::uint32_t number = 0; number < kOrganisations; ++number) {
     site::Organisation organisation{
         .name_ = fmt::format("o{}", number), .guaranteed_gpus_ = 4, .weight_ = number};
-    organisation.quota_.gpus_ = calm ? kLargestGangGpus : 4 + random_(kLargestGangGpus);
+    organisation.quota_.gpus_ =
+        static_cast<std::int64_t>(calm ? kLargestGangGpus : 4 + random_(kLargestGangGpus));
     organisation.quota_.cpu_millis_ = 10000 * static_cast<std::int64_t>(calm ? 8 : 2 + random_(8));
     published.organisations_.push_back(std::move(organisation));
   }
