--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -57,7 +57,7 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<std::int64_t> quota_waiting_gpus_;   ///< Waited for because of a quota, by
-                                                  ///< organisation; empty without quotas.
+                                                   ///< organisation; empty without quotas.
   CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
 };
 
