Reserve workers ahead for waiting gangs, and spare preempted work

Change: a gang that does not fit reserves the workers that can hold it first, by the expected ends of their runs; other work uses them only if it ends before (conservative backfill). A gang that is on time with its reservation preempts nothing. Each preemption of a task makes the next one dearer, and after two only urgent work preempts it. Urgent work preempts more than four times its own work only when its guarantee is due. Urgent headroom falls with a half-life of 5 s, and of 2 s once no urgent work runs or waits, instead of 8 s.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -155,9 +155,14 @@
   const bool measured = assigned.phase_ == RunPhase::kRunning &&
                         assigned.progress_rate_.measured_at_ != core::TimePoint{} &&
                         !IsLongRunning(run);
-  return measured ? MeasureProgress(assigned.progress_rate_, row.progress_percent_,
-                                    PredictDuration(run), now)
-                  : ProgressVerdict::kUnknown;
+  if (!measured) {
+    return ProgressVerdict::kUnknown;
+  }
+  const core::Milliseconds predicted = PredictDuration(run);
+  const ProgressVerdict verdict =
+      MeasureProgress(assigned.progress_rate_, row.progress_percent_, predicted, now);
+  assigned.expected_end_ = now + RemainingTime(assigned.progress_rate_, predicted, now);
+  return verdict;
 }
 
 void Dispatcher::MarkUnlistedRunsLost(Worker& worker, const std::set<RunId>& listed,
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -193,6 +193,7 @@
   assigned.phase_ = RunPhase::kRunning;
   assigned.settled_at_ = now;
   assigned.started_ = now;
+  assigned.expected_end_ = IsLongRunning(run) ? core::TimePoint{} : now + PredictDuration(run);
   core::LogEvent(Level::kInfo, EventPriority::kLow, "task.started",
                  {{"task", ledger::ToString(run.task_)},
                   {"run", run.run_},
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -154,7 +154,13 @@
                   {"run", preemption.run_.run_},
                   {"worker", preemption.worker_->entry_.id_},
                   {"in_favour_of", preemption.preempting_job_}});
-  if (preemption.worker_->assigned_runs_.at(preemption.run_).gang_) {
+  const bool gang = preemption.worker_->assigned_runs_.at(preemption.run_).gang_;
+  if (StepState* step = FindStep(job_table_, preemption.run_.task_)) {
+    for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
+      step->tasks_[index].preemptions_ += gang || index == preemption.run_.task_.index_ ? 1 : 0;
+    }
+  }
+  if (gang) {
     StopGang(preemption.run_, kPreempted, now);
   } else {
     StopRun(*preemption.worker_, preemption.run_, kPreempted, now);
@@ -238,7 +244,7 @@
 }
 
 void Dispatcher::StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
-                           core::TimePoint /*now*/) {
+                           core::TimePoint now) {
   std::uint64_t run_number = 0;
   for (const PlannedStart& start : unit) {
     run_number = std::max(run_number, FindTask(job_table_, start.task_)->run_ + 1);
@@ -250,17 +256,20 @@
     Worker& worker = *start.worker_;
     MarkPlaced(*FindStep(job_table_, start.task_), task, run_number, worker.entry_.id_);
     const RunId run{.task_ = start.task_, .run_ = run_number};
-    AddAssignedRun(worker, run,
-                   {.phase_ = RunPhase::kRecording,
-                    .needs_ = spec.task_resources_,
-                    .organisation_ = job.organisation_,
-                    .priority_ = job.treatment_.priority_,
-                    .gang_ = spec.gang_,
-                    .crash_suspect_ = task.crashes_ > 0,
-                    .incarnation_ = worker.incarnation_,
-                    .resumed_ = !task.checkpoint_.empty(),
-                    .gang_size_ = spec.gang_ ? spec.count_ : 1,
-                    .next_stop_ = core::TimePoint::max()});
+    AddAssignedRun(
+        worker, run,
+        {.phase_ = RunPhase::kRecording,
+         .needs_ = spec.task_resources_,
+         .organisation_ = job.organisation_,
+         .priority_ = job.treatment_.priority_,
+         .gang_ = spec.gang_,
+         .crash_suspect_ = task.crashes_ > 0,
+         .incarnation_ = worker.incarnation_,
+         .resumed_ = !task.checkpoint_.empty(),
+         .gang_size_ = spec.gang_ ? spec.count_ : 1,
+         .preemptions_ = task.preemptions_,
+         .expected_end_ = spec.long_running_ ? core::TimePoint{} : now + PredictDuration(run),
+         .next_stop_ = core::TimePoint::max()});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
     batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -50,8 +50,10 @@
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
   bool resumed_{};                   ///< Started from a checkpoint.
   std::uint32_t gang_size_{1};       ///< Tasks that fail together with this run.
+  std::uint32_t preemptions_{};      ///< Earlier runs of the task that were preempted.
   core::TimePoint settled_at_{};     ///< Lease calls sent from then on show whether the run exists.
   core::TimePoint started_{};        ///< When the start was confirmed.
+  core::TimePoint expected_end_{};   ///< By the predicted duration and progress; zero if unknown.
   core::WorkerTime lease_deadline_{};  ///< In the start command, on the worker's clock.
   core::TimePoint next_stop_{};        ///< When an unanswered stop command is resent.
   ProgressRate progress_rate_;
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -33,6 +33,7 @@
   std::uint64_t crashed_run_{};  ///< Newest run that was counted as a crash.
   std::string checkpoint_;
   std::uint32_t outstanding_runs_{};  ///< Runs that may still exist on workers, of any age.
+  std::uint32_t preemptions_{};       ///< Runs that were preempted in this term.
 };
 
 /** @brief Resources on a worker reserved for tasks of a step until the resources are free. */
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -8,6 +8,7 @@
 #include <tuple>
 #include <utility>
 
+#include "laburnumledge/dispatch/advance_reservation.hpp"
 #include "laburnumledge/dispatch/planner.hpp"
 #include "laburnumledge/dispatch/preemption.hpp"
 #include "laburnumledge/dispatch/quota.hpp"
@@ -20,12 +21,6 @@
 
 namespace {
 
-site::Resources ElementwiseMin(const site::Resources& left, const site::Resources& right) noexcept {
-  return {.cpu_millis_ = std::min(left.cpu_millis_, right.cpu_millis_),
-          .memory_mb_ = std::min(left.memory_mb_, right.memory_mb_),
-          .gpus_ = std::min(left.gpus_, right.gpus_)};
-}
-
 /** Candidate worker with the number of tasks of a step that it can start now. */
 struct Offer {
   CandidateWorker* candidate_{};
@@ -33,9 +28,10 @@
 };
 
 /** Number of further tasks of a step that a worker that can host them has room for now. */
-std::uint32_t CountRoom(const CandidateWorker& candidate, const ReadyStep& step) noexcept {
+std::uint32_t CountRoom(const Planner& planner, const CandidateWorker& candidate,
+                        const ReadyStep& step) noexcept {
   return internal::CountFits(step.spec_->task_resources_,
-                             ElementwiseMin(candidate.free_, candidate.free_after_stops_),
+                             internal::AvailableResources(planner, candidate, step),
                              internal::RemainingTaskLimit(candidate, step));
 }
 
@@ -48,7 +44,7 @@
         !internal::CanHost(planner, candidate, step)) {
       continue;
     }
-    const std::uint32_t count = CountRoom(candidate, step);
+    const std::uint32_t count = CountRoom(planner, candidate, step);
     if (count > 0) {
       offers.push_back({&candidate, count});
     }
@@ -77,6 +73,7 @@
                 PlannedGroup& planned) {
   candidate.free_ -= step.spec_->task_resources_;
   candidate.free_after_stops_ -= step.spec_->task_resources_;
+  candidate.free_beside_reservation_ -= step.spec_->task_resources_;
   ++candidate.assigned_tasks_;
   if (step.crash_suspect_) {
     candidate.crash_suspect_job_ = &step.job_->id_;
@@ -213,7 +210,7 @@
   PlannedGroup planned;
   AssignTask(step, task, *best->candidate_, planned);
   planner.plan_.starts_.push_back(std::move(planned));
-  best->count_ = CountRoom(*best->candidate_, step);
+  best->count_ = CountRoom(planner, *best->candidate_, step);
   if (best->count_ == 0) {
     offers.erase(best);
   }
@@ -256,6 +253,21 @@
   return PlaceSingles(planner, step);
 }
 
+/**
+ * Reserves resources ahead for a gang; whether it should wait for them rather than preempt. An
+ * urgent gang waits only if preempted runs would take as long to stop.
+ */
+bool WaitsForReservation(Planner& planner, const ReadyStep& step) {
+  const std::optional<core::TimePoint> start = internal::ReserveAhead(planner, step);
+  if (!start.has_value()) {
+    return false;
+  }
+  const PlanTime time = planner.context_.time_;
+  const auto wait = *start - time.now_;
+  return internal::IsUrgent(step) ? wait <= planner.context_.bounds_.stop_grace_
+                                  : time.wall_ + wait <= step.latest_start_;
+}
+
 /** Plans a step of which no task has to wait for a quota. */
 void PlanStepWithinQuota(Planner& planner, const ReadyStep& step, bool holds_reservations) {
   const std::size_t missing = PlaceStep(planner, step);
@@ -269,6 +281,9 @@
     internal::KeepReservations(planner, step);
     return;
   }
+  if (step.spec_->gang_ && WaitsForReservation(planner, step)) {
+    return;
+  }
   if (internal::MayPreempt(planner, step)) {
     internal::PreemptForStep(planner, step, missing);
   }
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -19,6 +19,8 @@
   std::uint32_t assigned_tasks_{};  ///< Tasks assigned here of the step that is being placed.
   bool urgent_headroom_{};          ///< Kept free for urgent jobs.
   const ledger::JobId* crash_suspect_job_{};  ///< Job here under which a worker has crashed before.
+  core::TimePoint reserved_from_{core::TimePoint::max()};  ///< Begin of an advance reservation.
+  site::Resources free_beside_reservation_;  ///< Free from then on beside the reserved resources.
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
 };
 
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -13,12 +13,26 @@
 
 namespace {
 
+/** Preempted runs of a task after which only urgent work preempts it again, so that each task gets
+ * done some time. */
+constexpr std::uint32_t kMaxPreemptions = 2;
+
+/** Lost work, as a multiple of the work that an urgent step's tasks do, above which the step rather
+ * waits for resources as long as its guarantee allows: mostly gangs that have run for seconds. */
+constexpr double kMaxUrgentLoss = 4.0;
+
+/** Time before a guaranteed start is due at which it no longer waits for resources to become free:
+ * the record, the start and a second attempt. */
+constexpr core::Milliseconds kGuaranteeMargin{800};
+
 /** Run time that counts as lost with every stopped run, however new: its start, and the time until
  * its task runs again. */
 constexpr core::Milliseconds kMinLostTime{1000};
 
 bool IsPreemptible(const AssignedRun& assigned, const ReadyStep& step) noexcept {
-  return assigned.priority_ > step.job_->treatment_.priority_ && !IsBeingStopped(assigned);
+  const bool spared = assigned.preemptions_ >= kMaxPreemptions && !IsUrgent(step);
+  return assigned.priority_ > step.job_->treatment_.priority_ && !spared &&
+         !IsBeingStopped(assigned);
 }
 
 /** Runs to preempt on one worker so that a number of tasks fit there. */
@@ -87,6 +101,24 @@
   return cost;
 }
 
+/** Whether an urgent step has waited so long that its guarantee is broken without preemption. */
+bool IsGuaranteeDue(const Planner& planner, const ReadyStep& step) noexcept {
+  const site::Bounds& bounds = planner.context_.bounds_;
+  const auto longest = bounds.reclaim_time_ - bounds.stop_grace_ - kGuaranteeMargin;
+  return planner.context_.time_.wall_ >=
+         DueTime(*step.job_->submission_, step.occurrence_) + longest;
+}
+
+/** Whether an urgent step should wait, since preempting runs would throw away far more work than
+ * its tasks do. */
+bool IsLossTooHigh(const Planner& planner, const ReadyStep& step, std::size_t tasks,
+                   double lost_work) noexcept {
+  const double own_work = site::WeightInCores(step.spec_->task_resources_) *
+                          static_cast<double>(tasks) *
+                          std::chrono::duration<double>(step.duration_).count();
+  return IsUrgent(step) && lost_work > own_work * kMaxUrgentLoss && !IsGuaranteeDue(planner, step);
+}
+
 ledger::TaskId FirstTask(const ReadyStep& step) {
   return {
       .job_ = step.job_->id_, .occurrence_ = step.occurrence_, .step_ = step.index_, .index_ = 0};
@@ -152,7 +184,7 @@
     unsaved += now - std::max(assigned.started_, assigned.checkpointed_);
   }
   return site::WeightInCores(assigned.needs_) * assigned.gang_size_ *
-         std::chrono::duration<double>(unsaved).count();
+         (1.0 + assigned.preemptions_) * std::chrono::duration<double>(unsaved).count();
 }
 
 bool ApplyReservations(Planner& planner, const ReadyStep& step) {
@@ -213,7 +245,7 @@
   if (!best.has_value()) {
     best = ChoosePreemptions(std::move(all), wanted);
   }
-  if (!best.has_value()) {
+  if (!best.has_value() || IsLossTooHigh(planner, step, wanted, TotalCost(*best))) {
     return false;
   }
   ReservePreempted(planner, step, *std::move(best), wanted);
--- a/src/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /** Half-life of past demand: a few times the duration of urgent jobs specified by the platform. */
-constexpr double kDemandHalfLifeSeconds = 8.0;
+constexpr double kDemandHalfLifeSeconds = 5.0;
+/** Half-life while no urgent work runs or waits: the burst is over. */
+constexpr double kLullHalfLifeSeconds = 2.0;
 /** Headroom as a multiple of the demand; the surplus is for gangs that must fit into one rack. */
 constexpr double kHeadroomFactor = 1.2;
 /** Upper bound of the headroom as a fraction of all GPUs: the fraction that the platform's sites
@@ -50,7 +52,8 @@
 void UpdateUrgentHeadroom(UrgentHeadroom& headroom, std::int64_t demand,
                           core::TimePoint now) noexcept {
   const double elapsed = std::chrono::duration<double>(now - headroom.updated_at_).count();
-  headroom.demand_gpus_ *= std::exp2(-elapsed / kDemandHalfLifeSeconds);
+  const double half_life = demand == 0 ? kLullHalfLifeSeconds : kDemandHalfLifeSeconds;
+  headroom.demand_gpus_ *= std::exp2(-elapsed / half_life);
   headroom.demand_gpus_ = std::max(headroom.demand_gpus_, static_cast<double>(demand));
   headroom.updated_at_ = now;
 }
--- a/src/laburnumledge/site/resources.hpp
+++ b/src/laburnumledge/site/resources.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace laburnumledge::site {
@@ -43,6 +44,14 @@
           .gpus_ = each.gpus_ * count};
 }
 
+/** @brief Smaller of two amounts, for each kind of resource. */
+[[nodiscard]] constexpr Resources ElementwiseMin(const Resources& left,
+                                                 const Resources& right) noexcept {
+  return {.cpu_millis_ = std::min(left.cpu_millis_, right.cpu_millis_),
+          .memory_mb_ = std::min(left.memory_mb_, right.memory_mb_),
+          .gpus_ = std::min(left.gpus_, right.gpus_)};
+}
+
 /** @brief Whether the free resources satisfy every part of a request. */
 [[nodiscard]] constexpr bool Fits(const Resources& needed, const Resources& available) noexcept {
   return needed.cpu_millis_ <= available.cpu_millis_ && needed.memory_mb_ <= available.memory_mb_ &&
--- a/test/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/test/laburnumledge/dispatch/urgent_headroom.cpp
@@ -21,6 +21,18 @@
   CHECK(UrgentHeadroomGpus(headroom, 1000) <= 600);
 }
 
+TEST_CASE("headroom falls faster once no urgent work runs or waits") {
+  // Load: a burst that is over. Guards against GPUs that stay empty beside a queue after it.
+  UrgentHeadroom lull;
+  UrgentHeadroom slack;
+  UpdateUrgentHeadroom(lull, 400, kNow);
+  UpdateUrgentHeadroom(slack, 400, kNow);
+  UpdateUrgentHeadroom(lull, 0, kNow + std::chrono::seconds(4));
+  UpdateUrgentHeadroom(slack, 1, kNow + std::chrono::seconds(4));
+  CHECK(UrgentHeadroomGpus(lull, 10000) < UrgentHeadroomGpus(slack, 10000));
+  CHECK(UrgentHeadroomGpus(lull, 10000) <= 120);
+}
+
 TEST_CASE("waiting urgent tasks count towards urgent demand like running ones") {
   JobTable table;
   Fleet fleet;
