Mend what a review of the advance reservations found

Change: a gang that waits for a rack reserves only there. Urgent gangs make no reservations. A gang waits for its reservation only with a margin of the stop grace period, else it preempts if it may, and only then reserves; preemption leaves reserved workers alone. At most eight searches a plan. The loss of a gang, and its preemption, count once.

--- a/src/laburnumledge/dispatch/advance_reservation.cpp
+++ b/src/laburnumledge/dispatch/advance_reservation.cpp
@@ -18,6 +18,10 @@
 /** Fraction of the candidates that may be reserved at a time; the rest stays open to all work. */
 constexpr double kMaxReservedFraction = 0.5;
 
+/** Gangs for which one plan looks for a reservation. The first ones in the order are those that
+ * start next; each search goes over all runs. */
+constexpr std::uint32_t kMaxSearches = 8;
+
 /** Number of tasks of a gang that a worker can hold from a time on. */
 struct FutureOffer {
   core::TimePoint from_;
@@ -85,9 +89,12 @@
   return core::TimePoint::max();
 }
 
-/** Offers of the rack that can hold the gang earliest, if the gang wants one rack. */
-std::vector<FutureOffer> ChooseOffers(std::vector<FutureOffer> offers, const ReadyStep& step) {
-  if (!step.spec_->same_rack_) {
+/** Offers that the gang would accept: those of its data's rack, or of the rack that can hold it
+ * earliest, while it waits for one rack. */
+std::vector<FutureOffer> ChooseOffers(const Planner& planner, std::vector<FutureOffer> offers,
+                                      const ReadyStep& step) {
+  const std::string& data_rack = step.spec_->affinity_rack_;
+  if ((!step.spec_->same_rack_ && data_rack.empty()) || !WaitsForRack(planner, step)) {
     return offers;
   }
   std::map<std::string_view, std::vector<FutureOffer>> racks;
@@ -98,76 +105,82 @@
   core::TimePoint earliest = core::TimePoint::max();
   for (auto& [rack, rack_offers] : racks) {
     const core::TimePoint start = EarliestStart(rack_offers, step.tasks_.size());
-    if (start < earliest) {
-      earliest = start;
+    const bool preferred = rack == data_rack && start != core::TimePoint::max();
+    if (preferred || start < earliest) {
+      earliest = preferred ? core::TimePoint::min() : start;
       best = std::move(rack_offers);
     }
   }
-  return best.empty() ? offers : best;
+  return best;
 }
 
-void Reserve(CandidateWorker& candidate, const ReadyStep& step, std::uint32_t tasks,
-             core::TimePoint from, core::TimePoint now) {
-  site::Resources left = candidate.free_after_stops_ - step.spec_->task_resources_ * tasks;
-  for (const auto& [end, needs] : CollectEnds(candidate, now)) {
-    if (end <= from) {
-      left += needs;
+/** Chooses few workers with many tasks each, so that the others stay open to long work. */
+AdvanceReservation ChooseWorkers(const std::vector<FutureOffer>& offers, core::TimePoint from,
+                                 std::size_t wanted) {
+  std::map<std::string_view, std::pair<CandidateWorker*, std::uint32_t>> counts;
+  for (const FutureOffer& offer : offers) {
+    if (offer.from_ <= from) {
+      auto& [candidate, count] = counts[offer.candidate_->worker_->entry_.id_];
+      candidate = offer.candidate_;
+      count += offer.count_;
     }
   }
-  candidate.reserved_from_ = from;
-  candidate.free_beside_reservation_ = left;
+  AdvanceReservation reservation{.from_ = from, .tasks_ = {}};
+  for (const auto& [id, entry] : counts) {
+    reservation.tasks_.push_back(entry);
+  }
+  std::stable_sort(reservation.tasks_.begin(), reservation.tasks_.end(),
+                   [](const auto& left, const auto& right) { return left.second > right.second; });
+  auto end = reservation.tasks_.begin();
+  for (; end != reservation.tasks_.end() && wanted > 0; ++end) {
+    end->second = static_cast<std::uint32_t>(std::min<std::size_t>(end->second, wanted));
+    wanted -= end->second;
+  }
+  reservation.tasks_.erase(end, reservation.tasks_.end());
+  return reservation;
 }
 
 }  // namespace
 
-std::optional<core::TimePoint> ReserveAhead(Planner& planner, const ReadyStep& step) {
-  const PlanTime time = planner.context_.time_;
+std::optional<AdvanceReservation> FindAdvanceReservation(Planner& planner, const ReadyStep& step) {
+  const auto most = static_cast<std::size_t>(static_cast<double>(planner.candidates_.size()) *
+                                             kMaxReservedFraction);
+  const auto reserved = static_cast<std::size_t>(std::count_if(
+      planner.candidates_.begin(), planner.candidates_.end(), [](const CandidateWorker& candidate) {
+        return candidate.reserved_from_ != core::TimePoint::max();
+      }));
+  if (step.past_useful_completion_ || reserved >= most ||
+      planner.reservation_searches_ >= kMaxSearches) {
+    return std::nullopt;
+  }
+  ++planner.reservation_searches_;
   std::vector<FutureOffer> offers;
-  std::size_t reserved = 0;
   for (CandidateWorker& candidate : planner.candidates_) {
-    if (candidate.reserved_from_ != core::TimePoint::max()) {
-      ++reserved;
-    } else if (CanHost(planner, candidate, step)) {
-      CollectFutureOffers(candidate, step, time.now_, offers);
+    if (candidate.reserved_from_ == core::TimePoint::max() && CanHost(planner, candidate, step)) {
+      CollectFutureOffers(candidate, step, planner.context_.time_.now_, offers);
     }
   }
-  offers = ChooseOffers(std::move(offers), step);
+  offers = ChooseOffers(planner, std::move(offers), step);
   const core::TimePoint from = EarliestStart(offers, step.tasks_.size());
-  if (from == core::TimePoint::max() || step.past_useful_completion_) {
+  if (from == core::TimePoint::max()) {
     return std::nullopt;
   }
-  std::map<CandidateWorker*, std::uint32_t> counts;
-  for (const FutureOffer& offer : offers) {
-    if (offer.from_ <= from) {
-      counts[offer.candidate_] += offer.count_;
+  AdvanceReservation reservation = ChooseWorkers(offers, from, step.tasks_.size());
+  return reserved + reservation.tasks_.size() > most ? std::nullopt
+                                                     : std::optional(std::move(reservation));
+}
+
+void Reserve(const Planner& planner, const ReadyStep& step, const AdvanceReservation& reservation) {
+  for (const auto& [candidate, tasks] : reservation.tasks_) {
+    candidate->reserved_from_ = reservation.from_;
+    candidate->free_beside_reservation_ =
+        candidate->free_after_stops_ - step.spec_->task_resources_ * tasks;
+    for (const auto& [end, needs] : CollectEnds(*candidate, planner.context_.time_.now_)) {
+      if (end <= reservation.from_) {
+        candidate->free_beside_reservation_ += needs;
+      }
     }
   }
-  // Few workers with many tasks each: the others stay open to long work.
-  std::vector<std::pair<std::uint32_t, CandidateWorker*>> order;
-  for (const auto& [candidate, count] : counts) {
-    order.emplace_back(count, candidate);
-  }
-  std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) {
-    return left.first != right.first
-               ? left.first > right.first
-               : left.second->worker_->entry_.id_ < right.second->worker_->entry_.id_;
-  });
-  std::size_t wanted = step.tasks_.size();
-  std::size_t workers = 0;
-  for (std::size_t covered = 0; workers < order.size() && covered < wanted; ++workers) {
-    covered += order[workers].first;
-  }
-  const double most = static_cast<double>(planner.candidates_.size()) * kMaxReservedFraction;
-  if (static_cast<double>(reserved + workers) > most) {
-    return std::nullopt;
-  }
-  for (std::size_t index = 0; index < workers; ++index) {
-    const auto tasks =
-        static_cast<std::uint32_t>(std::min<std::size_t>(order[index].first, wanted));
-    Reserve(*order[index].second, step, tasks, from, time.now_);
-    wanted -= tasks;
-  }
-  return from;
 }
 
 site::Resources AvailableResources(const Planner& planner, const CandidateWorker& candidate,
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -224,6 +224,7 @@
   void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
   [[nodiscard]] bool QuotaAllowsRetry(const AssignedRun& assigned) const;
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
+  void CountPreemption(const ledger::TaskId& task, bool gang);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -147,6 +147,14 @@
   }
 }
 
+void Dispatcher::CountPreemption(const ledger::TaskId& task, bool gang) {
+  if (StepState* step = FindStep(job_table_, task)) {
+    for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
+      step->tasks_[index].preemptions_ += gang || index == task.index_ ? 1 : 0;
+    }
+  }
+}
+
 void Dispatcher::Preempt(const PlannedPreemption& preemption, core::TimePoint now) {
   ++counts_.preemptions_;
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.preempted",
@@ -154,11 +162,11 @@
                   {"run", preemption.run_.run_},
                   {"worker", preemption.worker_->entry_.id_},
                   {"in_favour_of", preemption.preempting_job_}});
-  const bool gang = preemption.worker_->assigned_runs_.at(preemption.run_).gang_;
-  if (StepState* step = FindStep(job_table_, preemption.run_.task_)) {
-    for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
-      step->tasks_[index].preemptions_ += gang || index == preemption.run_.task_.index_ ? 1 : 0;
-    }
+  const AssignedRun& assigned = preemption.worker_->assigned_runs_.at(preemption.run_);
+  const bool gang = assigned.gang_;
+  // Another member of the gang may have been preempted before, with the whole gang.
+  if (!internal::IsBeingStopped(assigned)) {
+    CountPreemption(preemption.run_.task_, gang);
   }
   if (gang) {
     StopGang(preemption.run_, kPreempted, now);
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -53,12 +53,6 @@
   return offers;
 }
 
-/** Whether a step should keep waiting for the rack that it wants rather than start elsewhere. */
-bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept {
-  return !internal::ExceedsIdleWait(planner, step) &&
-         planner.context_.time_.now_ < step.ready_since_ + step.duration_;
-}
-
 /** Sort key of offers: workers without a recent failure first, then urgent headroom (for steps that
  * may use it), then best fit: the fewest GPUs, then processors, left free by the tasks. */
 std::tuple<bool, bool, std::int64_t, std::int64_t> OfferRank(const Offer& offer,
@@ -179,7 +173,7 @@
       AssignAllTasks(planner, step, *std::move(rack));
       return true;
     }
-    if (WaitsForRack(planner, step) && AnyRackFits(planner, step)) {
+    if (internal::WaitsForRack(planner, step) && AnyRackFits(planner, step)) {
       return false;
     }
   }
@@ -189,7 +183,7 @@
 
 /** Whether a step's tasks should wait for the rack of their data, which has workers for them. */
 bool WaitsForDataRack(const Planner& planner, const ReadyStep& step) {
-  return WaitsForRack(planner, step) &&
+  return internal::WaitsForRack(planner, step) &&
          std::any_of(planner.candidates_.begin(), planner.candidates_.end(),
                      [&](const CandidateWorker& candidate) {
                        return candidate.worker_->entry_.rack_ == step.spec_->affinity_rack_ &&
@@ -262,19 +256,36 @@
   internal::AddToShare(planner, step, tasks);
 }
 
-/**
- * Reserves resources ahead for a gang; whether it should wait for them rather than preempt. An
- * urgent gang waits only if preempted runs would take as long to stop.
- */
-bool WaitsForReservation(Planner& planner, const ReadyStep& step) {
-  const std::optional<core::TimePoint> start = internal::ReserveAhead(planner, step);
-  if (!start.has_value()) {
-    return false;
-  }
+/** Whether a gang is on time if it waits for a reservation: with a margin for preemption, which is
+ * not allowed any more once the gang is late. */
+bool IsOnTime(const Planner& planner, const ReadyStep& step,
+              const internal::AdvanceReservation& reservation) noexcept {
   const PlanTime time = planner.context_.time_;
-  const auto wait = *start - time.now_;
-  return internal::IsUrgent(step) ? wait <= planner.context_.bounds_.stop_grace_
-                                  : time.wall_ + wait <= step.latest_start_;
+  return time.wall_ + (reservation.from_ - time.now_) + planner.context_.bounds_.stop_grace_ <=
+         step.latest_start_;
+}
+
+/** Preempts runs for a step if it may. */
+bool PreemptIfAllowed(Planner& planner, const ReadyStep& step, std::size_t missing) {
+  return internal::MayPreempt(planner, step) && internal::PreemptForStep(planner, step, missing);
+}
+
+/** Frees resources for tasks that don't fit: a gang waits for reserved workers if that is in time,
+ * else the step preempts runs if it may, else a gang waits for reserved workers all the same.
+ * Urgent gangs preempt at once. Returns whether resources are held for the tasks. */
+bool ObtainResources(Planner& planner, const ReadyStep& step, std::size_t missing) {
+  std::optional<internal::AdvanceReservation> reservation;
+  if (step.spec_->gang_ && !internal::IsUrgent(step)) {
+    reservation = internal::FindAdvanceReservation(planner, step);
+  }
+  const bool waits = reservation.has_value() && IsOnTime(planner, step, *reservation);
+  if (!waits && PreemptIfAllowed(planner, step, missing)) {
+    return true;
+  }
+  if (reservation.has_value()) {
+    internal::Reserve(planner, step, *reservation);
+  }
+  return reservation.has_value();
 }
 
 /** Plans a step of which no task has to wait for a quota. */
@@ -292,12 +303,8 @@
     CountForOrganisation(planner, step, missing);
     return;
   }
-  if (step.spec_->gang_ && WaitsForReservation(planner, step)) {
-    CountForOrganisation(planner, step, missing);
-    return;
-  }
-  if (internal::MayPreempt(planner, step) && internal::PreemptForStep(planner, step, missing)) {
-    // Otherwise less urgent work could take the quota before the preempted runs are gone.
+  if (ObtainResources(planner, step, missing)) {
+    // Otherwise less urgent work could take the quota before the resources are free.
     CountForOrganisation(planner, step, missing);
   }
 }
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -199,6 +199,11 @@
   return planner.mostly_idle_ && planner.context_.time_.now_ >= step.ready_since_ + kMaxIdleWait;
 }
 
+bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept {
+  return !ExceedsIdleWait(planner, step) &&
+         planner.context_.time_.now_ < step.ready_since_ + step.duration_;
+}
+
 bool CanHost(const Planner& planner, const CandidateWorker& candidate,
              const ReadyStep& step) noexcept {
   const bool avoids_failed = step.avoids_failed_workers_ &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -67,6 +67,7 @@
   Plan plan_;
   std::vector<QuotaRoom> quota_rooms_{};  ///< By organisation; empty without quotas.
   std::vector<double> shares_{};  ///< By organisation; empty if the order is without shares.
+  std::uint32_t reservation_searches_{};  ///< Gangs for which a reservation was looked for.
   bool mostly_idle_{};  ///< So few resources are in use that no step that fits may wait for long.
 };
 
@@ -97,6 +98,10 @@
 /** @brief Whether a step has waited as long as is allowed while most resources are idle. */
 [[nodiscard]] bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept;
 
+/** @brief Whether a step should keep waiting for the rack that it wants rather than start
+ * elsewhere. */
+[[nodiscard]] bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept;
+
 /** @brief Whether a worker may run a step's tasks, regardless of the resources in use there. */
 [[nodiscard]] bool CanHost(const Planner& planner, const CandidateWorker& candidate,
                            const ReadyStep& step) noexcept;
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -101,6 +102,23 @@
   return cost;
 }
 
+/** Work that is lost by preempting the chosen runs; that of a gang counts once. */
+double LostWorkOfAll(const std::vector<WorkerPreemption>& preemptions, core::TimePoint now) {
+  std::set<RunId> gangs;
+  double lost = 0.0;
+  for (const WorkerPreemption& preemption : preemptions) {
+    for (const RunId& run : preemption.runs_) {
+      const AssignedRun& assigned = preemption.candidate_->worker_->assigned_runs_.at(run);
+      RunId first = run;
+      first.task_.index_ = 0;
+      if (!assigned.gang_ || gangs.insert(first).second) {
+        lost += LostWork(assigned, now);
+      }
+    }
+  }
+  return lost;
+}
+
 /** Whether an urgent step has waited so long that its guarantee is broken without preemption. */
 bool IsGuaranteeDue(const Planner& planner, const ReadyStep& step) noexcept {
   const site::Bounds& bounds = planner.context_.bounds_;
@@ -201,16 +219,18 @@
     return false;
   }
   for (const Reservation& reservation : step.state_->reservations_) {
-    FindCandidate(planner, reservation.worker_)->free_after_stops_ -=
-        step.spec_->task_resources_ * reservation.tasks_;
+    CandidateWorker& candidate = *FindCandidate(planner, reservation.worker_);
+    candidate.free_after_stops_ -= step.spec_->task_resources_ * reservation.tasks_;
+    candidate.free_beside_reservation_ -= step.spec_->task_resources_ * reservation.tasks_;
   }
   return true;
 }
 
 void ReleaseReservations(Planner& planner, const ReadyStep& step) {
   for (const Reservation& reservation : step.state_->reservations_) {
-    FindCandidate(planner, reservation.worker_)->free_after_stops_ +=
-        step.spec_->task_resources_ * reservation.tasks_;
+    CandidateWorker& candidate = *FindCandidate(planner, reservation.worker_);
+    candidate.free_after_stops_ += step.spec_->task_resources_ * reservation.tasks_;
+    candidate.free_beside_reservation_ += step.spec_->task_resources_ * reservation.tasks_;
   }
 }
 
@@ -223,7 +243,9 @@
   std::map<std::string_view, std::vector<WorkerPreemption>> by_rack;
   std::vector<WorkerPreemption> all;
   for (CandidateWorker& candidate : planner.candidates_) {
-    if (!CanHost(planner, candidate, step)) {
+    // What an earlier gang has reserved is not taken away from it by work of equal urgency.
+    const bool reserved = candidate.reserved_from_ != core::TimePoint::max();
+    if (reserved || !CanHost(planner, candidate, step)) {
       continue;
     }
     std::optional<WorkerPreemption> preemption = CheapestPreemption(
@@ -245,7 +267,8 @@
   if (!best.has_value()) {
     best = ChoosePreemptions(std::move(all), wanted);
   }
-  if (!best.has_value() || IsLossTooHigh(planner, step, wanted, TotalCost(*best))) {
+  if (!best.has_value() ||
+      IsLossTooHigh(planner, step, wanted, LostWorkOfAll(*best, planner.context_.time_.now_))) {
     return false;
   }
   ReservePreempted(planner, step, *std::move(best), wanted);
