--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -48,6 +48,7 @@
   core::TimePoint fresh_at_{};
   core::TimePoint answered_at_{};
   core::TimePoint answering_since_{};
+  core::Milliseconds answer_time_{};
   std::uint32_t failures_{};
   loop::Handle timer_{};
   std::uint64_t next_refresh_{1};
@@ -63,6 +64,8 @@
   void ReadNow();
   void LongPoll();
   bool OnRead(const platform::ReadResult& result, std::uint64_t from, core::TimePoint sent);
+  void ObserveAnswerTime(const platform::ReadResult& result, core::TimePoint sent,
+                         core::Milliseconds wait);
   void OnCallAnswered();
   void OnCallFailed(const std::string& reason);
   [[nodiscard]] core::Milliseconds RetryDelay() const noexcept;
@@ -86,6 +89,16 @@
   failures_ = 0;
 }
 
+void Follower::Implementation::ObserveAnswerTime(const platform::ReadResult& result,
+                                                 core::TimePoint sent, core::Milliseconds wait) {
+  // A long poll that returns records has waited for an unknown time.
+  if (result.outcome_ == platform::ReadOutcome::kDone &&
+      (wait.count() == 0 || result.records_.empty())) {
+    const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(loop_.Now() - sent);
+    answer_time_ = std::max(core::Milliseconds{}, elapsed - wait);
+  }
+}
+
 void Follower::Implementation::OnCallFailed(const std::string& reason) {
   answering_since_ = {};
   ++failures_;
@@ -233,6 +246,7 @@
           return;
         }
         self->read_in_flight_ = false;
+        self->ObserveAnswerTime(result, sent, {});
         const bool ok = self->OnRead(result, from, sent);
         if (!ok) {
           self->ScheduleAfter(self->RetryDelay(), &Implementation::ContinueReading);
@@ -253,16 +267,18 @@
   long_poll_in_flight_ = true;
   const core::TimePoint sent = loop_.Now();
   const std::uint64_t from = next_offset_;
+  const core::Milliseconds wait = options_.wait_;
   store_.read_({.stream_ = options_.stream_,
                 .from_ = from,
-                .wait_ = options_.wait_,
-                .deadline_ = sent + options_.wait_ + kCallTimeout},
-               [weak = weak_from_this(), from, sent](const platform::ReadResult& result) {
+                .wait_ = wait,
+                .deadline_ = sent + wait + kCallTimeout},
+               [weak = weak_from_this(), from, sent, wait](const platform::ReadResult& result) {
                  const auto self = weak.lock();
                  if (self == nullptr) {
                    return;
                  }
                  self->long_poll_in_flight_ = false;
+                 self->ObserveAnswerTime(result, sent, wait);
                  if (self->OnRead(result, from, sent)) {
                    self->ContinueReading();
                  } else {
@@ -328,6 +344,8 @@
   return implementation_->answering_since_;
 }
 
+core::Milliseconds Follower::AnswerTime() const noexcept { return implementation_->answer_time_; }
+
 std::uint64_t Follower::Next() const noexcept { return implementation_->next_offset_; }
 
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/control/follower.hpp
+++ b/src/laburnumledge/control/follower.hpp
@@ -75,6 +75,10 @@
   /** @brief Start of the current run of answered calls; zero if the last call failed. */
   [[nodiscard]] core::TimePoint AnsweringSince() const noexcept;
 
+  /** @brief Time that the store took for the last answer whose time is known: a read that did not
+   * wait, or a long poll that waited in vain, less its wait. Zero before the first one. */
+  [[nodiscard]] core::Milliseconds AnswerTime() const noexcept;
+
   /** @brief Offset of the next record to read. */
   [[nodiscard]] std::uint64_t Next() const noexcept;
 
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -86,6 +86,16 @@
                                   "Calls to workers, by kind and outcome.")),
         client_calls_(
             MakeCounter(registry, "laburnumledge_calls_total", "Calls of clients, by outcome.")),
+        batches_(MakeCounter(registry, "laburnumledge_job_batches_total",
+                             "Batches of job records appended by this node, their records, and "
+                             "milliseconds that the first record of each has waited.")),
+        doubts_(MakeCounter(registry, "laburnumledge_appends_in_doubt_total",
+                            "Appends of job records without an answer in time, and records in "
+                            "doubt by how that ended.")),
+        breaker_(MakeGauge(registry, "laburnumledge_store_breaker",
+                           "1 for the state of the circuit breaker of the store, by state.")),
+        latency_(MakeGauge(registry, "laburnumledge_store_latency_seconds",
+                           "Latency of the store as the node has learned it.")),
         job_wait_(MakeHistogram(registry, "laburnumledge_job_wait_seconds",
                                 "Time from a job's acceptance to its first start.")),
         job_seconds_(MakeHistogram(registry, "laburnumledge_job_seconds",
@@ -108,6 +118,10 @@
   Family<Histogram>& store_seconds_;
   Family<Counter>& worker_calls_;
   Family<Counter>& client_calls_;
+  Family<Counter>& batches_;
+  Family<Counter>& doubts_;
+  Family<Gauge>& breaker_;
+  Family<Gauge>& latency_;
   Family<Histogram>& job_wait_;
   Family<Histogram>& job_seconds_;
   Family<Counter>& runs_;
@@ -221,7 +235,22 @@
                                               {"in_doubt", counts.in_doubt_},
                                               {"cancelled", counts.cancelled_},
                                               {"shown", counts.shown_},
-                                              {"forwarded", counts.forwarded_}});
+                                              {"forwarded", counts.forwarded_},
+                                              {"collected", counts.collected_}});
+  const entry::JobWriterCounts& writer = counts.writer_;
+  IncreaseTo(families_->batches_.Add({{"of", "batches"}}), writer.batches_);
+  IncreaseTo(families_->batches_.Add({{"of", "records"}}), writer.records_);
+  IncreaseTo(families_->batches_.Add({{"of", "queue_ms"}}),
+             static_cast<std::uint64_t>(writer.queued_.count()));
+  IncreaseOutcomes(families_->doubts_, {{"unanswered", writer.unanswered_},
+                                        {"stored", writer.doubt_stored_},
+                                        {"remained", writer.doubt_remained_}});
+  for (const auto state :
+       {entry::BreakerState::kClosed, entry::BreakerState::kHalfOpen, entry::BreakerState::kOpen}) {
+    families_->breaker_.Add({{"state", std::string(entry::ToString(state))}})
+        .Set(state == writer.breaker_ ? 1.0 : 0.0);
+  }
+  families_->latency_.Add({}).Set(std::chrono::duration<double>(writer.latency_).count());
 }
 
 void NodeMetrics::Update(const dispatch::Dispatcher& dispatcher) {
--- a/src/laburnumledge/control/stream_writer.cpp
+++ b/src/laburnumledge/control/stream_writer.cpp
@@ -5,6 +5,7 @@
 
 #include "laburnumledge/control/store_timeout.hpp"
 #include "laburnumledge/core/event.hpp"
+#include "laburnumledge/entry/append_timeout.hpp"
 
 namespace laburnumledge::control {
 
@@ -17,6 +18,15 @@
 /** Timeout of an append: several times what a slow store takes. */
 constexpr core::Milliseconds kAppendTimeout{600};
 
+/** Timeouts of an append where they adapt: at least those of a store that is known to be slow, at
+ * most what a partition can take without refusing. */
+constexpr core::Milliseconds kResendTimeout{800};
+constexpr core::Milliseconds kMaxAppendTimeout{2400};
+constexpr int kTimeoutMargin = 3;
+/** How long an adaptive append stays open: its answer counts also after its records were sent
+ * again. Longer than the store lets an append wait. */
+constexpr core::Milliseconds kAnswerTimeout{5000};
+
 /** Delays of the retries of an append. */
 constexpr core::Milliseconds kInitialRetryDelay{20};
 constexpr core::Milliseconds kMaxRetryDelay{320};
@@ -38,27 +48,36 @@
   platform::Stream stream_;
   std::uint64_t epoch_;
   std::size_t max_call_bytes_;
+  bool adaptive_;  ///< Timeouts follow the store's answers.
   std::function<void()> superseded_;
   std::uint64_t sequence_{};  ///< Of the append in flight, or of the next one.
   std::deque<QueuedAppend> queue_;
   std::vector<QueuedAppend> in_flight_;                   ///< Batched into the append in flight.
   std::vector<platform::KeyedRecord> in_flight_records_;  ///< Records of all of in_flight_.
+  std::uint64_t last_call_{};  ///< Number of the newest call to the store.
+  entry::AppendLatency latency_;
   bool busy_{};
   bool fenced_{};
   std::uint32_t failures_{};
   loop::Handle timer_{};
 
   Implementation(loop::Loop& loop, const platform::Store& store, platform::Stream stream,
-                 std::uint64_t epoch, std::size_t max_call_bytes, std::function<void()> superseded)
+                 std::uint64_t epoch, const site::StoreLimits& limits,
+                 std::function<void()> superseded)
       : loop_(loop),
         store_(store),
         stream_(stream),
         epoch_(epoch),
-        max_call_bytes_(max_call_bytes),
+        max_call_bytes_(limits.max_call_bytes_),
+        adaptive_(limits.adaptive_appends_),
         superseded_(std::move(superseded)) {}
 
   void AppendNext();
   void Send();
+  void ResendWithoutAnswer(core::TimePoint sent);
+  [[nodiscard]] core::Milliseconds AdaptiveTimeout(core::TimePoint now) const;
+  [[nodiscard]] bool IsOutdated(std::uint64_t call, std::uint64_t sequence,
+                                const platform::AppendResult& result) const noexcept;
   void OnResult(const platform::AppendResult& result);
   void OnAppended();
   void ScheduleRetry(const platform::AppendResult& result);
@@ -102,20 +121,71 @@
   Send();
 }
 
+core::Milliseconds StreamWriter::Implementation::AdaptiveTimeout(core::TimePoint now) const {
+  return std::clamp(kTimeoutMargin * entry::LearnedLatency(latency_, now),
+                    failures_ == 0 ? kAppendTimeout : kResendTimeout, kMaxAppendTimeout);
+}
+
 void StreamWriter::Implementation::Send() {
+  const core::TimePoint now = loop_.Now();
+  core::TimePoint deadline = now + internal::NextStoreTimeout(failures_, kAppendTimeout);
+  if (adaptive_) {
+    deadline = now + kAnswerTimeout;
+    timer_ = loop_.CallAt(now + AdaptiveTimeout(now), [weak = weak_from_this(), now] {
+      if (const auto self = weak.lock()) {
+        self->ResendWithoutAnswer(now);
+      }
+    });
+  }
   store_.append_(
       {.stream_ = stream_,
        .records_ = in_flight_records_,
        .expected_end_ = std::nullopt,
        .writer_ = platform::Writer{.name_ = kWriterName, .epoch_ = epoch_, .sequence_ = sequence_},
-       .deadline_ = loop_.Now() + internal::NextStoreTimeout(failures_, kAppendTimeout)},
-      [weak = weak_from_this()](const platform::AppendResult& result) {
-        if (const auto self = weak.lock()) {
-          self->OnResult(result);
+       .deadline_ = deadline},
+      [weak = weak_from_this(), now, call = ++last_call_,
+       sequence = sequence_](const platform::AppendResult& result) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->IsOutdated(call, sequence, result)) {
+          return;
         }
+        if (self->adaptive_) {
+          self->loop_.Cancel(self->timer_);
+          const core::TimePoint answered = self->loop_.Now();
+          entry::RecordAnswer(self->latency_,
+                              std::chrono::duration_cast<core::Milliseconds>(answered - now),
+                              answered);
+        }
+        self->OnResult(result);
       });
 }
 
+bool StreamWriter::Implementation::IsOutdated(std::uint64_t call, std::uint64_t sequence,
+                                              const platform::AppendResult& result) const noexcept {
+  if (!busy_ || fenced_ || sequence != sequence_) {
+    return true;
+  }
+  // Of an append that has been sent again, only an answer that settles it counts.
+  const bool settles = result.outcome_ == AppendOutcome::kDone ||
+                       result.outcome_ == AppendOutcome::kFenced ||
+                       (result.outcome_ == AppendOutcome::kOutOfSequence &&
+                        result.expected_sequence_ == sequence_ + 1);
+  return call != last_call_ && !settles;
+}
+
+void StreamWriter::Implementation::ResendWithoutAnswer(core::TimePoint sent) {
+  ++failures_;
+  if (failures_ == 2) {
+    core::LogEvent(
+        Level::kWarning, EventPriority::kHigh, "store.append_failed",
+        {{"stream", platform::ToString(stream_)},
+         {"outcome", "unknown"},
+         {"waited_ms", std::chrono::duration_cast<core::Milliseconds>(loop_.Now() - sent)},
+         {"reason", "the append has no answer"}});
+  }
+  Send();
+}
+
 void StreamWriter::Implementation::OnResult(const platform::AppendResult& result) {
   switch (result.outcome_) {
     case AppendOutcome::kDone:
@@ -186,8 +256,8 @@
 StreamWriter::StreamWriter(loop::Loop& loop, const platform::Store& store, platform::Stream stream,
                            std::uint64_t epoch, const site::StoreLimits& limits,
                            std::function<void()> superseded)
-    : implementation_(std::make_shared<Implementation>(
-          loop, store, stream, epoch, limits.max_call_bytes_, std::move(superseded))) {}
+    : implementation_(std::make_shared<Implementation>(loop, store, stream, epoch, limits,
+                                                       std::move(superseded))) {}
 
 StreamWriter::~StreamWriter() { implementation_->loop_.Cancel(implementation_->timer_); }
 
--- a/src/laburnumledge/control/stream_writer.hpp
+++ b/src/laburnumledge/control/stream_writer.hpp
@@ -19,7 +19,9 @@
  *
  * At most one append is in flight; records that are queued meanwhile are batched into the next one.
  * An append that fails or times out is retried under the same sequence number, so that the store
- * applies it only once. Not thread safe: every call must come from the loop's thread.
+ * applies it only once. Where the deployment's appends adapt, the timeout follows the times of
+ * earlier answers, and an append that is sent again stays open: the first answer to any of its
+ * calls counts. Not thread safe: every call must come from the loop's thread.
  */
 class StreamWriter {
  public:
@@ -28,7 +30,7 @@
    * @param store Must outlive the writer.
    * @param stream Stream to write to.
    * @param epoch Number of the term. From the first append on the store refuses lower epochs.
-   * @param limits Limits of the store on the size of calls.
+   * @param limits Limits of the store on the size of calls, and whether appends adapt.
    * @param superseded Called when the store refuses the epoch because a higher one has been
    * written. Nothing is appended after that.
    */
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "laburnumledge/core/event.hpp"
-#include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/entry/job_calls_implementation.hpp"
 #include "laburnumledge/ledger/codec.hpp"
-#include "laburnumledge/platform/documents.hpp"
+#include "laburnumledge/ledger/jobs.hpp"
 
 namespace laburnumledge::entry {
 
@@ -16,84 +16,72 @@
 
 using core::EventPriority;
 using core::Level;
-using platform::AppendOutcome;
 using platform::CallerVerb;
 
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kUnauthorized = 401;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kMethodNotAllowed = 405;
-constexpr unsigned kGone = 410;
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
-
 /** Timeout of clients that send no Deadline-Ms, as the platform documents it. */
 constexpr core::Milliseconds kDefaultClientTimeout{3000};
 /** Part of a client's timeout that is reserved for returning the answer. */
 constexpr core::Milliseconds kReplyMargin{200};
-/** Timeout of an append: more than a slow store takes, and short enough that the client's timeout
- * still leaves time to forward the call to another node. */
-constexpr core::Milliseconds kAppendTimeout{400};
-/** Timeout of a read of job records that answers a client. */
-constexpr core::Milliseconds kReadTimeout{600};
-/** Time after which clients should retry while no node reaches the store: as late as clients with a
- * timeout of a few seconds can. */
+/** Time after which clients should retry while no node reaches the store, where appends do not
+ * adapt: as late as clients with a timeout of a few seconds can. */
 constexpr core::Milliseconds kRetryAfter{1000};
-
-/** Delay after which the state of a running job is read once more before it is returned. Clients
- * poll just as the last task ends, a few store calls before its completion is recorded, and poll
- * again only a good part of a second later. */
-constexpr core::Milliseconds kStateRecheckDelay{50};
-
-ledger::WallTime WallNow() {
-  return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
+/** Timeout of a call to one node: longer than that node's timeout of an append to the store. */
+constexpr core::Milliseconds kPeerTimeout{600};
+/** Digits of a job's identifier, with which the path of its requests ends. */
+constexpr std::size_t kJobDigits = 16;
+
+/** Key of the record that a call adds; empty for other calls. Known before the route is. */
+std::string KeyOf(const platform::CallerCall& call) {
+  const bool submits = call.verb_ == CallerVerb::kSubmit;
+  if ((!submits && call.verb_ != CallerVerb::kCancel) || call.path_.size() < kJobDigits) {
+    return {};
+  }
+  const std::string job = call.path_.substr(call.path_.size() - kJobDigits);
+  return ledger::JobKey(
+      submits ? ledger::JobRecordKind::kSubmission : ledger::JobRecordKind::kCancellation, job);
 }
 
-/** Call that has not been answered yet. */
-struct PendingCall {
-  http::Request request_;
-  http::Respond respond_;
-  platform::CallerCall call_;
-  std::string job_;
-  std::string route_;
-  std::string organisation_;
-  core::TimePoint started_;
-  core::TimePoint deadline_;
-  bool forwarded_{};     ///< Came from another node; must not be forwarded again.
-  bool may_have_run_{};  ///< An append or a forwarded call for it got no answer.
-};
-
-using PendingCallPointer = std::shared_ptr<PendingCall>;
+/** Whether the replica holds a key's record. */
+bool IsApplied(const ledger::Jobs& jobs, const std::string& key) {
+  const ledger::JobEntry* entry = ledger::FindJob(jobs, std::string_view(key).substr(1));
+  const bool submission = key.front() == static_cast<char>(ledger::JobRecordKind::kSubmission);
+  return entry != nullptr && (submission ? entry->submission_ != nullptr : entry->cancelled_);
+}
 
 }  // namespace
 
-struct JobCalls::Implementation : std::enable_shared_from_this<JobCalls::Implementation> {
-  EntryContext context_;
-  EntryCounts counts_;
-  core::TimePoint store_failed_at_{};    ///< When an append of this node last failed.
-  std::uint64_t newest_peer_version_{};  ///< Newest version by which another node answered.
+JobCalls::Implementation::Implementation(const EntryContext& context) : context_(context) {
+  if (!context_.deployment_.store_limits_.adaptive_appends_) {
+    return;
+  }
+  writer_ = std::make_unique<JobWriter>(JobWriterContext{
+      .loop_ = context_.loop_,
+      .store_ = context_.store_,
+      .deployment_ = context_.deployment_,
+      .rules_follower_ = context_.rules_follower_,
+      .jobs_follower_ = context_.jobs_follower_,
+      .is_stored_ = [&jobs =
+                         context_.jobs_](const std::string& key) { return IsApplied(jobs, key); },
+      .random_ = core::MakeRandom(core::EntropySeed(), "retry_after")});
+}
 
-  explicit Implementation(const EntryContext& context) : context_(context) {}
+bool JobCalls::Implementation::MayHaveRun(const PendingCall& pending) const {
+  return pending.may_have_run_ ||
+         (writer_ != nullptr && !pending.key_.empty() && writer_->IsInDoubt(pending.key_));
+}
 
-  void HandleCall(const PendingCallPointer& pending);
-  void SubmitJob(const PendingCallPointer& pending);
-  void CancelJob(const PendingCallPointer& pending);
-  void ShowJob(const PendingCallPointer& pending);
-  void ShowRefreshedState(const PendingCallPointer& pending, bool may_recheck);
-  void ShowQueueLength(const PendingCallPointer& pending);
-  void AppendRecord(const PendingCallPointer& pending, platform::KeyedRecord record);
-  void OnAppended(const PendingCallPointer& pending, const platform::AppendResult& result);
-  void ReplySuccess(const PendingCallPointer& pending);
-  void ForwardCall(const PendingCallPointer& pending, unsigned status, std::string_view reason);
-  void OnPeerAnswer(const PendingCallPointer& pending, unsigned status, std::string_view reason,
-                    ForwardResult answer);
-  [[nodiscard]] std::uint64_t OwnVersion() const noexcept;
-  void Refuse(const PendingCallPointer& pending, unsigned status, std::string_view reason,
-              core::Milliseconds retry_after = {});
-  [[nodiscard]] bool StoreIsSuspected() const noexcept;
-};
+core::Milliseconds JobCalls::Implementation::RetryAfterFor(const PendingCall& pending) const {
+  return writer_ != nullptr ? writer_->RetryAfter(pending.urgent_) : kRetryAfter;
+}
+
+core::Milliseconds JobCalls::Implementation::PeerTimeout() const {
+  return writer_ != nullptr ? std::max(kPeerTimeout, writer_->ForwardTimeout()) : kPeerTimeout;
+}
 
-bool JobCalls::Implementation::StoreIsSuspected() const noexcept {
+bool JobCalls::Implementation::StoreIsSuspected() const {
+  if (writer_ != nullptr) {
+    return writer_->IsUnreachable();
+  }
   const control::Follower& follower = context_.rules_follower_;
   const bool last_read_failed = follower.AnsweringSince() == core::TimePoint{};
   return store_failed_at_ > follower.AnsweredAt() || last_read_failed;
@@ -101,8 +89,9 @@
 
 void JobCalls::Implementation::Refuse(const PendingCallPointer& pending, unsigned status,
                                       std::string_view reason, core::Milliseconds retry_after) {
-  // 503 would tell the client that the call had no effect.
-  const bool in_doubt = pending->may_have_run_ && status == kUnavailable;
+  // 503 and 429 would tell the client that the call had no effect.
+  const bool not_run = status == kUnavailable || status == kTooManyRequests;
+  const bool in_doubt = not_run && MayHaveRun(*pending);
   const unsigned reported_status = in_doubt ? kGatewayTimeout : status;
   counts_.refused_ += in_doubt ? 0 : 1;
   counts_.in_doubt_ += in_doubt ? 1 : 0;
@@ -116,50 +105,67 @@
 }
 
 void JobCalls::Implementation::ForwardCall(const PendingCallPointer& pending, unsigned status,
-                                           std::string_view reason) {
+                                           std::string_view reason,
+                                           std::optional<platform::KeyedRecord> record) {
   if (pending->forwarded_) {
-    Refuse(pending, status, reason, status == kUnavailable ? kRetryAfter : core::Milliseconds{});
+    Refuse(pending, status, reason,
+           status == kUnavailable ? RetryAfterFor(*pending) : core::Milliseconds{});
     return;
   }
   ++counts_.forwarded_;
   const std::uint64_t version = std::max(OwnVersion(), newest_peer_version_);
-  context_.peers_.Forward(pending->request_, version, pending->deadline_,
-                          [weak = weak_from_this(), pending, status,
-                           reason = std::string(reason)](ForwardResult answer) {
-                            if (const auto self = weak.lock()) {
-                              self->OnPeerAnswer(pending, status, reason, std::move(answer));
-                            }
-                          });
+  context_.peers_.Forward(
+      pending->request_,
+      {.version_ = version, .deadline_ = pending->deadline_, .peer_timeout_ = PeerTimeout()},
+      [weak = weak_from_this(), pending, status, reason = std::string(reason),
+       record = std::move(record)](ForwardResult answer) {
+        if (const auto self = weak.lock()) {
+          self->OnPeerAnswer(pending, {status, reason, record}, std::move(answer));
+        }
+      });
 }
 
 std::uint64_t JobCalls::Implementation::OwnVersion() const noexcept {
   return context_.rules_.configuration_.version_;
 }
 
-void JobCalls::Implementation::OnPeerAnswer(const PendingCallPointer& pending, unsigned status,
-                                            std::string_view reason, ForwardResult answer) {
+void JobCalls::Implementation::OnPeerAnswer(const PendingCallPointer& pending,
+                                            const ForwardCause& cause, ForwardResult answer) {
   const bool changes = pending->call_.verb_ != CallerVerb::kShow;
   pending->may_have_run_ = pending->may_have_run_ || (changes && answer.may_have_run_);
-  if (!answer.reply_.has_value()) {
-    // No Retry-After: an immediate retry of the client may reach another node that has the store.
-    Refuse(pending, status, reason);
-    return;
+  const bool rejected =
+      !answer.reply_.has_value() || (answer.reply_->reply_.status_ >= kBadRequest &&
+                                     answer.reply_->reply_.status_ != kGatewayTimeout);
+  if (answer.reply_.has_value()) {
+    newest_peer_version_ = std::max(newest_peer_version_, answer.reply_->version_);
+    LogForwarded(*pending, *answer.reply_, cause.reason_);
+  }
+  if (writer_ != nullptr && pending->may_have_run_ && !pending->key_.empty()) {
+    writer_->NoteDoubt(pending->key_);
+  }
+  if (rejected && cause.record_.has_value() && MayHaveRun(*pending)) {
+    // No answer can be "not run" any more: the record is sent until the client's time is over.
+    WriteRecord(pending, *cause.record_, true);
+  } else if (!answer.reply_.has_value()) {
+    // Without a JobWriter no Retry-After: an immediate retry may reach a node that has the store.
+    Refuse(pending, cause.status_, cause.reason_,
+           writer_ != nullptr ? RetryAfterFor(*pending) : core::Milliseconds{});
+  } else if (rejected && MayHaveRun(*pending)) {
+    Refuse(pending, kUnavailable, cause.reason_);
+  } else {
+    pending->respond_(std::move(answer.reply_->reply_));
   }
-  http::Reply& reply = answer.reply_->reply_;
-  newest_peer_version_ = std::max(newest_peer_version_, answer.reply_->version_);
+}
+
+void JobCalls::Implementation::LogForwarded(const PendingCall& pending, const PeerReply& answer,
+                                            std::string_view reason) const {
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "call.passed_on",
-                 {{"job", pending->job_},
-                  {"status", reply.status_},
-                  {"version", answer.reply_->version_},
+                 {{"job", pending.job_},
+                  {"status", answer.reply_.status_},
+                  {"version", answer.version_},
                   {"reason", reason},
                   {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                     context_.loop_.Now() - pending->started_)}});
-  const bool rejected = reply.status_ >= kBadRequest && reply.status_ != kGatewayTimeout;
-  if (rejected && pending->may_have_run_) {
-    Refuse(pending, kUnavailable, reason);
-    return;
-  }
-  pending->respond_(std::move(reply));
+                                     context_.loop_.Now() - pending.started_)}});
 }
 
 void JobCalls::Implementation::HandleCall(const PendingCallPointer& pending) {
@@ -193,6 +199,7 @@
   pending->route_ = route->name_;
   pending->organisation_ = organisation == nullptr ? "" : *organisation;
   pending->job_ = call.path_.substr(route->path_prefix_.size());
+  pending->urgent_ = route->scheduling_.priority_ == 0;
   if (pending->job_.empty() && call.verb_ == CallerVerb::kShow) {
     ShowQueueLength(pending);
     return;
@@ -217,175 +224,6 @@
   }
 }
 
-void JobCalls::Implementation::SubmitJob(const PendingCallPointer& pending) {
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
-  if (known != nullptr && known->submission_ != nullptr) {
-    pending->respond_(platform::SuccessReply());
-    return;
-  }
-  std::optional<ledger::Submission> submission = platform::ParseSubmission(pending->request_.body_);
-  if (!submission.has_value()) {
-    Refuse(pending, kBadRequest, core::LastReason());
-    return;
-  }
-  if (StoreIsSuspected()) {
-    ForwardCall(pending, kUnavailable, "the store can't be reached");
-    return;
-  }
-  const site::Route* route = site::FindRoute(context_.rules_, pending->route_);
-  submission->route_ = pending->route_;
-  submission->scheduling_ = route->scheduling_;
-  submission->organisation_ = pending->organisation_;
-  submission->accepted_ = WallNow();
-  const ledger::Step& first = submission->steps_.front();
-  core::LogEvent(Level::kInfo, EventPriority::kLow, "job.submitted",
-                 {{"job", pending->job_},
-                  {"route", pending->route_},
-                  {"organisation", pending->organisation_},
-                  {"version", context_.rules_.configuration_.version_},
-                  {"steps", submission->steps_.size()},
-                  {"tasks", first.count_},
-                  {"gpus", first.task_resources_.gpus_},
-                  {"cpu_millis", first.task_resources_.cpu_millis_},
-                  {"estimate_ms", first.estimate_},
-                  {"gang", first.gang_},
-                  {"same_rack", first.same_rack_},
-                  {"rack", first.affinity_rack_},
-                  {"label", first.constraint_}});
-  AppendRecord(pending, {.key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, pending->job_),
-                         .value_ = ledger::Encode(*submission)});
-}
-
-void JobCalls::Implementation::CancelJob(const PendingCallPointer& pending) {
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
-  if (known != nullptr && (known->cancelled_ || ledger::IsFinal(known->state_))) {
-    pending->respond_(platform::SuccessReply());
-    return;
-  }
-  if (StoreIsSuspected()) {
-    ForwardCall(pending, kUnavailable, "the store can't be reached");
-    return;
-  }
-  AppendRecord(pending,
-               {.key_ = ledger::JobKey(ledger::JobRecordKind::kCancellation, pending->job_),
-                .value_ = ledger::EncodeCancellation(WallNow())});
-}
-
-void JobCalls::Implementation::AppendRecord(const PendingCallPointer& pending,
-                                            platform::KeyedRecord record) {
-  std::vector<platform::KeyedRecord> records;
-  records.push_back(std::move(record));
-  const core::TimePoint now = context_.loop_.Now();
-  context_.store_.append_({.stream_ = platform::Stream::kJobs,
-                           .records_ = std::move(records),
-                           .expected_end_ = std::nullopt,
-                           .writer_ = std::nullopt,
-                           .deadline_ = std::min(pending->deadline_, now + kAppendTimeout)},
-                          [weak = weak_from_this(), pending](const platform::AppendResult& result) {
-                            if (const auto self = weak.lock()) {
-                              self->OnAppended(pending, result);
-                            }
-                          });
-}
-
-void JobCalls::Implementation::OnAppended(const PendingCallPointer& pending,
-                                          const platform::AppendResult& result) {
-  if (result.outcome_ == AppendOutcome::kDone) {
-    ReplySuccess(pending);
-    return;
-  }
-  core::LogEvent(Level::kWarning, EventPriority::kLow, "job.append_failed",
-                 {{"job", pending->job_},
-                  {"outcome", platform::ToString(result.outcome_)},
-                  {"reason", result.reason_}});
-  pending->may_have_run_ = pending->may_have_run_ || result.outcome_ == AppendOutcome::kUnknown;
-  if (result.outcome_ == AppendOutcome::kInvalid) {
-    Refuse(pending, kUnavailable, "the store rejected the record");
-    return;
-  }
-  store_failed_at_ = context_.loop_.Now();
-  // Forwarding is safe after an unknown outcome: a second record with this key is the same job.
-  ForwardCall(pending, kUnavailable, "the store can't be reached");
-}
-
-void JobCalls::Implementation::ReplySuccess(const PendingCallPointer& pending) {
-  const bool submitted = pending->call_.verb_ == CallerVerb::kSubmit;
-  counts_.accepted_ += submitted ? 1 : 0;
-  counts_.cancelled_ += submitted ? 0 : 1;
-  core::LogEvent(Level::kInfo, EventPriority::kHigh, submitted ? "job.accepted" : "job.cancelled",
-                 {{"job", pending->job_},
-                  {"route", pending->route_},
-                  {"organisation", pending->organisation_},
-                  {"forwarded", pending->forwarded_},
-                  {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                     context_.loop_.Now() - pending->started_)}});
-  pending->respond_(platform::SuccessReply());
-}
-
-void JobCalls::Implementation::ShowJob(const PendingCallPointer& pending) {
-  ++counts_.shown_;
-  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
-  if (known != nullptr && known->submission_ != nullptr && ledger::IsFinal(known->state_)) {
-    pending->respond_(platform::StateReply(known->state_));
-    return;
-  }
-  if (StoreIsSuspected()) {
-    ForwardCall(pending, kUnavailable, "the store can't be reached");
-    return;
-  }
-  ShowRefreshedState(pending, true);
-}
-
-void JobCalls::Implementation::ShowRefreshedState(const PendingCallPointer& pending,
-                                                  bool may_recheck) {
-  context_.jobs_follower_.Refresh(
-      context_.loop_.Now() + kReadTimeout,
-      [weak = weak_from_this(), pending, may_recheck](bool fresh) {
-        const auto self = weak.lock();
-        if (self == nullptr) {
-          return;
-        }
-        const ledger::JobEntry* entry = ledger::FindJob(self->context_.jobs_, pending->job_);
-        if (entry != nullptr && entry->submission_ != nullptr) {
-          const ledger::JobState state = ledger::ReportedState(*entry);
-          if (may_recheck && fresh && state == ledger::JobState::kRunning) {
-            self->context_.loop_.CallAt(self->context_.loop_.Now() + kStateRecheckDelay,
-                                        [weak, pending] {
-                                          if (const auto held = weak.lock()) {
-                                            held->ShowRefreshedState(pending, false);
-                                          }
-                                        });
-            return;
-          }
-          pending->respond_(platform::StateReply(state));
-        } else if (fresh) {
-          pending->respond_(platform::RefusalReply(kGone, "no such job"));
-        } else {
-          self->ForwardCall(pending, kUnavailable, "the store can't be reached");
-        }
-      });
-}
-
-void JobCalls::Implementation::ShowQueueLength(const PendingCallPointer& pending) {
-  if (StoreIsSuspected()) {
-    ForwardCall(pending, kUnavailable, "the store can't be reached");
-    return;
-  }
-  context_.jobs_follower_.Refresh(
-      context_.loop_.Now() + kReadTimeout, [weak = weak_from_this(), pending](bool fresh) {
-        const auto self = weak.lock();
-        if (self == nullptr) {
-          return;
-        }
-        if (fresh) {
-          pending->respond_(platform::QueueLengthReply(
-              ledger::CountWaitingJobs(self->context_.jobs_, pending->route_)));
-        } else {
-          self->ForwardCall(pending, kUnavailable, "the store can't be reached");
-        }
-      });
-}
-
 JobCalls::JobCalls(const EntryContext& context)
     : implementation_(std::make_shared<Implementation>(context)) {}
 
@@ -407,9 +245,15 @@
   pending->started_ = implementation_->context_.loop_.Now();
   const core::Milliseconds timeout = pending->call_.timeout_.value_or(kDefaultClientTimeout);
   pending->deadline_ = pending->started_ + std::max(timeout - kReplyMargin, timeout / 2);
+  pending->key_ = KeyOf(pending->call_);
   implementation_->HandleCall(pending);
 }
 
-const EntryCounts& JobCalls::Counts() const noexcept { return implementation_->counts_; }
+const EntryCounts& JobCalls::Counts() const noexcept {
+  if (implementation_->writer_ != nullptr) {
+    implementation_->counts_.writer_ = implementation_->writer_->Counts();
+  }
+  return implementation_->counts_;
+}
 
 }  // namespace laburnumledge::entry
--- a/src/laburnumledge/entry/job_calls.hpp
+++ b/src/laburnumledge/entry/job_calls.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "laburnumledge/control/follower.hpp"
+#include "laburnumledge/entry/job_writer.hpp"
 #include "laburnumledge/entry/peers.hpp"
 #include "laburnumledge/http/server.hpp"
 #include "laburnumledge/ledger/jobs.hpp"
@@ -37,6 +38,8 @@
   std::uint64_t cancelled_{};
   std::uint64_t shown_{};
   std::uint64_t forwarded_{};  ///< Forwarded to other nodes.
+  std::uint64_t collected_{};  ///< Forwarded to a collector, because appends were slow.
+  JobWriterCounts writer_;     ///< Zero where appends do not adapt.
 };
 
 /**
--- /dev/null
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -0,0 +1,220 @@
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "laburnumledge/core/event.hpp"
+#include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/entry/job_calls_implementation.hpp"
+#include "laburnumledge/ledger/codec.hpp"
+#include "laburnumledge/platform/documents.hpp"
+
+namespace laburnumledge::entry {
+
+namespace {
+
+using core::EventPriority;
+using core::Level;
+using platform::AppendOutcome;
+using platform::CallerVerb;
+
+/** Timeout of an append where appends do not adapt: more than a slow store takes, and short enough
+ * that the client's timeout still leaves time to forward the call to another node. */
+constexpr core::Milliseconds kAppendTimeout{400};
+
+ledger::WallTime WallNow() {
+  return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
+}
+
+}  // namespace
+
+void JobCalls::Implementation::SubmitJob(const PendingCallPointer& pending) {
+  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
+  if ((known != nullptr && known->submission_ != nullptr) ||
+      (writer_ != nullptr && writer_->IsStored(pending->key_))) {
+    pending->respond_(platform::SuccessReply());
+    return;
+  }
+  std::optional<ledger::Submission> submission = platform::ParseSubmission(pending->request_.body_);
+  if (!submission.has_value()) {
+    Refuse(pending, kBadRequest, core::LastReason());
+    return;
+  }
+  if (StoreIsSuspected()) {
+    ForwardCall(pending, kUnavailable, "the store can't be reached");
+    return;
+  }
+  const site::Route* route = site::FindRoute(context_.rules_, pending->route_);
+  submission->route_ = pending->route_;
+  submission->scheduling_ = route->scheduling_;
+  submission->organisation_ = pending->organisation_;
+  submission->accepted_ = WallNow();
+  const ledger::Step& first = submission->steps_.front();
+  core::LogEvent(Level::kInfo, EventPriority::kLow, "job.submitted",
+                 {{"job", pending->job_},
+                  {"route", pending->route_},
+                  {"organisation", pending->organisation_},
+                  {"version", context_.rules_.configuration_.version_},
+                  {"steps", submission->steps_.size()},
+                  {"tasks", first.count_},
+                  {"gpus", first.task_resources_.gpus_},
+                  {"cpu_millis", first.task_resources_.cpu_millis_},
+                  {"estimate_ms", first.estimate_},
+                  {"gang", first.gang_},
+                  {"same_rack", first.same_rack_},
+                  {"rack", first.affinity_rack_},
+                  {"label", first.constraint_}});
+  ChangeJob(pending, {.key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, pending->job_),
+                      .value_ = ledger::Encode(*submission)});
+}
+
+void JobCalls::Implementation::CancelJob(const PendingCallPointer& pending) {
+  const ledger::JobEntry* known = ledger::FindJob(context_.jobs_, pending->job_);
+  if (known != nullptr && (known->cancelled_ || ledger::IsFinal(known->state_))) {
+    pending->respond_(platform::SuccessReply());
+    return;
+  }
+  if (StoreIsSuspected()) {
+    ForwardCall(pending, kUnavailable, "the store can't be reached");
+    return;
+  }
+  ChangeJob(pending, {.key_ = ledger::JobKey(ledger::JobRecordKind::kCancellation, pending->job_),
+                      .value_ = ledger::EncodeCancellation(WallNow())});
+}
+
+void JobCalls::Implementation::ChangeJob(const PendingCallPointer& pending,
+                                         platform::KeyedRecord record) {
+  if (writer_ == nullptr) {
+    AppendRecord(pending, std::move(record));
+  } else if (pending->forwarded_ || !writer_->IsSlow() || !ForwardToCollector(pending, record)) {
+    WriteRecord(pending, std::move(record), false);
+  }
+}
+
+bool JobCalls::Implementation::ForwardToCollector(const PendingCallPointer& pending,
+                                                  const platform::KeyedRecord& record) {
+  const std::optional<std::string> collector = context_.peers_.CollectorOf(pending->job_);
+  if (!collector.has_value()) {
+    return false;
+  }
+  ++counts_.collected_;
+  context_.peers_.ForwardTo(
+      *collector, pending->request_,
+      {.version_ = std::max(OwnVersion(), newest_peer_version_),
+       .deadline_ = std::min(pending->deadline_, context_.loop_.Now() + PeerTimeout())},
+      [weak = weak_from_this(), pending, record](ForwardResult answer) {
+        if (const auto self = weak.lock()) {
+          self->OnCollectorAnswer(pending, record, std::move(answer));
+        }
+      });
+  return true;
+}
+
+void JobCalls::Implementation::OnCollectorAnswer(const PendingCallPointer& pending,
+                                                 platform::KeyedRecord record,
+                                                 ForwardResult answer) {
+  if (answer.reply_.has_value()) {
+    newest_peer_version_ = std::max(newest_peer_version_, answer.reply_->version_);
+  }
+  const unsigned status = answer.reply_.has_value() ? answer.reply_->reply_.status_ : 0;
+  if (status != 0 && status < kBadRequest) {
+    pending->respond_(std::move(answer.reply_->reply_));
+    return;
+  }
+  // The collector has not stored the record for certain: this node tries while its client waits.
+  if (answer.may_have_run_ || status == kGatewayTimeout) {
+    pending->may_have_run_ = true;
+    writer_->NoteDoubt(pending->key_);
+  }
+  WriteRecord(pending, std::move(record), false);
+}
+
+void JobCalls::Implementation::WriteRecord(const PendingCallPointer& pending,
+                                           platform::KeyedRecord record, bool keep) {
+  writer_->Append({.record_ = record,
+                   .deadline_ = pending->deadline_,
+                   .urgent_ = pending->urgent_,
+                   .keep_ = keep},
+                  [weak = weak_from_this(), pending, record](RecordFate fate, WriteEnd end) {
+                    if (const auto self = weak.lock()) {
+                      self->OnWritten(pending, record, fate, end);
+                    }
+                  });
+}
+
+void JobCalls::Implementation::OnWritten(const PendingCallPointer& pending,
+                                         platform::KeyedRecord record, RecordFate fate,
+                                         WriteEnd end) {
+  if (fate == RecordFate::kStored) {
+    ReplySuccess(pending);
+    return;
+  }
+  pending->may_have_run_ = pending->may_have_run_ || fate == RecordFate::kInDoubt;
+  const bool unreachable = end == WriteEnd::kUnreachable;
+  if (!unreachable) {
+    Refuse(pending, kUnavailable,
+           end == WriteEnd::kTimedOut ? "the store did not take the record in time"
+                                      : "the store rejected the record",
+           RetryAfterFor(*pending));
+  } else if (!pending->forwarded_) {
+    // Forwarding is safe for a record in doubt: a second one with this key is the same job.
+    ForwardCall(pending, kUnavailable, "the store can't be reached", std::move(record));
+  } else if (MayHaveRun(*pending)) {
+    WriteRecord(pending, std::move(record), true);
+  } else {
+    Refuse(pending, kUnavailable, "the store can't be reached", RetryAfterFor(*pending));
+  }
+}
+
+void JobCalls::Implementation::AppendRecord(const PendingCallPointer& pending,
+                                            platform::KeyedRecord record) {
+  std::vector<platform::KeyedRecord> records;
+  records.push_back(std::move(record));
+  const core::TimePoint now = context_.loop_.Now();
+  context_.store_.append_({.stream_ = platform::Stream::kJobs,
+                           .records_ = std::move(records),
+                           .expected_end_ = std::nullopt,
+                           .writer_ = std::nullopt,
+                           .deadline_ = std::min(pending->deadline_, now + kAppendTimeout)},
+                          [weak = weak_from_this(), pending](const platform::AppendResult& result) {
+                            if (const auto self = weak.lock()) {
+                              self->OnAppended(pending, result);
+                            }
+                          });
+}
+
+void JobCalls::Implementation::OnAppended(const PendingCallPointer& pending,
+                                          const platform::AppendResult& result) {
+  if (result.outcome_ == AppendOutcome::kDone) {
+    ReplySuccess(pending);
+    return;
+  }
+  core::LogEvent(Level::kWarning, EventPriority::kLow, "job.append_failed",
+                 {{"job", pending->job_},
+                  {"outcome", platform::ToString(result.outcome_)},
+                  {"reason", result.reason_}});
+  pending->may_have_run_ = pending->may_have_run_ || result.outcome_ == AppendOutcome::kUnknown;
+  if (result.outcome_ == AppendOutcome::kInvalid) {
+    Refuse(pending, kUnavailable, "the store rejected the record");
+    return;
+  }
+  store_failed_at_ = context_.loop_.Now();
+  // Forwarding is safe after an unknown outcome: a second record with this key is the same job.
+  ForwardCall(pending, kUnavailable, "the store can't be reached");
+}
+
+void JobCalls::Implementation::ReplySuccess(const PendingCallPointer& pending) {
+  const bool submitted = pending->call_.verb_ == CallerVerb::kSubmit;
+  counts_.accepted_ += submitted ? 1 : 0;
+  counts_.cancelled_ += submitted ? 0 : 1;
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, submitted ? "job.accepted" : "job.cancelled",
+                 {{"job", pending->job_},
+                  {"route", pending->route_},
+                  {"organisation", pending->organisation_},
+                  {"forwarded", pending->forwarded_},
+                  {"elapsed_ms", std::chrono::duration_cast<core::Milliseconds>(
+                                     context_.loop_.Now() - pending->started_)}});
+  pending->respond_(platform::SuccessReply());
+}
+
+}  // namespace laburnumledge::entry
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -12,6 +12,7 @@
 #include "laburnumledge/control/follower.hpp"
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/entry/collectors.hpp"
 #include "laburnumledge/platform/callers.hpp"
 
 namespace laburnumledge::entry {
@@ -30,8 +31,6 @@
 /** How long a node that did not answer gets no calls: about as long as the platform keeps an
  * unreachable node out of rotation. */
 constexpr core::Milliseconds kExclusionTime{3000};
-/** Timeout of a call to one node: longer than that node's timeout of an append to the store. */
-constexpr core::Milliseconds kPeerTimeout{600};
 constexpr int kMaxPeersTried = 2;
 
 constexpr std::string_view kForwardedHeader = "Forwarded";
@@ -82,8 +81,11 @@
   void ApplyRecords(const std::vector<platform::StoredRecord>& records);
   void Announce();
   Peer* ChoosePeer(core::TimePoint now);
-  void ForwardToPeer(const http::Call& call, core::TimePoint deadline, int attempts_left,
+  [[nodiscard]] http::Call MakeCall(const http::Request& request, std::uint64_t version) const;
+  void ForwardToPeer(const http::Call& call, const ForwardLimits& limits, int attempts_left,
                      bool unanswered, const ForwardCallback& done);
+  void Send(Peer& peer, const http::Call& call, const ForwardLimits& limits,
+            const ForwardCallback& done);
 };
 
 void Peers::Implementation::ApplyRecords(const std::vector<platform::StoredRecord>& records) {
@@ -145,22 +147,39 @@
   return candidates[random_(static_cast<std::uint32_t>(candidates.size()))];
 }
 
-void Peers::Implementation::ForwardToPeer(const http::Call& call, core::TimePoint deadline,
+void Peers::Implementation::ForwardToPeer(const http::Call& call, const ForwardLimits& limits,
                                           int attempts_left, bool unanswered,
                                           const ForwardCallback& done) {
   const core::TimePoint now = loop_.Now();
-  Peer* peer = attempts_left > 0 && now < deadline ? ChoosePeer(now) : nullptr;
+  Peer* peer = attempts_left > 0 && now < limits.deadline_ ? ChoosePeer(now) : nullptr;
   if (peer == nullptr) {
     loop_.CallSoon(
         [done, unanswered] { done({.reply_ = std::nullopt, .may_have_run_ = unanswered}); });
     return;
   }
-  const config::Address address = peer->address_;
+  Send(*peer, call, limits,
+       [weak = weak_from_this(), call, limits, attempts_left, unanswered,
+        done](ForwardResult result) {
+         result.may_have_run_ = result.may_have_run_ || unanswered;
+         const auto self = weak.lock();
+         if (result.reply_.has_value()) {
+           done(std::move(result));
+         } else if (self != nullptr) {
+           self->ForwardToPeer(call, limits, attempts_left - 1, result.may_have_run_, done);
+         }
+       });
+}
+
+void Peers::Implementation::Send(Peer& peer, const http::Call& call, const ForwardLimits& limits,
+                                 const ForwardCallback& done) {
+  const config::Address address = peer.address_;
   http::Call forwarded = call;
   forwarded.url_ = fmt::format("http://{}{}", config::ToString(address), call.url_);
-  forwarded.deadline_ = std::min(deadline, now + kPeerTimeout);
-  client_.Send(std::move(forwarded), [weak = weak_from_this(), call, deadline, attempts_left,
-                                      unanswered, done, address](const http::Response& response) {
+  forwarded.deadline_ = limits.peer_timeout_.count() == 0
+                            ? limits.deadline_
+                            : std::min(limits.deadline_, loop_.Now() + limits.peer_timeout_);
+  client_.Send(std::move(forwarded), [weak = weak_from_this(), done,
+                                      address](const http::Response& response) {
     const auto self = weak.lock();
     if (self == nullptr) {
       return;
@@ -171,7 +190,7 @@
       if (const auto retry = http::Find(response.headers_, "Retry-After")) {
         reply.reply_.headers_.push_back({"Retry-After", std::string(*retry)});
       }
-      done({.reply_ = std::move(reply), .may_have_run_ = unanswered});
+      done({.reply_ = std::move(reply), .may_have_run_ = false});
       return;
     }
     for (auto& [name, asked] : self->peers_) {
@@ -179,11 +198,21 @@
         asked.excluded_until_ = self->loop_.Now() + kExclusionTime;
       }
     }
-    const bool may_have_acted = response.verdict_ != core::Verdict::kNotRun;
-    self->ForwardToPeer(call, deadline, attempts_left - 1, unanswered || may_have_acted, done);
+    done({.reply_ = std::nullopt, .may_have_run_ = response.verdict_ != core::Verdict::kNotRun});
   });
 }
 
+http::Call Peers::Implementation::MakeCall(const http::Request& request,
+                                           std::uint64_t version) const {
+  http::Call call{.method_ = request.method_,
+                  .url_ = request.target_,
+                  .headers_ = platform::HeadersToForward(request),
+                  .body_ = request.body_};
+  call.headers_.push_back({std::string(kForwardedHeader), fmt::format("by={}", deployment_.node_)});
+  call.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
+  return call;
+}
+
 Peers::Peers(loop::Loop& loop, const platform::Store& store, http::Client& client,
              const site::Deployment& deployment, core::Random random)
     : implementation_(std::make_shared<Implementation>(loop, store, client, deployment, random)) {}
@@ -204,16 +233,34 @@
   }
 }
 
-void Peers::Forward(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
+void Peers::Forward(const http::Request& request, const ForwardLimits& limits,
                     const ForwardCallback& done) {
-  http::Call call{.method_ = request.method_,
-                  .url_ = request.target_,
-                  .headers_ = platform::HeadersToForward(request),
-                  .body_ = request.body_};
-  call.headers_.push_back(
-      {std::string(kForwardedHeader), fmt::format("by={}", implementation_->deployment_.node_)});
-  call.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
-  implementation_->ForwardToPeer(call, deadline, kMaxPeersTried, false, done);
+  implementation_->ForwardToPeer(implementation_->MakeCall(request, limits.version_), limits,
+                                 kMaxPeersTried, false, done);
+}
+
+void Peers::ForwardTo(const std::string& node, const http::Request& request,
+                      const ForwardLimits& limits, const ForwardCallback& done) {
+  const auto peer = implementation_->peers_.find(node);
+  if (peer == implementation_->peers_.end()) {
+    implementation_->loop_.CallSoon([done] { done({}); });
+    return;
+  }
+  implementation_->Send(peer->second, implementation_->MakeCall(request, limits.version_), limits,
+                        done);
+}
+
+std::optional<std::string> Peers::CollectorOf(std::string_view job) const {
+  const core::TimePoint now = implementation_->loop_.Now();
+  std::vector<std::string> others;
+  for (const auto& [name, peer] : implementation_->peers_) {
+    if (peer.excluded_until_ <= now) {
+      others.push_back(name);
+    }
+  }
+  const std::string& self = implementation_->deployment_.node_;
+  std::string collector = ChooseCollector(self, others, job);
+  return collector == self ? std::nullopt : std::optional(std::move(collector));
 }
 
 bool Peers::IsForwarded(const http::Request& request) noexcept {
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -3,6 +3,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "laburnumledge/core/random.hpp"
 #include "laburnumledge/http/client.hpp"
@@ -25,6 +27,13 @@
   bool may_have_run_{};             ///< A node that did not answer may have carried out the call.
 };
 
+/** @brief Bounds of forwarding a call. */
+struct ForwardLimits {
+  std::uint64_t version_{};            ///< Oldest configuration version that may answer the call.
+  core::TimePoint deadline_;           ///< When the call times out.
+  core::Milliseconds peer_timeout_{};  ///< Timeout of one node; 0: only the deadline counts.
+};
+
 /** @brief Receives the result of forwarding a call. */
 using ForwardCallback = std::function<void(ForwardResult)>;
 
@@ -53,13 +62,20 @@
   /**
    * @brief Forwards a call to a random node; tries a second node if the first does not answer.
    * @param request The client's request.
-   * @param version Oldest configuration version by which the call may be answered.
-   * @param deadline When the call times out.
+   * @param limits Bounds of the call.
    * @param done Receives the result, after this method has returned.
    */
-  void Forward(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
+  void Forward(const http::Request& request, const ForwardLimits& limits,
                const ForwardCallback& done);
 
+  /** @brief As Forward, to the node of the given name alone. */
+  void ForwardTo(const std::string& node, const http::Request& request, const ForwardLimits& limits,
+                 const ForwardCallback& done);
+
+  /** @brief Node that commits a job's record while appends are slow; see ChooseCollector. Empty if
+   * that is this node. */
+  [[nodiscard]] std::optional<std::string> CollectorOf(std::string_view job) const;
+
   /** @brief Whether a request was forwarded by another node. */
   [[nodiscard]] static bool IsForwarded(const http::Request& request) noexcept;
 
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -60,6 +60,18 @@
   return config::Address{.ip_ = *ip, .port_ = ports->front().get<std::uint16_t>()};
 }
 
+/**
+ * Whether appends adapt to the store: as "acceptance" says, else where the platform states the time
+ * that a partition takes for an append, and so that it carries appends out one by one.
+ */
+bool AdaptsAppends(const Json& object, const Json& store, const Json& bounds) {
+  if (const std::optional<std::string> acceptance = Text(object, "acceptance")) {
+    return *acceptance == "adaptive";
+  }
+  return Number(store, "append_ms").value_or(0.0) > 0.0 ||
+         Number(bounds, "append_ms").value_or(0.0) > 0.0;
+}
+
 site::Bounds BoundsOf(const Json& object) {
   constexpr double kNoPenalty = 1.0;
   return {
@@ -205,7 +217,8 @@
       .store_limits_ = {.max_record_bytes_ = static_cast<std::uint32_t>(
                             Unsigned(*store, "max_record_bytes").value_or(0)),
                         .max_call_bytes_ = static_cast<std::uint32_t>(
-                            Unsigned(*store, "max_call_bytes").value_or(0))},
+                            Unsigned(*store, "max_call_bytes").value_or(0)),
+                        .adaptive_appends_ = AdaptsAppends(*object, *store, *bounds)},
       .bounds_ = BoundsOf(*bounds),
   };
   if (const Json* limits = Member(*object, "limits")) {
--- a/src/laburnumledge/site/deployment.hpp
+++ b/src/laburnumledge/site/deployment.hpp
@@ -23,10 +23,11 @@
   double remote_penalty_{1.0};  ///< Slowdown factor of a task away from its data or its gang.
 };
 
-/** @brief Size limits of the platform's store. */
+/** @brief Limits of the platform's store. */
 struct StoreLimits {
   std::uint32_t max_record_bytes_{};
   std::uint32_t max_call_bytes_{};
+  bool adaptive_appends_{};  ///< Appends are batched and their timeouts follow the store's answers.
 };
 
 /** @brief Settings that the platform gives a node at its start. */
--- /dev/null
+++ b/test/laburnumledge/entry/submission_batch.cpp
@@ -0,0 +1,70 @@
+#include "laburnumledge/entry/submission_batch.hpp"
+
+#include <doctest/doctest.h>
+
+namespace laburnumledge::entry {
+
+namespace {
+
+using core::Milliseconds;
+using platform::AppendOutcome;
+
+constexpr core::TimePoint kStart{std::chrono::seconds(1000)};
+constexpr core::TimePoint kDeadline = kStart + Milliseconds(2800);
+
+QueuedRecord Record(const std::string& key, bool urgent = false) {
+  return {.record_ = {.key_ = key, .value_ = std::string(100, 'x')},
+          .queued_at_ = kStart,
+          .deadline_ = kDeadline,
+          .urgent_ = urgent};
+}
+
+}  // namespace
+
+TEST_CASE("a batch keeps to the size of a call, and takes urgent records first") {
+  SubmissionQueue queue;
+  for (const char* key : {"a", "b", "c"}) {
+    Enqueue(queue, Record(key));
+  }
+  Enqueue(queue, Record("d", true));
+  const auto next = MakeAppend(queue, 2 * platform::EncodedBytes(Record("a").record_), kStart);
+  REQUIRE(next.has_value());
+  REQUIRE(next->records_.size() == 2);
+  CHECK(next->records_[0].key_ == "d");
+  CHECK_FALSE(MakeAppend(queue, 0, kStart).has_value());
+}
+
+TEST_CASE("a record that the store rejects does not take the others of its batch with it") {
+  SubmissionQueue queue;
+  Enqueue(queue, Record("a"));
+  Enqueue(queue, Record("b"));
+  const auto batch = MakeAppend(queue, 0, kStart);
+  CHECK(EndAppend(queue, batch->number_, AppendOutcome::kInvalid, kStart).empty());
+  const auto alone = MakeAppend(queue, 0, kStart);
+  REQUIRE(alone->records_.size() == 1);
+  const auto rejected = EndAppend(queue, alone->number_, AppendOutcome::kInvalid, kStart);
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected[0].fate_ == RecordFate::kNotRun);
+  CHECK(MakeAppend(queue, 0, kStart)->records_.size() == 1);
+}
+
+TEST_CASE("lost answers: a client's repeated call is in doubt like the call that it repeats") {
+  SubmissionQueue queue;
+  Enqueue(queue, Record("a"));
+  const auto sent = MakeAppend(queue, 0, kStart);
+  ReleaseCurrent(queue);
+  CHECK(TakeExpired(queue, kDeadline).at(0).fate_ == RecordFate::kInDoubt);
+  QueuedRecord repeated = Record("a");
+  repeated.deadline_ = kDeadline + Milliseconds(2800);
+  Enqueue(queue, repeated);
+  SUBCASE("while the append may still be carried out") {
+    CHECK(TakeAll(queue, kDeadline).at(0).fate_ == RecordFate::kInDoubt);
+  }
+  SUBCASE("and is stored once the append is") {
+    const auto fates = EndAppend(queue, sent->number_, AppendOutcome::kDone, kDeadline);
+    CHECK(fates.at(0).fate_ == RecordFate::kStored);
+    CHECK(IsStored(queue, "a"));
+  }
+}
+
+}  // namespace laburnumledge::entry
