--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -62,7 +62,8 @@
       .jobs_follower_ = context_.jobs_follower_,
       .is_stored_ = [&jobs =
                          context_.jobs_](const std::string& key) { return IsApplied(jobs, key); },
-      .random_ = core::MakeRandom(core::EntropySeed(), "retry_after")});
+      .random_ = core::MakeRandom(core::EntropySeed(), "retry_after"),
+      .notify_slow_ = [&peers = context_.peers_] { peers.NotifySlow(); }});
 }
 
 bool JobCalls::Implementation::MayHaveRun(const PendingCall& pending) const {
@@ -230,6 +231,11 @@
 JobCalls::~JobCalls() = default;
 
 void JobCalls::Handle(http::Request request, http::Respond respond) {
+  if (implementation_->writer_ != nullptr && Peers::IsSlowNotice(request)) {
+    implementation_->writer_->NoteSlow();
+    respond(platform::SuccessReply());
+    return;
+  }
   auto pending = std::make_shared<PendingCall>();
   pending->call_ = platform::ParseCallerCall(request);
   pending->forwarded_ = Peers::IsForwarded(request);
--- a/src/laburnumledge/entry/job_writer.cpp
+++ b/src/laburnumledge/entry/job_writer.cpp
@@ -20,6 +20,16 @@
  * repeated every 100 to 200 ms during an outage. */
 constexpr core::Milliseconds kBreakerCheckInterval{20};
 
+/** Time after which an append that is still in flight shows that the store is slow: five times
+ * what a healthy store takes. */
+constexpr core::Milliseconds kNoticeDelay{20};
+/** A timer that fires later than this shows that the process itself was not running, as on a small
+ * VM that has used up its share; the answer may already be there. */
+constexpr core::Milliseconds kStall{10};
+/** How long a notice holds: by then the node's own reads, a second apart, show whether it is true.
+ */
+constexpr core::Milliseconds kNoticeTime{1500};
+
 /** Number of positions over which the retries of clients are spread. */
 constexpr std::uint32_t kSpreadSteps = 1000;
 
@@ -39,6 +49,8 @@
   JobWriterCounts counts_;
   std::uint64_t probed_append_{};  ///< Append without an answer that caused the last probe.
   bool waits_longer_{};            ///< The current append has got a second timeout.
+  core::TimePoint slow_until_{};   ///< Until then appends count as slow without a slow answer.
+  loop::Handle slow_timer_{};
   loop::Handle resend_timer_{};
   loop::Handle wake_timer_{};
   bool step_scheduled_{};
@@ -50,6 +62,7 @@
   void SendNext();
   void OnAnswer(std::uint64_t number, core::TimePoint sent, core::TimePoint queued,
                 const platform::AppendResult& result);
+  void WatchForSlowness(std::uint64_t number);
   void WatchAppend(std::uint64_t number, core::TimePoint sent, core::Milliseconds timeout);
   void OnNoAnswer(std::uint64_t number, core::TimePoint sent);
   void Probe();
@@ -137,6 +150,7 @@
   counts_.queued_ += Between(next->first_queued_at_, now);
   const std::uint64_t number = next->number_;
   waits_longer_ = false;
+  WatchForSlowness(number);
   WatchAppend(number, now, TimeoutFor(next->first_deadline_));
   context_.store_.append_({.stream_ = platform::Stream::kJobs,
                            .records_ = std::move(next->records_),
@@ -160,6 +174,7 @@
   const bool done = result.outcome_ == AppendOutcome::kDone;
   if (queue_.current_ == number) {
     context_.loop_.Cancel(resend_timer_);
+    context_.loop_.Cancel(slow_timer_);
   }
   if (records > 1 || !done || elapsed > kSlowLatency) {
     core::LogEvent(Level::kInfo, EventPriority::kLow, "job.batch",
@@ -185,6 +200,26 @@
   Step();
 }
 
+void JobWriter::Implementation::WatchForSlowness(std::uint64_t number) {
+  const core::TimePoint due = context_.loop_.Now() + kNoticeDelay;
+  context_.loop_.Cancel(slow_timer_);
+  slow_timer_ = context_.loop_.CallAt(due, [weak = weak_from_this(), number, due] {
+    const auto self = weak.lock();
+    if (self == nullptr || self->queue_.current_ != number) {
+      return;
+    }
+    const core::TimePoint now = self->context_.loop_.Now();
+    if (now > due + kStall) {
+      self->WatchForSlowness(number);
+      return;
+    }
+    if (now >= self->slow_until_ && self->context_.notify_slow_) {
+      self->context_.notify_slow_();
+    }
+    self->slow_until_ = now + kNoticeTime;
+  });
+}
+
 void JobWriter::Implementation::WatchAppend(std::uint64_t number, core::TimePoint sent,
                                             core::Milliseconds timeout) {
   context_.loop_.Cancel(resend_timer_);
@@ -289,6 +324,7 @@
     : implementation_(std::make_shared<Implementation>(std::move(context))) {}
 
 JobWriter::~JobWriter() {
+  implementation_->context_.loop_.Cancel(implementation_->slow_timer_);
   implementation_->context_.loop_.Cancel(implementation_->resend_timer_);
   implementation_->context_.loop_.Cancel(implementation_->wake_timer_);
 }
@@ -314,10 +350,11 @@
   Implementation& self = *implementation_;
   self.ObserveReads();
   const core::TimePoint now = self.context_.loop_.Now();
-  const auto current = self.queue_.open_.find(self.queue_.current_);
-  const bool waits =
-      current != self.queue_.open_.end() && now - current->second.sent_at_ > kSlowLatency;
-  return waits || entry::IsSlow(self.latency_, now);
+  return now < self.slow_until_ || entry::IsSlow(self.latency_, now);
+}
+
+void JobWriter::NoteSlow() {
+  implementation_->slow_until_ = implementation_->context_.loop_.Now() + kNoticeTime;
 }
 
 bool JobWriter::IsStored(const std::string& key) const {
--- a/src/laburnumledge/entry/job_writer.hpp
+++ b/src/laburnumledge/entry/job_writer.hpp
@@ -25,6 +25,7 @@
   control::Follower& jobs_follower_;
   std::function<bool(const std::string&)> is_stored_;  ///< Whether the replica holds a key.
   core::Random random_;
+  std::function<void()> notify_slow_;  ///< Tells the other nodes that appends are slow.
 };
 
 /** @brief Record of one call, and what its client can wait for. */
@@ -83,6 +84,9 @@
   /** @brief Whether appends are slow, so that a collector should commit the record. */
   [[nodiscard]] bool IsSlow();
 
+  /** @brief Notes that another node has found appends to be slow. */
+  void NoteSlow();
+
   /** @brief Whether an append of the key was confirmed lately. */
   [[nodiscard]] bool IsStored(const std::string& key) const;
 
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -34,6 +34,9 @@
 constexpr int kMaxPeersTried = 2;
 
 constexpr std::string_view kForwardedHeader = "Forwarded";
+/** Path of a notice that appends are slow, and its timeout: a later one would tell nothing new. */
+constexpr std::string_view kSlowNoticePath = "/-/slow-appends";
+constexpr core::Milliseconds kNoticeTimeout{500};
 constexpr std::string_view kVersionHeader = "Configuration-Version";
 
 struct Peer {
@@ -250,6 +253,26 @@
                         done);
 }
 
+void Peers::NotifySlow() {
+  const core::TimePoint now = implementation_->loop_.Now();
+  for (const auto& [name, peer] : implementation_->peers_) {
+    if (peer.excluded_until_ > now) {
+      continue;
+    }
+    http::Call notice{
+        .method_ = "POST",
+        .url_ = fmt::format("http://{}{}", config::ToString(peer.address_), kSlowNoticePath),
+        .deadline_ = now + kNoticeTimeout};
+    notice.headers_.push_back(
+        {std::string(kForwardedHeader), fmt::format("by={}", implementation_->deployment_.node_)});
+    implementation_->client_.Send(std::move(notice), [](const http::Response& /*response*/) {});
+  }
+}
+
+bool Peers::IsSlowNotice(const http::Request& request) noexcept {
+  return request.path_ == kSlowNoticePath && IsForwarded(request);
+}
+
 std::optional<std::string> Peers::CollectorOf(std::string_view job) const {
   const core::TimePoint now = implementation_->loop_.Now();
   std::vector<std::string> others;
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -72,6 +72,12 @@
   void ForwardTo(const std::string& node, const http::Request& request, const ForwardLimits& limits,
                  const ForwardCallback& done);
 
+  /** @brief Tells all nodes that answer that appends are slow; see IsSlowNotice. */
+  void NotifySlow();
+
+  /** @brief Whether a request is such a notice. */
+  [[nodiscard]] static bool IsSlowNotice(const http::Request& request) noexcept;
+
   /** @brief Node that commits a job's record while appends are slow; see ChooseCollector. Empty if
    * that is this node. */
   [[nodiscard]] std::optional<std::string> CollectorOf(std::string_view job) const;
--- a/test/laburnumledge/entry/job_writer.cpp
+++ b/test/laburnumledge/entry/job_writer.cpp
@@ -89,6 +89,7 @@
   site::Deployment deployment_;
   control::Follower rules_;
   control::Follower jobs_;
+  std::function<void()> notify_slow_;
   JobWriter writer_;
 
   Node(loop::Loop& loop, const platform::Store& store)
@@ -103,7 +104,13 @@
                  .rules_follower_ = rules_,
                  .jobs_follower_ = jobs_,
                  .is_stored_ = [](const std::string& /*key*/) { return false; },
-                 .random_ = core::MakeRandom(1, "test")}) {
+                 .random_ = core::MakeRandom(1, "test"),
+                 .notify_slow_ =
+                     [this] {
+                       if (notify_slow_) {
+                         notify_slow_();
+                       }
+                     }}) {
     rules_.Start();
     REQUIRE(http::RunUntil(loop_, [this] { return rules_.FreshAt() != core::TimePoint{}; }));
   }
@@ -154,6 +161,16 @@
     names.push_back(fmt::format("node-{}", index));
     nodes.push_back(std::make_unique<Node>(loop, store));
   }
+  const auto notify = [&] {
+    loop.CallAt(loop.Now() + Milliseconds(2), [&] {
+      for (const auto& node : nodes) {
+        node->writer_.NoteSlow();
+      }
+    });
+  };
+  for (const auto& node : nodes) {
+    node->notify_slow_ = notify;
+  }
   std::vector<Outcome> outcomes;
   const int jobs = 5 * jobs_per_second;
   const core::TimePoint start = loop.Now();
