--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -42,8 +42,8 @@
 }
 
 /** Whether the replica holds a key's record. */
-bool IsApplied(const ledger::Jobs& jobs, const std::string& key) {
-  const ledger::JobEntry* entry = ledger::FindJob(jobs, std::string_view(key).substr(1));
+bool IsApplied(const ledger::Jobs& jobs, std::string_view key) {
+  const ledger::JobEntry* entry = ledger::FindJob(jobs, key.substr(1));
   const bool submission = key.front() == static_cast<char>(ledger::JobRecordKind::kSubmission);
   return entry != nullptr && (submission ? entry->submission_ != nullptr : entry->cancelled_);
 }
--- a/src/laburnumledge/entry/job_calls_implementation.hpp
+++ b/src/laburnumledge/entry/job_calls_implementation.hpp
@@ -66,11 +66,12 @@
   void AppendRecord(const PendingCallPointer& pending, platform::KeyedRecord record);
   void ChangeJob(const PendingCallPointer& pending, platform::KeyedRecord record);
   bool ForwardToCollector(const PendingCallPointer& pending, const platform::KeyedRecord& record);
-  void OnCollectorAnswer(const PendingCallPointer& pending, platform::KeyedRecord record,
+  void OnCollectorAnswer(const PendingCallPointer& pending, const platform::KeyedRecord& record,
                          ForwardResult answer);
-  void WriteRecord(const PendingCallPointer& pending, platform::KeyedRecord record, bool keep);
-  void OnWritten(const PendingCallPointer& pending, platform::KeyedRecord record, RecordFate fate,
-                 WriteEnd end);
+  void WriteRecord(const PendingCallPointer& pending, const platform::KeyedRecord& record,
+                   bool keep);
+  void OnWritten(const PendingCallPointer& pending, const platform::KeyedRecord& record,
+                 RecordFate fate, WriteEnd end);
   void OnAppended(const PendingCallPointer& pending, const platform::AppendResult& result);
   void ReplySuccess(const PendingCallPointer& pending);
   void ForwardCall(const PendingCallPointer& pending, unsigned status, std::string_view reason,
--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -87,7 +87,7 @@
   if (writer_ == nullptr) {
     AppendRecord(pending, std::move(record));
   } else if (pending->forwarded_ || !writer_->IsSlow() || !ForwardToCollector(pending, record)) {
-    WriteRecord(pending, std::move(record), false);
+    WriteRecord(pending, record, false);
   }
 }
 
@@ -111,7 +111,7 @@
 }
 
 void JobCalls::Implementation::OnCollectorAnswer(const PendingCallPointer& pending,
-                                                 platform::KeyedRecord record,
+                                                 const platform::KeyedRecord& record,
                                                  ForwardResult answer) {
   if (answer.reply_.has_value()) {
     newest_peer_version_ = std::max(newest_peer_version_, answer.reply_->version_);
@@ -126,11 +126,11 @@
     pending->may_have_run_ = true;
     writer_->NoteDoubt(pending->key_);
   }
-  WriteRecord(pending, std::move(record), false);
+  WriteRecord(pending, record, false);
 }
 
 void JobCalls::Implementation::WriteRecord(const PendingCallPointer& pending,
-                                           platform::KeyedRecord record, bool keep) {
+                                           const platform::KeyedRecord& record, bool keep) {
   writer_->Append({.record_ = record,
                    .deadline_ = pending->deadline_,
                    .urgent_ = pending->urgent_,
@@ -143,7 +143,7 @@
 }
 
 void JobCalls::Implementation::OnWritten(const PendingCallPointer& pending,
-                                         platform::KeyedRecord record, RecordFate fate,
+                                         const platform::KeyedRecord& record, RecordFate fate,
                                          WriteEnd end) {
   if (fate == RecordFate::kStored) {
     ReplySuccess(pending);
@@ -158,9 +158,9 @@
            RetryAfterFor(*pending));
   } else if (!pending->forwarded_) {
     // Forwarding is safe for a record in doubt: a second one with this key is the same job.
-    ForwardCall(pending, kUnavailable, "the store can't be reached", std::move(record));
+    ForwardCall(pending, kUnavailable, "the store can't be reached", record);
   } else if (MayHaveRun(*pending)) {
-    WriteRecord(pending, std::move(record), true);
+    WriteRecord(pending, record, true);
   } else {
     Refuse(pending, kUnavailable, "the store can't be reached", RetryAfterFor(*pending));
   }
--- a/src/laburnumledge/entry/submission_batch.cpp
+++ b/src/laburnumledge/entry/submission_batch.cpp
@@ -30,6 +30,7 @@
 std::vector<CallFate> TakeCalls(SubmissionQueue& queue, const std::vector<CallNumber>& calls,
                                 core::TimePoint now) {
   std::vector<CallFate> taken;
+  taken.reserve(calls.size());
   for (const CallNumber call : calls) {
     taken.push_back(FateOf(queue, call, queue.records_.at(call)));
   }
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -28,13 +28,14 @@
   curl -sf -X POST "http://127.0.0.1:$store/standin/fault?kind=$1&for_ms=$2" > /dev/null
 }
 
-# write_platform_settings I STORE_PORT CALLER_PORT READY_PORT PEER_PORT: settings of node I.
+# write_platform_settings I STORE_PORT CALLER_PORT READY_PORT PEER_PORT: settings of node I, with
+# "acceptance" where the test sets the variable acceptance.
 write_platform_settings() {
   caller_port[$1]=$3
   ready_port[$1]=$4
   peer_port[$1]=$5
   cat > "$work/node-$1.json" <<S
-{"node_name":"node-$1","zone":"zone-a","ip":"127.0.0.1","internal_ports":[$5,$5],
+{"node_name":"node-$1",${acceptance:+"\"acceptance\":\"$acceptance\","}"zone":"zone-a","ip":"127.0.0.1","internal_ports":[$5,$5],
  "listen":{"front":"127.0.0.1:$3","ready":"127.0.0.1:$4"},
  "limits":{"max_fds":4100},"bounds":{"max_hold_ms":6000,"stop_grace_ms":400,"grace_s":6,
  "status_s":120,"gang_wait_ms":3000,"remote_penalty":3},"heartbeat_ms":500,
