Pass a collector's answers on, and keep time for an append after it

A refusal by a collector's newer configuration was followed by an append of this node, and a collector had 600 ms, less than its append in flight and the next one take in a slow store: the job was in doubt and the collector excluded.

Answers other than 503 and 504 are passed on; a collector has at least 1.5 s, and 600 ms of the client's time are left for an append of this node.

--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -22,6 +22,12 @@
  * that the client's timeout still leaves time to forward the call to another node. */
 constexpr core::Milliseconds kAppendTimeout{400};
 
+/** Shortest timeout of a call to a collector: its append in flight and the next one, in a store of
+ * which this node knows no more than that it is slow. */
+constexpr core::Milliseconds kMinCollectorTimeout{1500};
+/** Time that a collector leaves of the client's for an append of this node. */
+constexpr core::Milliseconds kOwnAppendTime{600};
+
 ledger::WallTime WallNow() {
   return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
 }
@@ -40,7 +46,7 @@
     Refuse(pending, kBadRequest, core::LastReason());
     return;
   }
-  if (StoreIsSuspected()) {
+  if (StoreIsSuspected() && !MayHaveRun(*pending)) {
     ForwardCall(pending, kUnavailable, "the store can't be reached");
     return;
   }
@@ -74,7 +80,7 @@
     pending->respond_(platform::SuccessReply());
     return;
   }
-  if (StoreIsSuspected()) {
+  if (StoreIsSuspected() && !MayHaveRun(*pending)) {
     ForwardCall(pending, kUnavailable, "the store can't be reached");
     return;
   }
@@ -98,15 +104,16 @@
     return false;
   }
   ++counts_.collected_;
-  context_.peers_.ForwardTo(
-      *collector, pending->request_,
-      {.version_ = std::max(OwnVersion(), newest_peer_version_),
-       .deadline_ = std::min(pending->deadline_, context_.loop_.Now() + PeerTimeout())},
-      [weak = weak_from_this(), pending, record](ForwardResult answer) {
-        if (const auto self = weak.lock()) {
-          self->OnCollectorAnswer(pending, record, std::move(answer));
-        }
-      });
+  const core::TimePoint needed =
+      context_.loop_.Now() + std::max(kMinCollectorTimeout, PeerTimeout());
+  context_.peers_.ForwardTo(*collector, pending->request_,
+                            {.version_ = std::max(OwnVersion(), newest_peer_version_),
+                             .deadline_ = std::min(pending->deadline_ - kOwnAppendTime, needed)},
+                            [weak = weak_from_this(), pending, record](ForwardResult answer) {
+                              if (const auto self = weak.lock()) {
+                                self->OnCollectorAnswer(pending, record, std::move(answer));
+                              }
+                            });
   return true;
 }
 
@@ -117,8 +124,15 @@
     newest_peer_version_ = std::max(newest_peer_version_, answer.reply_->version_);
   }
   const unsigned status = answer.reply_.has_value() ? answer.reply_->reply_.status_ : 0;
-  if (status != 0 && status < kBadRequest) {
-    pending->respond_(std::move(answer.reply_->reply_));
+  if (status != 0) {
+    LogForwarded(*pending, *answer.reply_, "appends are slow");
+  }
+  if (status != 0 && status != kUnavailable && status != kGatewayTimeout) {
+    if (status >= kBadRequest && MayHaveRun(*pending)) {
+      Refuse(pending, kUnavailable, "the record may be stored");
+    } else {
+      pending->respond_(std::move(answer.reply_->reply_));
+    }
     return;
   }
   // The collector has not stored the record for certain: this node tries while its client waits.
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -36,8 +36,10 @@
   std::optional<Peers> peers_;
   std::optional<JobCalls> calls_;
 
-  explicit JobCallsFixture(loop::Loop& loop, std::map<std::string, std::string> nodes = {})
+  explicit JobCallsFixture(loop::Loop& loop, std::map<std::string, std::string> nodes = {},
+                           bool adaptive = false)
       : loop_(loop), nodes_(std::move(nodes)) {
+    deployment_.store_limits_.adaptive_appends_ = adaptive;
     deployment_.node_ = "node-1";
     deployment_.peers_ = config::Address{.ip_ = "127.0.0.1", .port_ = 1};
     site::Configuration configuration{.version_ = 7};
@@ -281,4 +283,50 @@
   CHECK(reads == 1);
 }
 
+TEST_CASE("adaptive appends: a refused or unanswered append is sent again, and the job accepted") {
+  for (const AppendOutcome outcome : {AppendOutcome::kRefused, AppendOutcome::kUnknown}) {
+    loop::Loop loop;
+    JobCallsFixture fixture(loop, {}, true);
+    fixture.outcomes_ = {outcome};
+    CHECK(fixture.Submit().status_ == 200);
+    CHECK(fixture.appended_.size() == 2);
+    // The client repeats its call: the node knows the job without another append.
+    CHECK(fixture.Submit().status_ == 200);
+    CHECK(fixture.appended_.size() == 2);
+  }
+}
+
+TEST_CASE("adaptive appends: a job in doubt gets 504, and so does the client's repeated call") {
+  loop::Loop loop;
+  JobCallsFixture fixture(loop, {}, true);
+  fixture.outcomes_.assign(100, AppendOutcome::kRefused);
+  fixture.outcomes_.front() = AppendOutcome::kUnknown;
+  const auto submit = [&fixture] {
+    return fixture.Call("POST", std::string("/s/") + kJob, kBody, "secret",
+                        {{"Deadline-Ms", "600"}});
+  };
+  CHECK(submit().status_ == 504);
+  CHECK(submit().status_ == 504);
+}
+
+TEST_CASE(
+    "slow appends: jobs go to a collector, and to the store if the collector does not answer") {
+  loop::Loop loop;
+  http::RawServer collector(
+      loop, [](int request) { return request == 1 ? AnswerOf(200, 7) : std::string(); }, true);
+  std::map<std::string, std::string> nodes;
+  for (int number = 2; number < 12; ++number) {
+    nodes.emplace(fmt::format("node-{}", number), AddressOf(collector));
+  }
+  JobCallsFixture fixture(loop, nodes, true);
+  CHECK(fixture.Call("POST", "/-/slow-appends", {}, {}, {{"Forwarded", "by=node-2"}}).status_ ==
+        200);
+  CHECK(fixture.Submit().status_ == 200);
+  CHECK(collector.Requests() == 1);
+  CHECK(fixture.appended_.empty());
+  CHECK(fixture.Submit().status_ == 200);
+  CHECK(fixture.appended_.size() == 1);
+  CHECK(fixture.calls_->Counts().collected_ == 2);
+}
+
 }  // namespace laburnumledge::entry
