Learn which kinds of work interfere on a worker, and keep them apart

Cause: tasks on one worker share more than its declared capacity shows. Placement knew only the declared capacity, so kinds of work that slow each other down were packed together.

Change: the progress that workers list is compared within runs, before and after a neighbour of another kind comes or leaves, and between the first measurements of runs of one kind. A table of 64 kinds holds the evidence for each pair, with decay; a worker's own speed, restored checkpoints and jobs that are long by themselves are no evidence. OfferRank orders by the expected slowdown before best fit. The setting `interference` is off, observe or avoid; the default is avoid only where the settings' contracts list `sharing`, else off, and then every decision is that of before. Metrics laburnumledge_interference_pairs and laburnumledge_interference_avoided_total; task.started names the neighbour, the expected slowdown and the estimate's age.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -258,7 +258,8 @@
     return;
   }
   const core::TimePoint now = context_.loop_.Now();
-  dispatcher_ = std::make_unique<dispatch::Dispatcher>(context_.deployment_.bounds_, term_);
+  dispatcher_ = std::make_unique<dispatch::Dispatcher>(context_.deployment_.bounds_, term_,
+                                                       context_.deployment_.interference_);
   dispatcher_->SetRules(context_.rules_);
   for (const auto& [id, entry] : context_.jobs_.entries_) {
     dispatcher_->OnJob(id, &entry, now);
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -99,6 +99,11 @@
         organisations_(MakeGauge(registry, "laburnumledge_organisation_gpus",
                                  "GPUs of organisations with a quota, as the latest plan found "
                                  "them: used, limit, and waited for because of the quota.")),
+        interference_pairs_(MakeGauge(registry, "laburnumledge_interference_pairs",
+                                      "Pairs of kinds of work known to slow each other down.")),
+        interference_avoided_(
+            MakeCounter(registry, "laburnumledge_interference_avoided_total",
+                        "Placements in this term that avoided a worker because of a known pair.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
@@ -118,6 +123,8 @@
   Family<Gauge>& gpus_;
   Family<Gauge>& capacity_;
   Family<Gauge>& organisations_;
+  Family<Gauge>& interference_pairs_;
+  Family<Counter>& interference_avoided_;
   Family<Gauge>& workers_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -273,6 +280,11 @@
     families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
   }
   UpdateOrganisations(dispatcher);
+  if (dispatcher.Interference().mode_ != site::InterferenceMode::kOff) {
+    families_->interference_pairs_.Add({}).Set(
+        static_cast<double>(dispatcher.Interference().known_pairs_));
+    IncreaseTo(families_->interference_avoided_.Add({}), counts.interference_avoided_);
+  }
   for (const char* state : {"ready", "draining", "unreachable", "suspected", "unlisted"}) {
     families_->workers_.Add({{"state", state}}).Set(workers[state]);
   }
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -72,8 +72,11 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term)
-    : bounds_(bounds), first_fence_token_(term * kFencingTokensPerTerm) {}
+Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
+                       site::InterferenceMode interference)
+    : bounds_(bounds),
+      first_fence_token_(term * kFencingTokensPerTerm),
+      interference_{.mode_ = interference} {}
 
 Worker& Dispatcher::FindOrAddWorker(const std::string& id) {
   const auto [entry, added] = fleet_.workers_.try_emplace(id);
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -31,8 +31,9 @@
   std::uint64_t runs_done_{};
   std::uint64_t runs_failed_{};
   std::uint64_t runs_lost_{};
-  std::uint64_t plans_{};           ///< Planning passes.
-  std::uint64_t worker_updates_{};  ///< Checks of one worker's lease, stops and runs.
+  std::uint64_t plans_{};                 ///< Planning passes.
+  std::uint64_t interference_avoided_{};  ///< Placements that differ because of a known pair.
+  std::uint64_t worker_updates_{};        ///< Checks of one worker's lease, stops and runs.
 };
 
 /**
@@ -50,8 +51,10 @@
   /**
    * @param bounds Time limits that the platform guarantees.
    * @param term Number of the term; the fencing tokens of all commands derive from it.
+   * @param interference What is done about tasks that slow each other down.
    */
-  Dispatcher(const site::Bounds& bounds, std::uint64_t term);
+  Dispatcher(const site::Bounds& bounds, std::uint64_t term,
+             site::InterferenceMode interference = site::InterferenceMode::kOff);
 
   /** @brief Applies a new configuration or a change of the zones that are out of service. */
   void SetRules(const site::Rules& rules);
@@ -120,6 +123,8 @@
   [[nodiscard]] const std::vector<std::int64_t>& QuotaWaitingGpus() const noexcept {
     return quota_waiting_gpus_;
   }
+  /** @brief Kinds of work and what is known about their slowdowns. */
+  [[nodiscard]] const InterferenceTable& Interference() const noexcept { return interference_; }
 
  private:
   /** Work that waits until a batch of records is stored. */
@@ -197,6 +202,12 @@
   void SuspectWorker(Worker& worker, std::string_view reason, core::TimePoint now);
   void UpdateSlowState(Worker& worker, std::uint32_t slow, std::uint32_t normal,
                        core::TimePoint now);
+  [[nodiscard]] KindIndex KindOf(const Job& job, std::uint32_t step, core::TimePoint now);
+  void ObserveRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
+                   core::TimePoint now);
+  void UpdateKindsBeside(Worker& worker, core::TimePoint now);
+  void LogStarted(const StartAction& action, const RunId& run, const AssignedRun& assigned,
+                  core::TimePoint now);
   void BeginProgressMeasurement(const RunId& run, AssignedRun& assigned, core::TimePoint now);
   [[nodiscard]] std::vector<AssignedRun*> FindGangMembers(const RunId& run);
   [[nodiscard]] core::Milliseconds PredictDuration(const RunId& run) const;
@@ -235,6 +246,7 @@
   std::map<std::pair<std::string, std::uint16_t>, std::string> worker_by_address_;
   DurationModel durations_;
   UrgentHeadroom urgent_headroom_;
+  InterferenceTable interference_;
   Actions actions_;
   std::map<std::uint64_t, PendingBatch> pending_batches_;
   std::uint64_t next_batch_{1};
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -44,6 +44,7 @@
   worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
   worker.expired_runs_.clear();
   worker.clock_.reset();
+  worker.speed_ = {};
 }
 
 /** Finds the worker that had a new worker's address before: a worker that crashed may come back
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -193,6 +193,7 @@
       StopOrphanedRun(worker, run, now);
       continue;
     }
+    BeginExposure(found->second.exposure_, found->second.progress_rate_);
     const ProgressVerdict verdict = UpdateRunProgress(run, found->second, row, now);
     normal += verdict == ProgressVerdict::kNormal ? 1 : 0;
     if (verdict == ProgressVerdict::kSlow) {
@@ -200,6 +201,7 @@
     }
   }
   UpdateSlowState(worker, static_cast<std::uint32_t>(slow_runs.size()), normal, now);
+  ObserveRuns(worker, rows, now);
   if (worker.health_.slow_) {
     MoveSlowRuns(worker, slow_runs, now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -193,11 +193,7 @@
   assigned.phase_ = RunPhase::kRunning;
   assigned.settled_at_ = now;
   assigned.started_ = now;
-  core::LogEvent(Level::kInfo, EventPriority::kLow, "task.started",
-                 {{"task", ledger::ToString(run.task_)},
-                  {"run", run.run_},
-                  {"worker", action.worker_.id_},
-                  {"resumed", !action.command_.checkpoint_.empty()}});
+  LogStarted(action, run, assigned, now);
   BeginProgressMeasurement(run, assigned, now);
   Job* job = FindJob(job_table_, run.task_.job_);
   if (job != nullptr && job->state_ == ledger::JobState::kQueued) {
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -210,6 +210,8 @@
   for (const auto& [id, worker] : fleet_.workers_) {
     all_gpus += worker.listed_ ? worker.entry_.capacity_.gpus_ : 0;
   }
+  RefreshKnownPairs(interference_, time.now_);
+  const bool avoids = interference_.mode_ == site::InterferenceMode::kAvoid;
   const Plan plan =
       MakePlan(job_table_, fleet_,
                {.rules_ = rules_,
@@ -218,8 +220,10 @@
                 .organisations_ = &organisations_,
                 .organisation_use_ = organisation_use,
                 .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, all_gpus),
+                .interference_ = avoids ? &interference_ : nullptr,
                 .time_ = time});
   capacity_use_ = plan.use_;
+  counts_.interference_avoided_ += plan.interference_avoided_;
   organisation_use_ = std::move(organisation_use);
   quota_waiting_gpus_ = plan.quota_waiting_gpus_;
   LogCapacityUse(time.now_);
@@ -238,7 +242,7 @@
 }
 
 void Dispatcher::StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
-                           core::TimePoint /*now*/) {
+                           core::TimePoint now) {
   std::uint64_t run_number = 0;
   for (const PlannedStart& start : unit) {
     run_number = std::max(run_number, FindTask(job_table_, start.task_)->run_ + 1);
@@ -260,7 +264,8 @@
                     .incarnation_ = worker.incarnation_,
                     .resumed_ = !task.checkpoint_.empty(),
                     .gang_size_ = spec.gang_ ? spec.count_ : 1,
-                    .next_stop_ = core::TimePoint::max()});
+                    .next_stop_ = core::TimePoint::max(),
+                    .exposure_ = {.kind_ = KindOf(job, start.task_.step_, now)}});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
     batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "laburnumledge/core/time.hpp"
+#include "laburnumledge/dispatch/interference.hpp"
 #include "laburnumledge/dispatch/organisations.hpp"
 #include "laburnumledge/dispatch/progress_rate.hpp"
 #include "laburnumledge/ledger/job.hpp"
@@ -55,6 +56,7 @@
   core::WorkerTime lease_deadline_{};  ///< In the start command, on the worker's clock.
   core::TimePoint next_stop_{};        ///< When an unanswered stop command is resent.
   ProgressRate progress_rate_;
+  RunExposure exposure_;
   std::string checkpoint_;          ///< Newest checkpoint that the worker listed.
   core::TimePoint checkpointed_{};  ///< When `checkpoint_` was first listed.
 };
@@ -108,6 +110,7 @@
   core::TimePoint last_answer_{};       ///< When the worker last answered a start or a lease call.
   std::uint32_t failed_calls_{};        ///< Consecutive lease calls without success.
   Health health_;
+  RelativeSpeed speed_;
   site::Resources used_;
   std::map<RunId, AssignedRun> assigned_runs_;
 };
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -62,22 +62,53 @@
          planner.context_.time_.now_ < step.ready_since_ + step.duration_;
 }
 
+/** Expected slowdown of a step's tasks, and of the runs there, on the worker of an offer. */
+double ExpectedCost(const Planner& planner, const Offer& offer, const ReadyStep& step) noexcept {
+  return step.kind_ == kNoKind ? 0.0
+                               : InterferenceCost(*planner.context_.interference_, step.kind_,
+                                                  offer.candidate_->kinds_);
+}
+
 /** Sort key of offers: workers without a recent failure first, then urgent headroom (for steps that
- * may use it), then best fit: the fewest GPUs, then processors, left free by the tasks. */
-std::tuple<bool, bool, std::int64_t, std::int64_t> OfferRank(const Offer& offer,
-                                                             const ReadyStep& step,
-                                                             std::uint32_t wanted) noexcept {
+ * may use it), then the least interference, then best fit: the fewest GPUs, then processors, left
+ * free by the tasks. */
+std::tuple<bool, bool, double, std::int64_t, std::int64_t> OfferRank(const Offer& offer,
+                                                                     const ReadyStep& step,
+                                                                     std::uint32_t wanted,
+                                                                     double cost) noexcept {
   const site::Resources left =
       offer.candidate_->free_ - step.spec_->task_resources_ * std::min(offer.count_, wanted);
-  return {offer.candidate_->recently_failed_, !offer.candidate_->urgent_headroom_, left.gpus_,
+  return {offer.candidate_->recently_failed_, !offer.candidate_->urgent_headroom_, cost, left.gpus_,
           left.cpu_millis_};
 }
 
+bool IsBetterOffer(const Planner& planner, const Offer& left, const Offer& right,
+                   const ReadyStep& step, std::uint32_t wanted) noexcept {
+  return OfferRank(left, step, wanted, ExpectedCost(planner, left, step)) <
+         OfferRank(right, step, wanted, ExpectedCost(planner, right, step));
+}
+
+/** Counts a group whose best offer would have more interference if no pair of kinds were known. */
+void CountAvoidance(Planner& planner, const std::vector<Offer>& offers, const Offer& best,
+                    const ReadyStep& step, std::uint32_t wanted) {
+  if (step.kind_ == kNoKind) {
+    return;
+  }
+  const auto otherwise =
+      std::min_element(offers.begin(), offers.end(), [&](const Offer& left, const Offer& right) {
+        return OfferRank(left, step, wanted, 0.0) < OfferRank(right, step, wanted, 0.0);
+      });
+  if (ExpectedCost(planner, *otherwise, step) > ExpectedCost(planner, best, step)) {
+    ++planner.plan_.interference_avoided_;
+  }
+}
+
 void AssignTask(const ReadyStep& step, std::uint32_t task, CandidateWorker& candidate,
                 PlannedGroup& planned) {
   candidate.free_ -= step.spec_->task_resources_;
   candidate.free_after_stops_ -= step.spec_->task_resources_;
   ++candidate.assigned_tasks_;
+  candidate.kinds_ |= SetOf(step.kind_);
   if (step.crash_suspect_) {
     candidate.crash_suspect_job_ = &step.job_->id_;
   }
@@ -90,10 +121,11 @@
 
 /** Assigns all tasks of a step to the offers, in order of rank, and plans their common start. */
 void AssignAllTasks(Planner& planner, const ReadyStep& step, std::vector<Offer> offers) {
-  std::sort(offers.begin(), offers.end(), [&step](const Offer& left, const Offer& right) {
-    const auto wanted = static_cast<std::uint32_t>(step.tasks_.size());
-    return OfferRank(left, step, wanted) < OfferRank(right, step, wanted);
+  const auto wanted = static_cast<std::uint32_t>(step.tasks_.size());
+  std::sort(offers.begin(), offers.end(), [&](const Offer& left, const Offer& right) {
+    return IsBetterOffer(planner, left, right, step, wanted);
   });
+  CountAvoidance(planner, offers, offers.front(), step, wanted);
   PlannedGroup planned;
   std::size_t next = 0;
   for (const Offer& offer : offers) {
@@ -203,13 +235,14 @@
  * none. */
 bool PlaceSingle(Planner& planner, const ReadyStep& step, std::uint32_t task,
                  std::vector<Offer>& offers) {
-  const auto best = std::min_element(offers.begin(), offers.end(),
-                                     [&step](const Offer& left, const Offer& right) {
-                                       return OfferRank(left, step, 1) < OfferRank(right, step, 1);
-                                     });
+  const auto best =
+      std::min_element(offers.begin(), offers.end(), [&](const Offer& left, const Offer& right) {
+        return IsBetterOffer(planner, left, right, step, 1);
+      });
   if (best == offers.end()) {
     return false;
   }
+  CountAvoidance(planner, offers, *best, step, 1);
   PlannedGroup planned;
   AssignTask(step, task, *best->candidate_, planned);
   planner.plan_.starts_.push_back(std::move(planned));
@@ -332,6 +365,7 @@
         internal::CollectQuotaRooms(*context.organisations_, context.organisation_use_);
   }
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.candidates_);
+  internal::CollectKinds(planner);
   internal::ReserveUrgentHeadroom(planner.candidates_, context.urgent_headroom_gpus_);
   const std::vector<ReadyStep> steps = internal::CollectReadySteps(table, context);
   planner.plan_.use_ = internal::MeasureCapacityUse(fleet, planner.candidates_, steps);
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "laburnumledge/dispatch/capacity_use.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/interference.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/site/configuration.hpp"
 #include "laburnumledge/site/deployment.hpp"
@@ -26,6 +27,7 @@
   const Organisations* organisations_{};             ///< Null if no organisation has limits.
   std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
   std::int64_t urgent_headroom_gpus_{};              ///< GPUs kept free for urgent jobs.
+  const InterferenceTable* interference_{};          ///< Null if interference is not avoided.
   PlanTime time_;
 };
 
@@ -57,8 +59,9 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<std::int64_t> quota_waiting_gpus_;   ///< Waited for because of a quota, by
-                                                  ///< organisation; empty without quotas.
-  CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
+                                                   ///< organisation; empty without quotas.
+  std::uint64_t interference_avoided_{};  ///< Groups placed elsewhere because of a known pair.
+  CapacityUse use_;                       ///< Use of the fleet before the plan is carried out.
 };
 
 /**
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -40,6 +40,15 @@
   return key(left) < key(right);
 }
 
+/** Kind of a step if another kind is known to interfere with it, else kNoKind. */
+KindIndex KindToAvoid(const Job& job, std::uint32_t step, const PlanContext& context) {
+  if (context.interference_ == nullptr || context.interference_->known_pairs_ == 0) {
+    return kNoKind;
+  }
+  const KindIndex kind = FindKind(*context.interference_, KindName(*job.submission_, step));
+  return kind == kNoKind || context.interference_->known_[kind] == 0 ? kNoKind : kind;
+}
+
 void CollectIfReady(const Job& job, std::uint32_t number, const Occurrence& occurrence,
                     std::uint32_t index, const PlanContext& context,
                     std::vector<ReadyStep>& steps) {
@@ -70,6 +79,7 @@
       time.wall_ + chain > due + (objective - due) * kUsefulCompletionFactor;
   step.late_ = time.wall_ > step.latest_start_;
   step.ready_since_ = state.ready_since_;
+  step.kind_ = KindToAvoid(job, index, context);
   const bool last_attempt =
       !spec.long_running_ &&
       std::any_of(step.tasks_.begin(), step.tasks_.end(), [&](std::uint32_t task) {
@@ -145,6 +155,18 @@
   return candidates;
 }
 
+void CollectKinds(Planner& planner) noexcept {
+  const InterferenceTable* interference = planner.context_.interference_;
+  if (interference == nullptr || interference->known_pairs_ == 0) {
+    return;
+  }
+  for (CandidateWorker& candidate : planner.candidates_) {
+    for (const auto& [run, assigned] : candidate.worker_->assigned_runs_) {
+      candidate.kinds_ |= SetOf(assigned.exposure_.kind_);
+    }
+  }
+}
+
 bool IsMostlyIdle(const std::vector<CandidateWorker>& candidates) noexcept {
   site::Resources used;
   site::Resources all;
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -19,6 +19,7 @@
   std::uint32_t assigned_tasks_{};  ///< Tasks assigned here of the step that is being placed.
   bool urgent_headroom_{};          ///< Kept free for urgent jobs.
   const ledger::JobId* crash_suspect_job_{};  ///< Job here under which a worker has crashed before.
+  KindSet kinds_{};         ///< Kinds of the runs here; empty if no pair is known.
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
 };
 
@@ -31,6 +32,7 @@
   const StepState* state_{};
   std::vector<std::uint32_t> tasks_;  ///< Indices of the tasks that can start.
   core::Milliseconds duration_{};     ///< Predicted duration of one task.
+  KindIndex kind_{kNoKind};           ///< kNoKind if no pair is known.
   bool past_useful_completion_{};     ///< Cannot finish before its result is worthless.
   bool late_{};                       ///< Can't meet the completion objective any more.
   ledger::WallTime latest_start_{};   ///< Latest start that meets the completion objective.
@@ -66,6 +68,9 @@
 [[nodiscard]] std::vector<CandidateWorker> CollectCandidates(Fleet& fleet, const site::Rules& rules,
                                                              core::TimePoint now);
 
+/** @brief Notes which kinds of work each candidate has, if any pair of kinds is known. */
+void CollectKinds(Planner& planner) noexcept;
+
 /** @brief Whether the used fraction of every kind of resource is below the idle threshold. */
 [[nodiscard]] bool IsMostlyIdle(const std::vector<CandidateWorker>& candidates) noexcept;
 
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -6,6 +6,7 @@
 
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/platform/json.hpp"
+#include "laburnumledge/platform/sharing.hpp"
 
 namespace laburnumledge::platform {
 
@@ -207,6 +208,10 @@
   if (!store_address.has_value()) {
     return std::nullopt;
   }
+  const std::optional<site::InterferenceMode> interference = ParseInterferenceMode(*object);
+  if (!interference.has_value()) {
+    return std::nullopt;
+  }
   site::Deployment deployment{
       .node_ = *node,
       .zone_ = Text(*object, "zone").value_or(""),
@@ -223,6 +228,7 @@
                         .max_call_bytes_ = static_cast<std::uint32_t>(
                             Unsigned(*store, "max_call_bytes").value_or(0))},
       .bounds_ = BoundsOf(*bounds),
+      .interference_ = *interference,
   };
   if (const Json* limits = Member(*object, "limits")) {
     deployment.max_connections_ =
--- a/src/laburnumledge/site/deployment.hpp
+++ b/src/laburnumledge/site/deployment.hpp
@@ -29,6 +29,13 @@
   std::uint32_t max_call_bytes_{};
 };
 
+/** @brief What the scheduler does about tasks that slow each other down on one worker. */
+enum class InterferenceMode : unsigned char {
+  kOff,
+  kObserve,  ///< Learns and reports which kinds of work slow each other down.
+  kAvoid,    ///< Also places such kinds on different workers where there is room.
+};
+
 /** @brief Settings that the platform gives a node at its start. */
 struct Deployment {
   std::string node_;
@@ -44,6 +51,7 @@
   double cpu_share_{1.0};  ///< Fraction of a core that the VM may use.
   StoreLimits store_limits_;
   Bounds bounds_;
+  InterferenceMode interference_{InterferenceMode::kOff};
 };
 
 }  // namespace laburnumledge::site
