Slow filling tasks beside serving tasks that miss their target

Cause: a task that fills idle processors can keep a serving task above its target until the latter comes to harm; the leader had no means but to stop one of them.

Change: where interference is avoided and the settings' bounds have harm_ms, a list in which a serving task misses its target slows the filling tasks on its worker with POST /-/pace: to 25%, and to 0 if the targets last held half of harm_ms ago. The lists then come every 0.5 s. The pace rises by 25 points at a time once the targets hold. Unanswered commands are repeated under a higher fencing token; a new leader starts inherited filling tasks from 25%. Slowed runs are no evidence of slow workers or of interference. The event task.paced and the worker calls of kind pace show it.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -378,6 +378,17 @@
                               }
                             });
   }
+  for (const dispatch::PaceAction& pace : actions.paces_) {
+    context_.workers_.pace_(pace.worker_, pace.command_, pace.deadline_,
+                            [weak, pace](const platform::CommandResult& result) {
+                              const auto self = weak.lock();
+                              if (self != nullptr && !self->ended_) {
+                                self->dispatcher_->OnPaced(pace, result,
+                                                           self->context_.loop_.Now());
+                                self->ScheduleDispatcher();
+                              }
+                            });
+  }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     context_.workers_.lease_(
         lease.worker_, lease.call_, [weak, lease](const platform::LeaseResult& result) {
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -201,6 +201,14 @@
       done(std::move(result));
     });
   };
+  observed.pace_ = [families, pace = workers.pace_](
+                       const platform::WorkerAddress& worker, platform::PaceCommand command,
+                       core::TimePoint deadline, const platform::CommandCallback& done) {
+    pace(worker, std::move(command), deadline, [families, done](platform::CommandResult result) {
+      families->CountWorkerCall("pace", result.outcome_);
+      done(std::move(result));
+    });
+  };
   observed.lease_ = [families, lease = workers.lease_](const platform::WorkerAddress& worker,
                                                        platform::LeaseCall call,
                                                        const platform::LeaseCallback& done) {
--- a/src/laburnumledge/dispatch/actions.hpp
+++ b/src/laburnumledge/dispatch/actions.hpp
@@ -39,6 +39,13 @@
   core::TimePoint deadline_;
 };
 
+/** @brief Pace command to be sent; Dispatcher::OnPaced takes the answer. */
+struct PaceAction {
+  platform::WorkerAddress worker_;
+  platform::PaceCommand command_;
+  core::TimePoint deadline_;
+};
+
 /** @brief Lease call to be sent; Dispatcher::OnLease takes the answer together with this action. */
 struct LeaseAction {
   platform::WorkerAddress worker_;
@@ -53,6 +60,7 @@
   std::vector<StatusChange> statuses_;
   std::vector<StartAction> starts_;
   std::vector<StopAction> stops_;
+  std::vector<PaceAction> paces_;
   std::vector<LeaseAction> leases_;
   bool superseded_{};  ///< A worker has seen a fencing token of a later term.
 };
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -156,7 +156,8 @@
                     .gang_ = spec.gang_,
                     .crash_suspect_ = record.crashes_ > 0,
                     .incarnation_ = record.incarnation_,
-                    .gang_size_ = spec.gang_ ? spec.count_ : 1});
+                    .gang_size_ = spec.gang_ ? spec.count_ : 1,
+                    .pace_ = {.unknown_ = PacesRuns() && spec.uses_idle_cpus_}});
     ++task->outstanding_runs_;
     ++job->outstanding_runs_;
   } else if (record.outcome_ == ledger::TaskOutcome::kDone) {
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -32,6 +32,7 @@
   std::uint64_t runs_failed_{};
   std::uint64_t runs_lost_{};
   std::uint64_t plans_{};                 ///< Planning passes.
+  std::uint64_t paces_{};                 ///< Pace commands.
   std::uint64_t interference_avoided_{};  ///< Placements that differ because of a known pair.
   std::uint64_t worker_updates_{};        ///< Checks of one worker's lease, stops and runs.
 };
@@ -97,6 +98,10 @@
   void OnStopped(const StopAction& action, const platform::CommandResult& result,
                  core::TimePoint now);
 
+  /** @brief Handles the answer to a pace command. */
+  void OnPaced(const PaceAction& action, const platform::CommandResult& result,
+               core::TimePoint now);
+
   /** @brief Handles the answer to a lease call; only the worker's newest call counts. */
   void OnLease(const LeaseAction& action, const platform::LeaseResult& result, core::TimePoint now);
 
@@ -206,6 +211,9 @@
   void ObserveRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
                    core::TimePoint now);
   void UpdateKindsBeside(Worker& worker, core::TimePoint now);
+  [[nodiscard]] bool PacesRuns() const noexcept;
+  void PaceRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows, core::TimePoint now);
+  void SendPaces(Worker& worker, core::TimePoint now);
   void LogStarted(const StartAction& action, const RunId& run, const AssignedRun& assigned,
                   core::TimePoint now);
   void BeginProgressMeasurement(const RunId& run, AssignedRun& assigned, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -152,6 +152,12 @@
     assigned.checkpoint_ = row.checkpoint_;
     assigned.checkpointed_ = now;
   }
+  if (IsPaced(assigned.pace_)) {
+    // The progress of a slowed run says nothing about its worker.
+    StartProgressMeasurement(assigned.progress_rate_, now);
+    assigned.progress_rate_.progress_percent_ = static_cast<double>(row.progress_percent_);
+    return ProgressVerdict::kUnknown;
+  }
   const bool measured = assigned.phase_ == RunPhase::kRunning &&
                         assigned.progress_rate_.measured_at_ != core::TimePoint{} &&
                         !IsLongRunning(run);
@@ -202,6 +208,7 @@
   }
   UpdateSlowState(worker, static_cast<std::uint32_t>(slow_runs.size()), normal, now);
   ObserveRuns(worker, rows, now);
+  PaceRuns(worker, rows, now);
   if (worker.health_.slow_) {
     MoveSlowRuns(worker, slow_runs, now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_interference.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_interference.cpp
@@ -62,7 +62,8 @@
     }
     AssignedRun& assigned = found->second;
     const Job* job = FindJob(job_table_, run.task_.job_);
-    if (job == nullptr || assigned.phase_ != RunPhase::kRunning || worker.health_.slow_) {
+    if (job == nullptr || assigned.phase_ != RunPhase::kRunning || worker.health_.slow_ ||
+        IsPaced(assigned.pace_)) {
       DiscardExposure(assigned.exposure_);
       continue;
     }
@@ -70,7 +71,8 @@
       assigned.exposure_.kind_ = KindOf(*job, run.task_.step_, now);
     }
     const ledger::Step& spec = job->submission_->steps_[run.task_.step_];
-    if (spec.long_running_) {
+    if (spec.long_running_ || spec.uses_idle_cpus_) {
+      // The former report no progress; that of the latter depends on the processors that are idle.
       continue;
     }
     ObserveProgress(
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -260,8 +260,9 @@
   const std::uint64_t last_seen = answering ? AcknowledgeableResults(worker) : 0;
   const bool unacknowledged = worker.results_processed_ > last_seen;
   const bool responsive = worker.last_answer_ != core::TimePoint{} && worker.failed_calls_ == 0;
-  const core::Milliseconds wait =
-      responsive && !unacknowledged ? internal::kLeaseCallWait : core::Milliseconds{};
+  const core::Milliseconds wait = !responsive || unacknowledged ? core::Milliseconds{}
+                                  : IsPacing(worker.pacing_)    ? internal::kPacingLeaseCallWait
+                                                                : internal::kLeaseCallWait;
   worker.lease_in_flight_ = true;
   worker.lease_call_number_ = next_lease_call_++;
   worker.lease_sent_ = now;
@@ -355,6 +356,9 @@
     worker.expired_runs_.emplace(run, now + kExpiredRunRetention);
     MarkRunLost(worker, run, "its lease has passed", now);
   }
+  if (IsPacing(worker.pacing_)) {
+    SendPaces(worker, now);
+  }
   if (worker.listed_ && worker.entry_.draining_) {
     MoveRunsOffDrainingWorker(worker, now);
   }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -11,6 +11,7 @@
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/interference.hpp"
 #include "laburnumledge/dispatch/organisations.hpp"
+#include "laburnumledge/dispatch/pacing.hpp"
 #include "laburnumledge/dispatch/progress_rate.hpp"
 #include "laburnumledge/ledger/job.hpp"
 #include "laburnumledge/site/deployment.hpp"
@@ -57,6 +58,7 @@
   core::TimePoint next_stop_{};        ///< When an unanswered stop command is resent.
   ProgressRate progress_rate_;
   RunExposure exposure_;
+  RunPace pace_;
   std::string checkpoint_;          ///< Newest checkpoint that the worker listed.
   core::TimePoint checkpointed_{};  ///< When `checkpoint_` was first listed.
 };
@@ -111,6 +113,7 @@
   std::uint32_t failed_calls_{};        ///< Consecutive lease calls without success.
   Health health_;
   RelativeSpeed speed_;
+  Pacing pacing_;
   site::Resources used_;
   std::map<RunId, AssignedRun> assigned_runs_;
 };
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -30,6 +30,9 @@
  * the longest lease of existing sites, so that three calls may fail before a lease expires. */
 inline constexpr core::Milliseconds kLeaseCallWait{1500};
 
+/** @brief Longest wait of a lease call while a worker's filling tasks are slowed, or are to be. */
+inline constexpr core::Milliseconds kPacingLeaseCallWait{500};
+
 /** @brief Time beyond its wait after which an unanswered lease call times out. */
 inline constexpr core::Milliseconds kLeaseAnswerMargin{700};
 
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -73,6 +73,7 @@
       .reclaim_time_ = Ms(object, "reclaim_ms"),
       .configuration_time_ = Ms(object, "config_apply_ms"),
       .command_interval_ = Ms(object, "lease_ms"),
+      .harm_time_ = Ms(object, "harm_ms"),
       .remote_penalty_ =
           std::max(kNoPenalty, Number(object, "remote_penalty").value_or(kNoPenalty)),
   };
--- a/src/laburnumledge/platform/workers.cpp
+++ b/src/laburnumledge/platform/workers.cpp
@@ -261,6 +261,16 @@
         MakeCall(worker, "/-/run-stop", body, deadline),
         [done](const http::Response& response) { done(internal::ParseCommandResponse(response)); });
   };
+  workers.pace_ = [&client](const WorkerAddress& worker, const PaceCommand& command,
+                            core::TimePoint deadline, const CommandCallback& done) {
+    const Json body = {{"task", ledger::ToString(command.task_)},
+                       {"run", command.run_},
+                       {"percent", command.percent_},
+                       {"fencing_token", command.fence_token_}};
+    client.Send(
+        MakeCall(worker, "/-/pace", body, deadline),
+        [done](const http::Response& response) { done(internal::ParseCommandResponse(response)); });
+  };
   workers.lease_ = [&client](const WorkerAddress& worker, const LeaseCall& call,
                              const LeaseCallback& done) {
     Json body = {{"fencing_token", call.fence_token_}, {"last_seen", call.acknowledged_}};
--- a/src/laburnumledge/platform/workers.hpp
+++ b/src/laburnumledge/platform/workers.hpp
@@ -39,6 +39,14 @@
   std::uint64_t fence_token_{};
 };
 
+/** @brief Command to slow a run that fills idle processors, or to restore it. */
+struct PaceCommand {
+  ledger::TaskId task_;
+  std::uint64_t run_{};
+  std::uint32_t percent_{};  ///< 0 (makes no progress) to 100 (is not slowed).
+  std::uint64_t fence_token_{};
+};
+
 /** @brief Outcome of a command or a lease call to a worker. */
 enum class CommandOutcome : unsigned char {
   kDone,          ///< For a start: this or an earlier command started the run.
@@ -129,6 +137,8 @@
       start_;
   std::function<void(const WorkerAddress&, StopCommand, core::TimePoint deadline, CommandCallback)>
       stop_;
+  std::function<void(const WorkerAddress&, PaceCommand, core::TimePoint deadline, CommandCallback)>
+      pace_;
   std::function<void(const WorkerAddress&, LeaseCall, LeaseCallback)> lease_;
 };
 
--- a/src/laburnumledge/site/deployment.hpp
+++ b/src/laburnumledge/site/deployment.hpp
@@ -20,7 +20,8 @@
   core::Milliseconds reclaim_time_{};        ///< Maximum time until guaranteed work has started.
   core::Milliseconds configuration_time_{};  ///< Maximum time until a configuration is in force.
   core::Milliseconds command_interval_{};    ///< Minimum gap between leaders' commands to one VM.
-  double remote_penalty_{1.0};  ///< Slowdown factor of a task away from its data or its gang.
+  core::Milliseconds harm_time_{};  ///< Time above its target that a serving task stands; 0: none.
+  double remote_penalty_{1.0};      ///< Slowdown factor of a task away from its data or its gang.
 };
 
 /** @brief Size limits of the platform's store. */
--- a/test/laburnumledge/dispatch/interference.cpp
+++ b/test/laburnumledge/dispatch/interference.cpp
@@ -222,7 +222,7 @@
   }
 
   /** GPUs in use, or on workers that are paused for other reasons, as a fraction of all. */
-  double UsedOrPausedFraction() const {
+  [[nodiscard]] double UsedOrPausedFraction() const {
     double gpus = 0;
     for (const auto& [id, worker] : dispatcher_.Workers().workers_) {
       gpus +=
