Let measure_dispatcher learn and avoid interference

Cause: the cost of learning from the lists of 4,500 workers was not measurable.

No pair was known: placement with known pairs is not measured.

--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -1,5 +1,6 @@
 // Measures what the leader's dispatcher costs by the number of workers:
 //   measure_dispatcher [--workers 48,350,540,4500] [--load 1.5] [--seconds 10] [--store-pause-ms 0]
+//     [--avoid-interference]
 
 #include <fmt/core.h>
 
@@ -106,7 +107,7 @@
       random_(core::MakeRandom(load.seed_, "dispatcher")),
       now_(fixture::kNow),
       begin_(fixture::kNow),
-      dispatcher_(fixture::MakeBounds(), 1) {
+      dispatcher_(fixture::MakeBounds(), 1, load.interference_) {
   dispatcher_.SetRules({});
   for (int number = 0; number < load_.workers_; ++number) {
     const int rack = number / kWorkersPerRack;
@@ -327,9 +328,11 @@
                call, static_cast<double>(times.samples_.size()) / cost.seconds_,
                times.Quantile(0.5), times.Quantile(0.99), times.Quantile(1.0), share);
   }
-  fmt::print("{:>7} {:>9} {:>52.2f}   runs {:.0f}, starts {}, preemptions {}, done {}, lost {}\n",
-             load.workers_, "all", sum, cost.mean_runs_, cost.counts_.starts_,
-             cost.counts_.preemptions_, cost.counts_.runs_done_, cost.counts_.runs_lost_);
+  fmt::print(
+      "{:>7} {:>9} {:>52.2f}   runs {:.0f}, starts {}, preemptions {}, done {}, lost {}, avoided "
+      "{}\n",
+      load.workers_, "all", sum, cost.mean_runs_, cost.counts_.starts_, cost.counts_.preemptions_,
+      cost.counts_.runs_done_, cost.counts_.runs_lost_, cost.counts_.interference_avoided_);
   for (const auto& [route, jobs] : cost.jobs_completed_) {
     fmt::print("{:>7} {:>9} {:>10.1f} jobs completed a second\n", load.workers_, route,
                jobs / cost.seconds_);
@@ -344,18 +347,21 @@
       cxxopts::value<double>()->default_value("1.5"))("seconds", "virtual time that is measured",
                                                       cxxopts::value<int>()->default_value("10"))(
       "store-pause-ms", "time without answers of the store",
-      cxxopts::value<int>()->default_value("0"));
+      cxxopts::value<int>()->default_value("0"))("avoid-interference",
+                                                 "learn and avoid interference");
   const auto given = options.parse(count, values);
   core::SetLevel(core::Level::kError);
   fmt::print("{:>7} {:>9} {:>10} {:>10} {:>10} {:>10} {:>8}\n", "workers", "call", "a second",
              "median us", "p99 us", "most us", "% core");
   std::vector<Point> points;
   for (const int workers : given["workers"].as<std::vector<int>>()) {
-    const DispatcherLoad load{
-        .workers_ = workers,
-        .arrival_factor_ = given["load"].as<double>(),
-        .seed_ = 1,
-        .store_pause_ = core::Milliseconds(given["store-pause-ms"].as<int>())};
+    const DispatcherLoad load{.workers_ = workers,
+                              .arrival_factor_ = given["load"].as<double>(),
+                              .seed_ = 1,
+                              .store_pause_ = core::Milliseconds(given["store-pause-ms"].as<int>()),
+                              .interference_ = given.count("avoid-interference") > 0
+                                                   ? site::InterferenceMode::kAvoid
+                                                   : site::InterferenceMode::kOff};
     DispatcherRun run(load);
     DispatcherCost cost =
         run.Measure(core::Milliseconds(15000), std::chrono::seconds(given["seconds"].as<int>()));
--- a/test/measure/dispatcher_load.hpp
+++ b/test/measure/dispatcher_load.hpp
@@ -27,6 +27,7 @@
   double arrival_factor_{1.0};  ///< 1 keeps about 70% of the GPUs busy.
   std::uint64_t seed_{1};
   core::Milliseconds store_pause_{};  ///< The store answers nothing for this long, mid-run.
+  site::InterferenceMode interference_{site::InterferenceMode::kOff};
 };
 
 /** @brief Result of one measured run. */
