Search for broken rules with interference avoided in every other term

Cause: the randomised runs of the dispatcher had interference off only.

Change: every second term avoids interference, so leaders with and without it follow each other.

--- a/test/randomised/dispatch/world.cpp
+++ b/test/randomised/dispatch/world.cpp
@@ -267,7 +267,9 @@
       earlier_leases_end_, now_ + unconfirmed + dispatch::LongestLease(fake_workers_.bounds_));
   auto leader = std::make_shared<Leader>();
   leader->term_ = ++term_;
-  leader->dispatcher_ = std::make_unique<dispatch::Dispatcher>(fake_workers_.bounds_, term_);
+  leader->dispatcher_ = std::make_unique<dispatch::Dispatcher>(
+      fake_workers_.bounds_, term_,
+      term_ % 2 == 0 ? site::InterferenceMode::kAvoid : site::InterferenceMode::kOff);
   leader->dispatcher_->SetRules(rules_);
   for (const auto& [id, entry] : jobs_.entries_) {
     leader->dispatcher_->OnJob(id, &entry, now_);
