--- a/test/laburnumledge/dispatch/interference.cpp
+++ b/test/laburnumledge/dispatch/interference.cpp
@@ -236,7 +236,7 @@
 
 TEST_CASE("two kinds that halve each other's speed are found and kept apart") {
   // Load: 60%, two of ten kinds interfere. Guards against interference that is found too late, and
-  // against a pair that is known and placed together all the same.
+  // against a pair that is known and placed together all the same, or that never fades.
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CAPTURE(seed);
     World world({.slowdown_ = 2.0}, seed);
@@ -247,6 +247,9 @@
     world.RunFor(core::Milliseconds(60000));
     CHECK(world.pair_runs_ - met <= 0.05 * (world.runs_of_pair_ - runs));
     CHECK(world.dispatcher_.Counts().interference_avoided_ > 0);
+    InterferenceTable later = world.dispatcher_.Interference();
+    RefreshKnownPairs(later, world.now_ + std::chrono::minutes(10));
+    CHECK(later.known_pairs_ == 0);
   }
 }
 
