--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -112,6 +112,11 @@
         impossible_steps_(MakeGauge(registry, "laburnumledge_organisation_impossible_steps",
                                     "Queued steps that their organisation's quota can never "
                                     "hold.")),
+        interference_pairs_(MakeGauge(registry, "laburnumledge_interference_pairs",
+                                      "Pairs of kinds of work known to slow each other down.")),
+        interference_avoided_(
+            MakeCounter(registry, "laburnumledge_interference_avoided_total",
+                        "Placements in this term that avoided a worker because of a known pair.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
@@ -136,6 +141,8 @@
   Family<Gauge>& capacity_;
   Family<Gauge>& organisations_;
   Family<Gauge>& impossible_steps_;
+  Family<Gauge>& interference_pairs_;
+  Family<Counter>& interference_avoided_;
   Family<Gauge>& workers_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -212,6 +219,14 @@
       done(std::move(result));
     });
   };
+  observed.pace_ = [families, pace = workers.pace_](
+                       const platform::WorkerAddress& worker, platform::PaceCommand command,
+                       core::TimePoint deadline, const platform::CommandCallback& done) {
+    pace(worker, std::move(command), deadline, [families, done](platform::CommandResult result) {
+      families->CountWorkerCall("pace", result.outcome_);
+      done(std::move(result));
+    });
+  };
   observed.lease_ = [families, lease = workers.lease_](const platform::WorkerAddress& worker,
                                                        platform::LeaseCall call,
                                                        const platform::LeaseCallback& done) {
@@ -306,6 +321,11 @@
     families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
   }
   UpdateOrganisations(dispatcher);
+  if (dispatcher.Interference().mode_ != site::InterferenceMode::kOff) {
+    families_->interference_pairs_.Add({}).Set(
+        static_cast<double>(dispatcher.Interference().known_pairs_));
+    IncreaseTo(families_->interference_avoided_.Add({}), counts.interference_avoided_);
+  }
   for (const char* state : {"ready", "draining", "unreachable", "suspected", "unlisted"}) {
     families_->workers_.Add({{"state", state}}).Set(workers[state]);
   }
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -68,8 +68,11 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term)
-    : bounds_(bounds), first_fence_token_(term * kFencingTokensPerTerm) {}
+Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
+                       site::InterferenceMode interference)
+    : bounds_(bounds),
+      first_fence_token_(term * kFencingTokensPerTerm),
+      interference_{.mode_ = interference} {}
 
 Worker& Dispatcher::FindOrAddWorker(const std::string& id) {
   const auto [entry, added] = fleet_.workers_.try_emplace(id);
@@ -150,7 +153,8 @@
                     .gang_ = spec.gang_,
                     .crash_suspect_ = record.crashes_ > 0,
                     .incarnation_ = record.incarnation_,
-                    .gang_size_ = spec.gang_ ? spec.count_ : 1});
+                    .gang_size_ = spec.gang_ ? spec.count_ : 1,
+                    .pace_ = {.unknown_ = PacesRuns() && spec.uses_idle_cpus_}});
     ++task->outstanding_runs_;
     ++job->outstanding_runs_;
   } else if (record.outcome_ == ledger::TaskOutcome::kDone) {
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -194,11 +194,7 @@
   assigned.settled_at_ = now;
   assigned.started_ = now;
   assigned.expected_end_ = IsLongRunning(run) ? core::TimePoint{} : now + PredictDuration(run);
-  core::LogEvent(Level::kInfo, EventPriority::kLow, "task.started",
-                 {{"task", ledger::ToString(run.task_)},
-                  {"run", run.run_},
-                  {"worker", action.worker_.id_},
-                  {"resumed", !action.command_.checkpoint_.empty()}});
+  LogStarted(action, run, assigned, now);
   BeginProgressMeasurement(run, assigned, now);
   Job* job = FindJob(job_table_, run.task_.job_);
   if (job != nullptr && job->state_ == ledger::JobState::kQueued) {
@@ -265,8 +261,9 @@
   const std::uint64_t last_seen = answering ? AcknowledgeableResults(worker) : 0;
   const bool unacknowledged = worker.results_processed_ > last_seen;
   const bool responsive = worker.last_answer_ != core::TimePoint{} && worker.failed_calls_ == 0;
-  const core::Milliseconds wait =
-      responsive && !unacknowledged ? internal::kLeaseCallWait : core::Milliseconds{};
+  const core::Milliseconds wait = !responsive || unacknowledged ? core::Milliseconds{}
+                                  : IsPacing(worker.pacing_)    ? internal::kPacingLeaseCallWait
+                                                                : internal::kLeaseCallWait;
   worker.lease_in_flight_ = true;
   worker.lease_call_number_ = next_lease_call_++;
   worker.lease_sent_ = now;
@@ -360,6 +357,9 @@
     worker.expired_runs_.emplace(run, now + kExpiredRunRetention);
     MarkRunLost(worker, run, "its lease has passed", now);
   }
+  if (IsPacing(worker.pacing_)) {
+    SendPaces(worker, now);
+  }
   if (worker.listed_ && worker.entry_.draining_) {
     MoveRunsOffDrainingWorker(worker, now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -201,8 +201,10 @@
   UpdateUrgentHeadroom(urgent_headroom_,
                        UrgentDemand(job_table_, fleet_, organisations_, organisation_use),
                        time.now_);
+  RefreshKnownPairs(interference_, time.now_);
   const Plan plan = MakeFairPlan(time, organisation_use);
   capacity_use_ = plan.use_;
+  counts_.interference_avoided_ += plan.interference_avoided_;
   organisation_use_ = std::move(organisation_use);
   quota_waits_ = plan.quota_waits_;
   LogCapacityUse(time.now_);
@@ -246,7 +248,8 @@
          .gang_size_ = spec.gang_ ? spec.count_ : 1,
          .preemptions_ = task.preemptions_,
          .expected_end_ = spec.long_running_ ? core::TimePoint{} : now + PredictDuration(run),
-         .next_stop_ = core::TimePoint::max()});
+         .next_stop_ = core::TimePoint::max(),
+         .exposure_ = {.kind_ = KindOf(job, start.task_.step_, now)}});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
     batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -72,6 +72,7 @@
     CountJobRates(shares_, organisations_, job_table_, uncounted_);
   }
   uncounted_.clear();
+  const bool avoids = interference_.mode_ == site::InterferenceMode::kAvoid;
   const auto make = [&](bool by_share) {
     return MakePlan(job_table_, fleet_,
                     {.rules_ = rules_,
@@ -81,6 +82,7 @@
                      .organisation_use_ = organisation_use,
                      .shares_ = by_share ? &shares_ : nullptr,
                      .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
+                     .interference_ = avoids ? &interference_ : nullptr,
                      .time_ = time});
   };
   const bool by_share = weighted && ordered_by_share_;
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -6,6 +6,7 @@
 #include "laburnumledge/dispatch/capacity_use.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/interference.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/site/configuration.hpp"
 #include "laburnumledge/site/deployment.hpp"
@@ -28,7 +29,8 @@
   const Organisations* organisations_{};             ///< Null if no organisation has limits.
   std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
   const Shares* shares_{};  ///< Null if shares don't affect the order; needs organisations.
-  std::int64_t urgent_headroom_gpus_{};  ///< GPUs kept free for urgent jobs.
+  std::int64_t urgent_headroom_gpus_{};      ///< GPUs kept free for urgent jobs.
+  const InterferenceTable* interference_{};  ///< Null if interference is not avoided.
   PlanTime time_;
 };
 
@@ -66,8 +68,9 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<QuotaWait> quota_waits_;             ///< By organisation; empty without quotas.
-  bool lacks_capacity_{};  ///< A step within its quota did not fit beside what runs.
-  CapacityUse use_;        ///< Use of the fleet before the plan is carried out.
+  bool lacks_capacity_{};                 ///< A step within its quota did not fit beside what runs.
+  std::uint64_t interference_avoided_{};  ///< Groups placed elsewhere because of a known pair.
+  CapacityUse use_;                       ///< Use of the fleet before the plan is carried out.
 };
 
 /**
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -6,6 +6,7 @@
 
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/platform/json.hpp"
+#include "laburnumledge/platform/sharing.hpp"
 
 namespace laburnumledge::platform {
 
@@ -84,6 +85,7 @@
       .reclaim_time_ = Ms(object, "reclaim_ms"),
       .configuration_time_ = Ms(object, "config_apply_ms"),
       .command_interval_ = Ms(object, "lease_ms"),
+      .harm_time_ = Ms(object, "harm_ms"),
       .remote_penalty_ =
           std::max(kNoPenalty, Number(object, "remote_penalty").value_or(kNoPenalty)),
   };
@@ -219,6 +221,10 @@
   if (!store_address.has_value()) {
     return std::nullopt;
   }
+  const std::optional<site::InterferenceMode> interference = ParseInterferenceMode(*object);
+  if (!interference.has_value()) {
+    return std::nullopt;
+  }
   site::Deployment deployment{
       .node_ = *node,
       .zone_ = Text(*object, "zone").value_or(""),
@@ -236,6 +242,7 @@
                             Unsigned(*store, "max_call_bytes").value_or(0)),
                         .adaptive_appends_ = AdaptsAppends(*object, *store, *bounds)},
       .bounds_ = BoundsOf(*bounds),
+      .interference_ = *interference,
   };
   if (const Json* limits = Member(*object, "limits")) {
     deployment.max_connections_ =
--- a/src/laburnumledge/site/deployment.hpp
+++ b/src/laburnumledge/site/deployment.hpp
@@ -20,7 +20,8 @@
   core::Milliseconds reclaim_time_{};        ///< Maximum time until guaranteed work has started.
   core::Milliseconds configuration_time_{};  ///< Maximum time until a configuration is in force.
   core::Milliseconds command_interval_{};    ///< Minimum gap between leaders' commands to one VM.
-  double remote_penalty_{1.0};  ///< Slowdown factor of a task away from its data or its gang.
+  core::Milliseconds harm_time_{};  ///< Time above its target that a serving task stands; 0: none.
+  double remote_penalty_{1.0};      ///< Slowdown factor of a task away from its data or its gang.
 };
 
 /** @brief Limits of the platform's store. */
@@ -30,6 +31,13 @@
   bool adaptive_appends_{};  ///< Appends are batched and their timeouts follow the store's answers.
 };
 
+/** @brief What the scheduler does about tasks that slow each other down on one worker. */
+enum class InterferenceMode : unsigned char {
+  kOff,
+  kObserve,  ///< Learns and reports which kinds of work slow each other down.
+  kAvoid,    ///< Also places such kinds on different workers where there is room.
+};
+
 /** @brief Settings that the platform gives a node at its start. */
 struct Deployment {
   std::string node_;
@@ -45,6 +53,7 @@
   double cpu_share_{1.0};  ///< Fraction of a core that the VM may use.
   StoreLimits store_limits_;
   Bounds bounds_;
+  InterferenceMode interference_{InterferenceMode::kOff};
 };
 
 }  // namespace laburnumledge::site
