Explain where a job would go, by a dry run of the planner

Cause: an operator could not tell where a job would go and what keeps it waiting; the log shows the use of the fleet as a whole, and only of jobs that were submitted.

Change: Dispatcher::Explain plans once on a copy of the unfinished jobs and the workers to which the job was added, and returns a plain struct: per step the eligible workers, the others counted by the first reason that rules them out, the chosen workers, the place in the queue and estimated starts; the runs that would be preempted; quota, weight and dominant share of the organisation; the expected start and end. An observer that the plan calls before each step shows the planner's own state, so that the counts use its own predicates. Without an observer a plan is as before. Opening of ready steps is a free function now, since the copy needs it too.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 
 #include "laburnumledge/dispatch/actions.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
+#include "laburnumledge/dispatch/explanation.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
@@ -106,6 +107,20 @@
   /** @brief Returns the actions queued since the last call. */
   [[nodiscard]] Actions TakeActions();
 
+  /**
+   * @brief Dry run: where a job would go if it were accepted now, and why. Changes nothing.
+   *
+   * Costs a copy of the unfinished jobs and the workers, and one plan on the copy; the caller
+   * limits the rate.
+   *
+   * @param submission The job with its route, scheduling parameters and organisation; a schedule is
+   * ignored.
+   * @param time Time of the dry run.
+   * @return The explanation, or empty before Begin.
+   */
+  [[nodiscard]] std::optional<Explanation> Explain(const ledger::Submission& submission,
+                                                   PlanTime time) const;
+
   [[nodiscard]] const DispatchCounts& Counts() const noexcept { return counts_; }
   [[nodiscard]] const JobTable& Jobs() const noexcept { return job_table_; }
   /** @brief Use of the fleet as the latest plan found it. */
@@ -216,7 +231,6 @@
   [[nodiscard]] bool IsStoreAnswering(core::TimePoint now) const noexcept;
   [[nodiscard]] core::Clock::duration PlanPace() const noexcept;
   [[nodiscard]] core::TimePoint EarliestPlan() const noexcept;
-  void OpenReadySteps(PlanTime time);
   void RunPlan(PlanTime time);
   void LogCapacityUse(core::TimePoint now);
   void LogQuotas() const;
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -117,23 +117,6 @@
   return std::max(next, now);
 }
 
-void Dispatcher::OpenReadySteps(PlanTime time) {
-  for (auto& [id, job] : job_table_.jobs_) {
-    if (ledger::IsFinal(job.state_)) {
-      continue;
-    }
-    CreateDueOccurrences(job, time.wall_);
-    for (auto& [number, occurrence] : job.occurrences_) {
-      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-        StepState& step = occurrence.steps_[index];
-        if (step.ready_since_ == core::TimePoint{} && IsReady(job, occurrence, index)) {
-          step.ready_since_ = time.now_;
-        }
-      }
-    }
-  }
-}
-
 void Dispatcher::ReplaceReservations(const std::vector<PlannedReservations>& planned) {
   for (auto& [id, job] : job_table_.jobs_) {
     for (auto& [number, occurrence] : job.occurrences_) {
@@ -199,7 +182,7 @@
 }
 
 void Dispatcher::RunPlan(PlanTime time) {
-  OpenReadySteps(time);
+  OpenReadySteps(job_table_, time.now_, time.wall_);
   plan_due_ = false;
   ++counts_.plans_;
   std::vector<OrganisationUse> organisation_use = MeasureOrganisationUse(organisations_, fleet_);
@@ -237,6 +220,26 @@
   }
 }
 
+std::optional<Explanation> Dispatcher::Explain(const ledger::Submission& submission,
+                                               PlanTime time) const {
+  if (!begun_) {
+    return std::nullopt;
+  }
+  DispatchSnapshot snapshot{.jobs_ = {},
+                            .fleet_ = fleet_,
+                            .organisations_ = organisations_,
+                            .urgent_headroom_ = urgent_headroom_};
+  for (const auto& [id, job] : job_table_.jobs_) {
+    if (!ledger::IsFinal(job.state_)) {
+      snapshot.jobs_.jobs_.emplace(id, job);
+    }
+  }
+  Explanation explanation =
+      ExplainPlacement(std::move(snapshot), rules_, bounds_, durations_, submission, time);
+  explanation.planning_paused_ = !IsStoreAnswering(time.now_);
+  return explanation;
+}
+
 void Dispatcher::StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
                            core::TimePoint /*now*/) {
   std::uint64_t run_number = 0;
--- a/src/laburnumledge/dispatch/job_table.cpp
+++ b/src/laburnumledge/dispatch/job_table.cpp
@@ -58,6 +58,23 @@
   }
 }
 
+void OpenReadySteps(JobTable& table, core::TimePoint now, ledger::WallTime wall) {
+  for (auto& [id, job] : table.jobs_) {
+    if (ledger::IsFinal(job.state_)) {
+      continue;
+    }
+    CreateDueOccurrences(job, wall);
+    for (auto& [number, occurrence] : job.occurrences_) {
+      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+        StepState& step = occurrence.steps_[index];
+        if (step.ready_since_ == core::TimePoint{} && IsReady(job, occurrence, index)) {
+          step.ready_since_ = now;
+        }
+      }
+    }
+  }
+}
+
 Occurrence* FindOrCreateOccurrence(Job& job, std::uint32_t number) {
   if (number >= OccurrenceCount(*job.submission_)) {
     return nullptr;
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -93,6 +93,12 @@
 /** @brief Creates the occurrences that are due and not created yet, up to a bound per job. */
 void CreateDueOccurrences(Job& job, ledger::WallTime now);
 
+/** @brief Creates the due occurrences of all unfinished jobs and notes which steps have become
+ * ready.
+ * @param table Jobs.
+ * @param now, wall Time of the call on the steady clock and on the wall clock. */
+void OpenReadySteps(JobTable& table, core::TimePoint now, ledger::WallTime wall);
+
 /**
  * @brief Returns an occurrence by its number; creates it and all earlier ones if necessary.
  * @return Null if the job has no occurrence of this number.
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -304,6 +304,9 @@
                                  internal::ApplyReservations(planner, step));
   }
   for (std::size_t index = 0; index < steps.size(); ++index) {
+    if (planner.context_.before_step_) {
+      planner.context_.before_step_(planner, steps[index]);
+    }
     PlanStep(planner, steps[index], holds_reservations[index]);
   }
 }
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,15 @@
 
 namespace laburnumledge::dispatch {
 
+namespace internal {
+
+struct Planner;
+
+}  // namespace internal
+
+/** @brief Observes a plan: is called with its state just before each step is planned. */
+using PlanObserver = std::function<void(const internal::Planner&, const internal::ReadyStep&)>;
+
 /** @brief Time of a plan on the steady clock and on the wall clock. */
 struct PlanTime {
   core::TimePoint now_{};
@@ -27,6 +37,7 @@
   std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
   std::int64_t urgent_headroom_gpus_{};              ///< GPUs kept free for urgent jobs.
   PlanTime time_;
+  PlanObserver before_step_{};  ///< Empty except for dry runs.
 };
 
 /** @brief Task and the worker on which it is to start. */
@@ -57,7 +68,7 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<std::int64_t> quota_waiting_gpus_;   ///< Waited for because of a quota, by
-                                                  ///< organisation; empty without quotas.
+                                                   ///< organisation; empty without quotas.
   CapacityUse use_;  ///< Use of the fleet before the plan is carried out.
 };
 
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -84,11 +84,6 @@
   steps.push_back(std::move(step));
 }
 
-bool HasLabel(const Worker& worker, const std::string& label) noexcept {
-  return label.empty() || std::find(worker.entry_.labels_.begin(), worker.entry_.labels_.end(),
-                                    label) != worker.entry_.labels_.end();
-}
-
 /** Number of runs on a worker that belong to tasks of the same step and occurrence. */
 std::uint32_t CountStepTasks(const Worker& worker, const ReadyStep& step) noexcept {
   return static_cast<std::uint32_t>(std::count_if(
@@ -195,6 +190,11 @@
   return planner.mostly_idle_ && planner.context_.time_.now_ >= step.ready_since_ + kMaxIdleWait;
 }
 
+bool HasLabel(const Worker& worker, const std::string& label) noexcept {
+  return label.empty() || std::find(worker.entry_.labels_.begin(), worker.entry_.labels_.end(),
+                                    label) != worker.entry_.labels_.end();
+}
+
 bool CanHost(const Planner& planner, const CandidateWorker& candidate,
              const ReadyStep& step) noexcept {
   const bool avoids_failed = step.avoids_failed_workers_ &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -85,6 +85,9 @@
 /** @brief Whether a step has waited as long as is allowed while most resources are idle. */
 [[nodiscard]] bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept;
 
+/** @brief Whether a worker has a label; every worker has the empty one. */
+[[nodiscard]] bool HasLabel(const Worker& worker, const std::string& label) noexcept;
+
 /** @brief Whether a worker may run a step's tasks, regardless of the resources in use there. */
 [[nodiscard]] bool CanHost(const Planner& planner, const CandidateWorker& candidate,
                            const ReadyStep& step) noexcept;
--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -25,6 +25,7 @@
 constexpr core::Milliseconds kAnswerTime{2};
 constexpr core::Milliseconds kStoreTime{6};
 constexpr core::Milliseconds kHeartbeatInterval{1500};
+constexpr core::Milliseconds kDryRunInterval{1000};  ///< The most that a leader answers.
 constexpr core::Clock::duration kOneTick{1};
 constexpr int kWorkersPerRack = 12;
 constexpr int kZones = 6;
@@ -104,6 +105,7 @@
 DispatcherRun::DispatcherRun(const DispatcherLoad& load)
     : load_(load),
       random_(core::MakeRandom(load.seed_, "dispatcher")),
+      dry_run_random_(core::MakeRandom(load.seed_, "dry run")),
       now_(fixture::kNow),
       begin_(fixture::kNow),
       dispatcher_(fixture::MakeBounds(), 1) {
@@ -299,6 +301,13 @@
       measuring_ = true;
       store_back_ = load_.store_pause_.count() > 0 ? now_ + load_.store_pause_ : core::TimePoint{};
     }
+    if (now_ >= next_dry_run_) {
+      next_dry_run_ = now_ + kDryRunInterval;
+      const ledger::JobEntry entry = MakeEntry(kKinds[0], 0, dry_run_random_, now_);
+      Timed("dry run", [&] {
+        (void)dispatcher_.Explain(*entry.submission_, {.now_ = now_, .wall_ = WallAt(now_)});
+      });
+    }
     auto event = events_.extract(events_.begin());
     event.mapped()();
     if (measuring_) {
--- a/test/measure/dispatcher_load.hpp
+++ b/test/measure/dispatcher_load.hpp
@@ -79,6 +79,7 @@
 
   DispatcherLoad load_;
   core::Random random_;
+  core::Random dry_run_random_;  ///< Of its own, so that dry runs leave the load as it is.
   core::TimePoint now_;
   core::TimePoint begin_;
   core::TimePoint store_back_{};
@@ -87,6 +88,7 @@
   std::map<std::string, ModelWorker> workers_;
   std::multimap<core::TimePoint, std::function<void()>> events_;
   core::TimePoint next_run_{};
+  core::TimePoint next_dry_run_{};
   int next_job_{1};
   bool measuring_{};
   DispatcherCost cost_;
