Answer through any node where a job would go: job where FILE

Cause: the explanation of a placement was of no use while operators could not ask for it.

The leader answers, once per second (429 with the wait beyond that); any other node passes the request on once, to the address that the leader has published; without a leader, or if it does not answer, the answer is 503 with that reason.

--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -7,6 +7,7 @@
 #include "laburnumledge/control/leadership.hpp"
 #include "laburnumledge/control/metrics.hpp"
 #include "laburnumledge/control/term.hpp"
+#include "laburnumledge/control/where.hpp"
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/random.hpp"
 #include "laburnumledge/core/reason.hpp"
@@ -86,6 +87,7 @@
   core::TimePoint latest_stop_{};
   bool draining_{};
   bool was_ready_{};
+  WhereState where_;
 
   Implementation(loop::Loop& loop, site::Deployment deployment);
 
@@ -93,6 +95,8 @@
   void ApplyJobRecords(const std::vector<platform::StoredRecord>& records, bool reloaded);
   void RecordJobState(const ledger::JobId& id);
   [[nodiscard]] http::Reply MetricsReply();
+  [[nodiscard]] KnownLeader FindLeader() const;
+  void AnswerWhere(const http::Request& request, const http::Respond& respond);
   void ApplyTermRecords(const std::vector<platform::StoredRecord>& records);
   void StepTerm();
   void AppendTerm(const ledger::Term& term);
@@ -231,6 +235,37 @@
           .body_ = metrics_.Text()};
 }
 
+KnownLeader Node::Implementation::FindLeader() const {
+  const std::string name = CurrentLeader(term_, loop_.Now());
+  return {.name_ = name, .is_self_ = leadership_ != nullptr, .address_ = peers_.FindAddress(name)};
+}
+
+void Node::Implementation::AnswerWhere(const http::Request& request, const http::Respond& respond) {
+  const auto explain =
+      [this](const ledger::Submission& submission) -> std::optional<dispatch::Explanation> {
+    const dispatch::Dispatcher* dispatcher =
+        leadership_ == nullptr ? nullptr : leadership_->ActiveDispatcher();
+    if (dispatcher == nullptr) {
+      return std::nullopt;
+    }
+    return dispatcher->Explain(submission,
+                               {.now_ = loop_.Now(),
+                                .wall_ = std::chrono::time_point_cast<core::Milliseconds>(
+                                    std::chrono::system_clock::now())});
+  };
+  HandleWhere(where_,
+              {.node_ = deployment_.node_,
+               .rules_ = rules_,
+               .now_ = [] { return core::Clock::now(); },
+               .leader_ = [this] { return FindLeader(); },
+               .explain_ = explain,
+               .send_ =
+                   [this](http::Call call, http::Received received) {
+                     client_.Send(std::move(call), std::move(received));
+                   }},
+              request, respond);
+}
+
 void Node::Implementation::ApplyTermRecords(const std::vector<platform::StoredRecord>& records) {
   for (const platform::StoredRecord& record : records) {
     const std::optional<ledger::Term> term = record.record_.value_.has_value()
@@ -431,6 +466,8 @@
                             [&self, handle](http::Request request, http::Respond respond) {
                               if (request.path_ == kMetricsPath) {
                                 respond(self.MetricsReply());
+                              } else if (IsWhereRequest(request)) {
+                                self.AnswerWhere(request, respond);
                               } else {
                                 handle(std::move(request), std::move(respond));
                               }
--- a/src/laburnumledge/control/term.cpp
+++ b/src/laburnumledge/control/term.cpp
@@ -120,4 +120,13 @@
   return MakeTerm(state, state.newest_->number_, now);
 }
 
+std::string CurrentLeader(const TermState& state, core::TimePoint now) {
+  const bool abandoned =
+      state.newest_.has_value() && !state.is_leader_ && state.newest_->leader_ == state.node_;
+  const bool silent = now >= state.last_record_at_ + kLeaderTimeout;
+  return !state.newest_.has_value() || state.newest_->released_ || abandoned || silent
+             ? std::string()
+             : state.newest_->leader_;
+}
+
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -102,6 +102,10 @@
 /** @brief Makes a heartbeat for the newest term. Precondition: a term has been read. */
 [[nodiscard]] ledger::Term MakeHeartbeat(const TermState& state, core::TimePoint now);
 
+/** @brief Name of the node that leads, as far as this node has read; empty if the newest term was
+ * released or abandoned, or if its holder has been silent for kLeaderTimeout. */
+[[nodiscard]] std::string CurrentLeader(const TermState& state, core::TimePoint now);
+
 /** @brief Whether a term is held by this incarnation of this node. */
 [[nodiscard]] bool IsOwnTerm(const TermState& state, const ledger::Term& term) noexcept;
 
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -216,6 +216,12 @@
   implementation_->ForwardToPeer(call, deadline, kMaxPeersTried, false, done);
 }
 
+std::optional<config::Address> Peers::FindAddress(const std::string& node) const {
+  const auto found = implementation_->peers_.find(node);
+  return found == implementation_->peers_.end() ? std::nullopt
+                                                : std::optional(found->second.address_);
+}
+
 bool Peers::IsForwarded(const http::Request& request) noexcept {
   return http::Find(request.headers_, kForwardedHeader).has_value();
 }
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -60,6 +60,9 @@
   void Forward(const http::Request& request, std::uint64_t version, core::TimePoint deadline,
                const ForwardCallback& done);
 
+  /** @brief Address of another node; empty if it has published none or has withdrawn it. */
+  [[nodiscard]] std::optional<config::Address> FindAddress(const std::string& node) const;
+
   /** @brief Whether a request was forwarded by another node. */
   [[nodiscard]] static bool IsForwarded(const http::Request& request) noexcept;
 
--- a/src/laburnumledge/operators/command_line.cpp
+++ b/src/laburnumledge/operators/command_line.cpp
@@ -24,7 +24,7 @@
     {"publish", "put a configuration in force", &RunPublish},
     {"zone", "take availability zones out and back", &RunZone},
     {"status", "show what a node knows", &RunStatus},
-    {"job", "submit, show, wait for, cancel and list jobs", &RunJob},
+    {"job", "submit, show, wait for, cancel and list jobs; show where one would go", &RunJob},
     {"request", "send one request to a service", &RunRequest},
     {"explain", "reconstruct the history of a job from logs", &RunExplain},
 }};
--- a/src/laburnumledge/operators/commands.hpp
+++ b/src/laburnumledge/operators/commands.hpp
@@ -22,7 +22,7 @@
 /** @brief `status`: shows a node's view of the system. */
 [[nodiscard]] ExitCode RunStatus(const Arguments& arguments);
 
-/** @brief `job submit|show|wait|cancel|list`: submits and manages jobs. */
+/** @brief `job submit|show|wait|cancel|list|where`: submits and manages jobs. */
 [[nodiscard]] ExitCode RunJob(const Arguments& arguments);
 
 /** @brief `request SERVICE/PATH`: sends one request to an instance of a service. */
--- a/src/laburnumledge/operators/job.cpp
+++ b/src/laburnumledge/operators/job.cpp
@@ -7,6 +7,7 @@
 
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/operators/commands.hpp"
+#include "laburnumledge/operators/job_where.hpp"
 #include "laburnumledge/operators/node_client.hpp"
 #include "laburnumledge/operators/options.hpp"
 
@@ -16,15 +17,18 @@
 
 constexpr CommandHelp kHelp = {
     .name_ = "job",
-    .positional_ = "submit ID FILE, show ID, wait ID, cancel ID, or list",
-    .summary_ = "Submits a job, shows one, waits for its completion, cancels it, or lists jobs.",
+    .positional_ = "submit ID FILE, show ID, wait ID, cancel ID, list, or where FILE",
+    .summary_ =
+        "Submits a job, shows one, waits for its completion, cancels it, or lists jobs.\n"
+        "On the platform, `where` asks the leader where a job would go now, without submitting it.",
     .examples_ =
         "  laburnumledge job submit survey-1 survey.json --wait\n"
         "  echo '{\"organisation\":\"stofn\",\"tasks\":4,\"accelerators\":8}' |\n"
         "    laburnumledge job submit survey-2 -\n"
         "  laburnumledge job wait survey-1 --timeout 600\n"
         "  laburnumledge job list --organisation stofn --limit 20\n"
-        "  laburnumledge job cancel survey-1\n",
+        "  laburnumledge job cancel survey-1\n"
+        "  laburnumledge job where survey.json --route survey --organisation stofn\n",
     .min_arguments_ = 1,
     .max_arguments_ = 3,
 };
@@ -191,8 +195,10 @@
   options.add_options()("wait", "submit: wait for the job's completion");
   options.add_options()("timeout", "Longest time to wait",
                         cxxopts::value<std::uint32_t>()->default_value("86400"), "SECONDS");
-  options.add_options()("organisation", "list: only jobs of this organisation",
+  options.add_options()("organisation",
+                        "list: only jobs of this organisation; where: organisation of the job",
                         cxxopts::value<std::string>(), "NAME");
+  options.add_options()("route", "where: route of the job", cxxopts::value<std::string>(), "NAME");
   options.add_options()("limit", "list: maximum number of jobs shown",
                         cxxopts::value<std::uint32_t>()->default_value("100"), "COUNT");
   options.add_options()("json", "Print the node's answer as it is");
@@ -210,9 +216,10 @@
   }
   const std::string& action = parsed.positional_.front();
   const std::size_t count = parsed.positional_.size();
+  const bool where = action == "where" && count == 2;
   const bool one = count == 2 && (action == "show" || action == "wait" || action == "cancel");
   const bool other = (action == "submit" && count == 3) || (action == "list" && count == 1);
-  if (!one && !other) {
+  if (!one && !other && !where) {
     fmt::print(stderr, "laburnumledge job: expected {}\n", kHelp.positional_);
     return ExitCode::kUsage;
   }
@@ -221,6 +228,13 @@
     return ExitCode::kUsage;
   }
   const JobCommand command{*node, *parsed.values_, parsed.positional_};
+  if (where) {
+    return ShowPlacement({.node_ = *node,
+                          .file_ = parsed.positional_[1],
+                          .route_ = TextOption(*parsed.values_, "route"),
+                          .organisation_ = TextOption(*parsed.values_, "organisation"),
+                          .json_ = parsed.values_->count("json") > 0});
+  }
   if (action == "submit") {
     return SubmitJob(command);
   }
--- a/test/laburnumledge/control/term.cpp
+++ b/test/laburnumledge/control/term.cpp
@@ -171,4 +171,22 @@
   CHECK(NextTermStep(state, now + kLeaderTimeout) == TermStep::kClaim);
 }
 
+TEST_CASE("a node names no leader that has released its term or fallen silent") {
+  // Guards against operators' questions that are passed on to a node that no longer leads.
+  TermState state = MakeTermState();
+  CHECK(CurrentLeader(state, kNow).empty());
+  OnTermRead(state, OtherTerm(), 5, kNow);
+  CHECK(CurrentLeader(state, kNow + kLeaderTimeout - core::Milliseconds(1)) == "node-2");
+  CHECK(CurrentLeader(state, kNow + kLeaderTimeout).empty());
+  ledger::Term released = OtherTerm();
+  released.released_ = true;
+  OnTermRead(state, released, 6, kNow);
+  CHECK(CurrentLeader(state, kNow).empty());
+  state = MakeTermState();
+  OnTermRead(state, OwnTerm(), 5, kNow);
+  CHECK(CurrentLeader(state, kNow) == "node-1");
+  AbandonTerm(state);
+  CHECK(CurrentLeader(state, kNow).empty());
+}
+
 }  // namespace laburnumledge::control
