--- a/src/laburnumledge/operators/job_where.cpp
+++ b/src/laburnumledge/operators/job_where.cpp
@@ -38,6 +38,17 @@
   return texts.empty() ? "none" : joined;
 }
 
+/** A time from now on as the answer gives it. */
+std::string TimeText(const Json& value, const char* key) {
+  const std::string text = MemberText(value, key);
+  return text == "-" ? "not known" : fmt::format("in {} ms", text);
+}
+
+std::string LimitText(const Json& limit, const char* key) {
+  const std::string text = MemberText(limit, key);
+  return text == "-" ? "unlimited" : text;
+}
+
 std::string RuledOutText(const Json& step) {
   std::vector<std::string> counts;
   const Json ruled_out = ObjectOf(step, "ruled_out");
@@ -73,8 +84,8 @@
   text += fmt::format("  chosen       {}\n", ChosenText(step));
   text += fmt::format("  queue        place {}; {} steps ahead keep waiting\n",
                       MemberText(step, "queue_place"), MemberText(step, "waiting_ahead"));
-  text += fmt::format("  start        first task in {} ms, last task in {} ms\n",
-                      MemberText(step, "first_start_in_ms"), MemberText(step, "last_start_in_ms"));
+  text += fmt::format("  start        first task {}, last task {}\n",
+                      TimeText(step, "first_start_in_ms"), TimeText(step, "last_start_in_ms"));
   return text;
 }
 
@@ -84,10 +95,10 @@
   return fmt::format(
       "organisation   {}: {} of {} GPUs, {} of {} millicores, {} of {} MB; weight {}, "
       "dominant share {:.3f}\n",
-      MemberText(organisation, "name"), MemberText(used, "gpus"), MemberText(limit, "gpus"),
-      MemberText(used, "cpu_millis"), MemberText(limit, "cpu_millis"),
-      MemberText(used, "memory_mb"), MemberText(limit, "memory_mb"),
-      MemberText(organisation, "weight"), organisation.value("dominant_share", 0.0));
+      MemberText(organisation, "name"), MemberText(used, "gpus"), LimitText(limit, "gpus"),
+      MemberText(used, "cpu_millis"), LimitText(limit, "cpu_millis"), MemberText(used, "memory_mb"),
+      LimitText(limit, "memory_mb"), MemberText(organisation, "weight"),
+      organisation.value("dominant_share", 0.0));
 }
 
 }  // namespace
@@ -97,9 +108,8 @@
       "prospect       {} (priority {}, configuration {}){}\n", MemberText(answer, "prospect"),
       MemberText(answer, "priority"), MemberText(answer, "configuration_version"),
       answer.value("planning_paused", false) ? "; nothing starts until the store answers" : "");
-  text += fmt::format("expected       start in {} ms, end in {} ms\n",
-                      MemberText(answer, "expected_start_in_ms"),
-                      MemberText(answer, "expected_end_in_ms"));
+  text += fmt::format("expected       start {}, end {}\n", TimeText(answer, "expected_start_in_ms"),
+                      TimeText(answer, "expected_end_in_ms"));
   text += QuotaText(ObjectOf(answer, "organisation"));
   const Json steps = ListOf(answer, "steps");
   for (std::size_t index = 0; index < steps.size(); ++index) {
--- a/test/laburnumledge/operators/command_line.cpp
+++ b/test/laburnumledge/operators/command_line.cpp
@@ -45,6 +45,8 @@
   CHECK(Run({"publish", "file", "--replaces", "-1", "--node", "127.0.0.1:1"}) == kUsage);
   CHECK(Run({"zone", "sideways", "a", "--node", "127.0.0.1:1"}) == kUsage);
   CHECK(Run({"job", "submit", "only-id", "--node", "127.0.0.1:1"}) == kUsage);
+  CHECK(Run({"job", "where", "--node", "127.0.0.1:1"}) == kUsage);
+  CHECK(Run({"job", "where", "/dev/null", "--node", "127.0.0.1:1"}) == kUsage);
   CHECK(Run({"request", "s/p", "--node", "127.0.0.1:1"}) == kUsage);
 }
 
@@ -52,6 +54,7 @@
   CHECK(Run({"check", "/nonexistent"}) == kBadInput);
   CHECK(Run({"serve", "/nonexistent"}) == kBadInput);
   CHECK(Run({"job", "submit", "a b", "/dev/null", "--node", "127.0.0.1:1"}) == kBadInput);
+  CHECK(Run({"job", "where", "/dev/null", "--route", "r", "--node", "127.0.0.1:1"}) == kBadInput);
 }
 
 TEST_CASE("A node that refuses the connection makes a command exit with kUnreachable") {
