Bound the cost of reading a dry run's plan, and name preemption per step

Cause: the chosen workers were collected by a linear search for each task, up to 4,096 tasks times 4,500 workers; and a step that waits counted as preempting if another step of the job preempts.

Change: the chosen workers are collected in a map. A step counts as preempting if it has reservations or, while it waits for its quota, if runs of its own organisation are preempted for the job.

--- a/src/laburnumledge/dispatch/explanation.cpp
+++ b/src/laburnumledge/dispatch/explanation.cpp
@@ -125,38 +125,30 @@
                         .within_quota_ = internal::CountTasksWithinQuota(planner, step)});
 }
 
-void AddChosen(StepExplanation& step, const std::string& worker, std::uint32_t tasks,
-               bool after_stops) {
-  const auto found =
-      std::find_if(step.chosen_.begin(), step.chosen_.end(), [&](const ChosenWorker& chosen) {
-        return chosen.worker_ == worker && chosen.after_stops_ == after_stops;
-      });
-  if (found != step.chosen_.end()) {
-    found->tasks_ += tasks;
-  } else {
-    step.chosen_.push_back({.worker_ = worker, .tasks_ = tasks, .after_stops_ = after_stops});
-  }
-}
-
 /** Takes over what the finished plan does for the job. */
 void ReadPlan(const Plan& plan, Explanation& explanation) {
+  // Tasks by step, whether they wait for preempted runs, and worker.
+  std::map<std::tuple<std::uint32_t, bool, std::string>, std::uint32_t> chosen;
   for (const PlannedGroup& group : plan.starts_) {
     for (const PlannedStart& start : group) {
       if (start.task_.job_ == kDryRunJob) {
-        StepExplanation& step = explanation.steps_[start.task_.step_];
-        ++step.starting_;
-        AddChosen(step, start.worker_->entry_.id_, 1, false);
+        ++explanation.steps_[start.task_.step_].starting_;
+        ++chosen[{start.task_.step_, false, start.worker_->entry_.id_}];
       }
     }
   }
   for (const PlannedReservations& reservations : plan.reservations_) {
     for (const Reservation& reservation : reservations.reservations_) {
       if (reservations.step_.job_ == kDryRunJob) {
-        AddChosen(explanation.steps_[reservations.step_.step_], reservation.worker_,
-                  reservation.tasks_, true);
+        chosen[{reservations.step_.step_, true, reservation.worker_}] += reservation.tasks_;
       }
     }
   }
+  for (const auto& [key, tasks] : chosen) {
+    const auto& [step, after_stops, worker] = key;
+    explanation.steps_[step].chosen_.push_back(
+        {.worker_ = worker, .tasks_ = tasks, .after_stops_ = after_stops});
+  }
   for (const PlannedPreemption& preemption : plan.preemptions_) {
     if (preemption.preempting_job_ == kDryRunJob) {
       explanation.preempted_.push_back(
@@ -173,16 +165,18 @@
   for (const ChosenWorker& chosen : step.chosen_) {
     reserved += chosen.after_stops_ ? chosen.tasks_ : 0;
   }
+  // A step that waits for its quota preempts runs of its own organisation and reserves nothing.
+  const bool waits_for_quota = run.waits_for_quota_.contains(index);
+  const bool preempts = reserved > 0 || (waits_for_quota && !run.explanation_.preempted_.empty());
   const ledger::WallTime stopped = context.time_.wall_ + context.bounds_.stop_grace_;
   if (step.starting_ > 0) {
     step.prospect_ = Prospect::kStarts;
     step.first_start_ = context.time_.wall_;
-  } else if (reserved > 0 || !run.explanation_.preempted_.empty()) {
+  } else if (preempts) {
     step.prospect_ = Prospect::kPreempts;
     step.first_start_ = stopped;
   } else {
-    step.prospect_ = run.waits_for_quota_.contains(index) ? Prospect::kWaitsForQuota
-                                                          : Prospect::kWaitsForResources;
+    step.prospect_ = waits_for_quota ? Prospect::kWaitsForQuota : Prospect::kWaitsForResources;
   }
   if (step.starting_ == step.tasks_) {
     step.last_start_ = context.time_.wall_;
--- a/test/laburnumledge/dispatch/explanation.cpp
+++ b/test/laburnumledge/dispatch/explanation.cpp
@@ -180,6 +180,12 @@
   CHECK(*waits.expected_start_ <= kWall + core::Milliseconds(6100));
   CHECK(*waits.expected_end_ - *waits.expected_start_ == core::Milliseconds(5000));
   CHECK(harness.Explain({MakeGang(3, 4)}, 1, now).prospect_ == Prospect::kNever);
+  // Guaranteed urgent work makes room in the quota by preempting runs of its own organisation.
+  harness.rules_.configuration_.organisations_.front().guaranteed_gpus_ = 8;
+  harness.dispatcher_.SetRules(harness.rules_);
+  const Explanation urgent = harness.Explain({MakeStep(1, 4)}, 0, now);
+  CHECK(urgent.prospect_ == Prospect::kPreempts);
+  CHECK(urgent.preempted_.size() == 1);
 }
 
 TEST_CASE("a job that no worker can ever run is told why, whichever step it is") {
