--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -343,6 +343,9 @@
 }
 
 void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
+  if (planner.context_.before_step_) {
+    planner.context_.before_step_(planner, step);
+  }
   if (holds_reservations) {
     internal::ReleaseReservations(planner, step);
   }
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,15 @@
 
 struct Shares;
 
+namespace internal {
+
+struct Planner;
+
+}  // namespace internal
+
+/** @brief Observes a plan: is called with its state just before each step is planned. */
+using PlanObserver = std::function<void(const internal::Planner&, const internal::ReadyStep&)>;
+
 /** @brief Time of a plan on the steady clock and on the wall clock. */
 struct PlanTime {
   core::TimePoint now_{};
@@ -32,6 +42,7 @@
   std::int64_t urgent_headroom_gpus_{};      ///< GPUs kept free for urgent jobs.
   const InterferenceTable* interference_{};  ///< Null if interference is not avoided.
   PlanTime time_;
+  PlanObserver before_step_{};  ///< Empty except for dry runs.
 };
 
 /** @brief Task and the worker on which it is to start. */
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -286,6 +286,12 @@
   return collector == self ? std::nullopt : std::optional(std::move(collector));
 }
 
+std::optional<config::Address> Peers::FindAddress(const std::string& node) const {
+  const auto found = implementation_->peers_.find(node);
+  return found == implementation_->peers_.end() ? std::nullopt
+                                                : std::optional(found->second.address_);
+}
+
 bool Peers::IsForwarded(const http::Request& request) noexcept {
   return http::Find(request.headers_, kForwardedHeader).has_value();
 }
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -82,6 +82,9 @@
    * that is this node. */
   [[nodiscard]] std::optional<std::string> Collector() const;
 
+  /** @brief Address of another node; empty if it has published none or has withdrawn it. */
+  [[nodiscard]] std::optional<config::Address> FindAddress(const std::string& node) const;
+
   /** @brief Whether a request was forwarded by another node. */
   [[nodiscard]] static bool IsForwarded(const http::Request& request) noexcept;
 
