Mend what reviews of shares, the dry run and pacing found

Cause: reviews showed that a quota let a step take all of its room in one turn whatever the weights; urgent work without GPUs counted as guaranteed without a guarantee; the dry run counted a step once for each part that shares make of it and showed no use without quotas; filling tasks whose serving neighbour runs near its target stayed slow for ever, failed pace commands raised a fencing token at each retry, a leader with another setting never gave the full pace back, and table entries of kinds that still run could be given to other kinds.

Change: a turn takes at most what the quota leaves; the guarantee must exist; the observer sees each step once and whole; use is summed for the answer; a dry run takes at most a tenth of the leader's time. Pace rises after the longest interval also near the target; failed pace commands back off and raise the token once a pass, and only after a command without an answer; inherited slow runs get their pace back where pacing is off; kinds of listed runs keep their entry.

--- a/src/laburnumledge/control/where.cpp
+++ b/src/laburnumledge/control/where.cpp
@@ -82,7 +82,8 @@
                    kWhereInterval);
   }
   const core::TimePoint done = context.now_();
-  state.next_allowed_ = done + kWhereInterval;
+  // A dry run takes at most a tenth of the leader's time, however large the fleet is.
+  state.next_allowed_ = done + std::max<core::Clock::duration>(kWhereInterval, 9 * (done - now));
   core::LogEvent(core::Level::kInfo, core::EventPriority::kLow, "job.dry_run",
                  {{"route", submission->route_},
                   {"organisation", submission->organisation_},
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -154,7 +154,7 @@
                     .crash_suspect_ = record.crashes_ > 0,
                     .incarnation_ = record.incarnation_,
                     .gang_size_ = spec.gang_ ? spec.count_ : 1,
-                    .pace_ = {.unknown_ = PacesRuns() && spec.uses_idle_cpus_}});
+                    .pace_ = {.unknown_ = bounds_.harm_time_.count() > 0 && spec.uses_idle_cpus_}});
     ++task->outstanding_runs_;
     ++job->outstanding_runs_;
   } else if (record.outcome_ == ledger::TaskOutcome::kDone) {
--- a/src/laburnumledge/dispatch/dispatcher_interference.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_interference.cpp
@@ -61,6 +61,10 @@
       continue;
     }
     AssignedRun& assigned = found->second;
+    if (assigned.exposure_.kind_ != kNoKind) {
+      // The entry of a kind that still runs must not be given to another kind.
+      interference_.kinds_[assigned.exposure_.kind_].seen_at_ = now;
+    }
     const Job* job = FindJob(job_table_, run.task_.job_);
     if (job == nullptr || assigned.phase_ != RunPhase::kRunning || worker.health_.slow_ ||
         IsPaced(assigned.pace_)) {
--- a/src/laburnumledge/dispatch/dispatcher_pacing.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_pacing.cpp
@@ -11,6 +11,10 @@
 using core::Level;
 using platform::CommandOutcome;
 
+/** Doublings of the interval at which a pace command that fails is sent again: at most 9.6 s, so
+ * that raised fencing tokens do not use up those of a term. */
+constexpr std::uint32_t kMaxRetryDoublings = 5;
+
 /** Step of a run, or null if its job is not known. */
 const ledger::Step* FindSpec(const JobTable& table, const RunId& run) {
   const auto job = table.jobs_.find(run.task_.job_);
@@ -35,7 +39,7 @@
 /** Updates the pace of a worker's filling tasks from its list. */
 void Dispatcher::PaceRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
                           core::TimePoint now) {
-  if (!PacesRuns()) {
+  if (bounds_.harm_time_.count() == 0) {
     return;
   }
   PacingInput input;
@@ -55,7 +59,8 @@
       input.inherited_ = input.inherited_ || found->second.pace_.unknown_;
     }
   }
-  if (!input.serving_ || !input.fills_) {
+  // Where pacing is off, runs that an earlier leader may have slowed get their full pace back.
+  if (!input.serving_ || !input.fills_ || !PacesRuns()) {
     worker.pacing_ = {};
   } else {
     if (input.inherited_ && worker.pacing_.held_at_ == core::TimePoint{}) {
@@ -70,17 +75,20 @@
 
 /** Sends the worker's pace to its filling tasks that have not confirmed it. */
 void Dispatcher::SendPaces(Worker& worker, core::TimePoint now) {
+  bool token_raised = false;
   for (auto& [run, assigned] : worker.assigned_runs_) {
     const ledger::Step* spec = FindSpec(job_table_, run);
     if (assigned.phase_ != RunPhase::kRunning || spec == nullptr || !spec->uses_idle_cpus_ ||
         !NeedsPaceCommand(assigned.pace_, worker.pacing_, now)) {
       continue;
     }
-    if (assigned.pace_.unknown_) {
+    if (assigned.pace_.unknown_ && assigned.pace_.failures_ > 0 && !token_raised) {
       // An unanswered command may still arrive; the higher fencing token makes the worker reject
-      // it.
+      // it. Commands of an earlier leader are rejected by the token of this term.
       IncrementFencingToken(worker);
+      token_raised = true;
     }
+    assigned.pace_.was_unknown_ = assigned.pace_.unknown_;
     assigned.pace_.unknown_ = true;
     assigned.pace_.in_flight_ = true;
     ++counts_.paces_;
@@ -121,9 +129,15 @@
   if (result.outcome_ == CommandOutcome::kDone) {
     pace.percent_ = action.command_.percent_;
     pace.unknown_ = false;
-  } else {
-    pace.next_command_ = now + internal::kStopRetryInterval;
+    pace.failures_ = 0;
+    return;
   }
+  // Only a command without an answer, or one that a later call has fenced, may have had an effect.
+  const bool may_have_run = result.outcome_ == CommandOutcome::kUnknown;
+  pace.unknown_ = pace.was_unknown_ || may_have_run;
+  pace.next_command_ =
+      now + internal::kStopRetryInterval * (1 << std::min(pace.failures_, kMaxRetryDoublings));
+  ++pace.failures_;
 }
 
 }  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/explanation.cpp
+++ b/src/laburnumledge/dispatch/explanation.cpp
@@ -185,14 +185,16 @@
   }
 }
 
-QuotaExplanation ExplainQuota(const Job& job, const DispatchSnapshot& snapshot,
-                              const std::vector<OrganisationUse>& use) {
+QuotaExplanation ExplainQuota(const Job& job, const DispatchSnapshot& snapshot) {
   const OrganisationLimits& limits = snapshot.organisations_.all_[job.organisation_];
   site::Resources all;
+  site::Resources used;
   for (const auto& [id, worker] : snapshot.fleet_.workers_) {
     all += worker.listed_ ? worker.entry_.capacity_ : site::Resources{};
+    for (const auto& [run, assigned] : worker.assigned_runs_) {
+      used += assigned.organisation_ == job.organisation_ ? assigned.needs_ : site::Resources{};
+    }
   }
-  const site::Resources used = use[job.organisation_].assigned_;
   const auto share = [](std::int64_t part, std::int64_t of) {
     return of > 0 ? static_cast<double>(part) / static_cast<double>(of) : 0.0;
   };
@@ -285,12 +287,15 @@
   Explanation explanation{.at_ = time.wall_,
                           .configuration_version_ = rules.configuration_.version_,
                           .priority_ = job.treatment_.priority_,
-                          .quota_ = ExplainQuota(job, snapshot, use)};
+                          .quota_ = ExplainQuota(job, snapshot)};
   explanation.steps_.resize(submission.steps_.size());
   DryRun run{.snapshot_ = snapshot, .explanation_ = explanation};
   // The inputs must be those of Dispatcher::RunPlan.
   // The job's organisation may be new.
   snapshot.shares_.all_.resize(std::max(snapshot.shares_.all_.size(), use.size()));
+  if (snapshot.organisations_.has_weights_) {
+    CountJobRates(snapshot.shares_, snapshot.organisations_, snapshot.jobs_, {job.id_});
+  }
   const PlanContext context{.rules_ = rules,
                             .bounds_ = bounds,
                             .durations_ = durations,
--- a/src/laburnumledge/dispatch/pacing.cpp
+++ b/src/laburnumledge/dispatch/pacing.cpp
@@ -10,7 +10,8 @@
 constexpr std::uint32_t kFirstCut = 25;
 /** Percent by which the pace rises at a time. */
 constexpr std::uint32_t kStep = 25;
-/** Fraction of the target up to which the pace rises; above it the next step might miss it. */
+/** Fraction of the target above which the next step might miss it: the pace then rises only after
+ * the longest interval, since a serving task may always run that close to its target. */
 constexpr double kRaiseBelow = 0.8;
 /** Time from a step, or from the end of a missed target, to the next step up. Longer than the
  * window of half a second over which workers measure. */
@@ -39,7 +40,9 @@
   }
   pacing.held_at_ = now;
   pacing.missed_ = false;
-  if (load > kRaiseBelow || now < pacing.raise_at_) {
+  const core::Milliseconds longer =
+      load > kRaiseBelow ? kRaiseInterval * (1 << kMaxFailedRaises) : core::Milliseconds{};
+  if (now < pacing.raise_at_ + longer) {
     return;
   }
   if (pacing.percent_ >= kFullPace) {
--- a/src/laburnumledge/dispatch/pacing.hpp
+++ b/src/laburnumledge/dispatch/pacing.hpp
@@ -21,8 +21,10 @@
 /** @brief Pace of one filling run as its worker has been told. */
 struct RunPace {
   std::uint32_t percent_{kFullPace};  ///< As confirmed by the worker.
-  bool unknown_{};    ///< An earlier leader, or a command without an answer, may have set it.
-  bool in_flight_{};  ///< A pace command was sent and is not answered.
+  bool unknown_{};      ///< An earlier leader, or a command without an answer, may have set it.
+  bool in_flight_{};    ///< A pace command was sent and is not answered.
+  bool was_unknown_{};  ///< `unknown_` before the command in flight was sent.
+  std::uint32_t failures_{};        ///< Commands without success in a row.
   core::TimePoint next_command_{};  ///< No command is sent before.
 };
 
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -83,9 +83,6 @@
 }
 
 void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
-  if (planner.context_.before_step_) {
-    planner.context_.before_step_(planner, step);
-  }
   if (holds_reservations) {
     internal::ReleaseReservations(planner, step);
   }
@@ -106,11 +103,19 @@
   internal::WaitForQuota(planner, waiting);
 }
 
+/** Shows a whole step to the observer of a dry run, before any part of it is planned. */
+void Observe(const Planner& planner, const ReadyStep& step) {
+  if (planner.context_.before_step_) {
+    planner.context_.before_step_(planner, step);
+  }
+}
+
 /** Plans the steps of one band of a priority: by the organisations' shares, if they count. */
 void PlanBand(Planner& planner, std::span<const ReadyStep> steps,
               std::span<const char> holds_reservations) {
   if (planner.shares_.empty() || steps.front().band_ == internal::ShareBand::kGuaranteed) {
     for (std::size_t index = 0; index < steps.size(); ++index) {
+      Observe(planner, steps[index]);
       PlanStep(planner, steps[index], holds_reservations[index] != 0);
     }
     return;
@@ -118,6 +123,9 @@
   internal::ShareOrder order = internal::MakeShareOrder(planner, steps);
   while (!order.queue_.empty()) {
     const internal::ShareTurn turn = internal::TakeTurn(order, planner);
+    if (order.taken_[turn.position_] == turn.part_.tasks_.size()) {
+      Observe(planner, steps[turn.position_]);
+    }
     const std::size_t before = planner.plan_.starts_.size();
     PlanStep(planner, turn.part_, holds_reservations[turn.position_] != 0);
     internal::EndTurn(order, planner, turn, planner.plan_.starts_.size() - before);
--- a/src/laburnumledge/dispatch/share.cpp
+++ b/src/laburnumledge/dispatch/share.cpp
@@ -110,7 +110,8 @@
   }
   for (ReadyStep& step : steps) {
     const OrganisationIndex index = step.job_->organisation_;
-    if (IsUrgent(step) && urgent_gpus[index] <= organisations.all_[index].guaranteed_gpus_) {
+    const std::int64_t guaranteed = organisations.all_[index].guaranteed_gpus_;
+    if (IsUrgent(step) && guaranteed > 0 && urgent_gpus[index] <= guaranteed) {
       step.band_ = ShareBand::kGuaranteed;
     } else if (step.past_useful_completion_) {
       step.band_ = ShareBand::kWorthless;
@@ -174,7 +175,7 @@
   return !step.spec_->gang_ && step.spec_->anti_affinity_ == 0 &&
          step.state_->reservations_.empty() &&
          !(order.has_preemptible_runs_ && MayPreempt(planner, step)) &&
-         CountTasksWithinQuota(planner, step) == step.tasks_.size();
+         CountTasksWithinQuota(planner, step) > 0;
 }
 
 /** Single tasks that may start before another organisation's share is the least. */
@@ -214,7 +215,8 @@
   std::vector<std::uint32_t>& tasks = turn.part_.tasks_;
   tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(order.taken_[position]));
   if (IsDivisible(order, planner, turn.part_)) {
-    tasks.resize(CountTasksOfTurn(order, planner, turn.part_));
+    tasks.resize(std::min(CountTasksOfTurn(order, planner, turn.part_),
+                          CountTasksWithinQuota(planner, turn.part_)));
   }
   order.taken_[position] += tasks.size();
   return turn;
