Mend what a review of the acceptance of jobs found

Cause: 503 or 429 could be passed on for a job whose record the store is known to hold; a collector's refusal of a job in doubt gave 504 with time left; a store that resets connections was sent an append for each round trip; a stopping node answered 503, "not run", for calls that may have run.

Change: before a call is refused, the node's own appends and its replica are asked, and the answer is 200 if they have the record. A job in doubt is written on after a collector's refusal. Appends without a clear answer back off from the second on. A stopping node answers 504. Two lint findings are mended.

Known limits, not mended: a repeat of a call at another node does not know of the doubt; records over the store's limit take their batch apart; a stall of the process counts as a slow store.

--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -17,7 +17,6 @@
 
 namespace laburnumledge::dispatch {
 
-using internal::CandidateWorker;
 using internal::Planner;
 using internal::ReadyStep;
 
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -71,6 +71,13 @@
          (writer_ != nullptr && !pending.key_.empty() && writer_->IsInDoubt(pending.key_));
 }
 
+/** Whether the store is known to hold the record of the call, by its own append or by the replica.
+ */
+bool JobCalls::Implementation::IsKnownStored(const PendingCall& pending) const {
+  return writer_ != nullptr && !pending.key_.empty() &&
+         (writer_->IsStored(pending.key_) || IsApplied(context_.jobs_, pending.key_));
+}
+
 core::Milliseconds JobCalls::Implementation::RetryAfterFor(const PendingCall& pending) const {
   return writer_ != nullptr ? writer_->RetryAfter(pending.urgent_) : kRetryAfter;
 }
@@ -92,6 +99,10 @@
                                       std::string_view reason, core::Milliseconds retry_after) {
   // 503 and 429 would tell the client that the call had no effect.
   const bool not_run = status == kUnavailable || status == kTooManyRequests;
+  if (not_run && IsKnownStored(*pending)) {
+    ReplySuccess(pending);
+    return;
+  }
   const bool in_doubt = not_run && MayHaveRun(*pending);
   const unsigned reported_status = in_doubt ? kGatewayTimeout : status;
   counts_.refused_ += in_doubt ? 0 : 1;
@@ -144,7 +155,9 @@
   if (writer_ != nullptr && pending->may_have_run_ && !pending->key_.empty()) {
     writer_->NoteDoubt(pending->key_);
   }
-  if (rejected && cause.record_.has_value() && MayHaveRun(*pending)) {
+  if (rejected && IsKnownStored(*pending)) {
+    ReplySuccess(pending);
+  } else if (rejected && cause.record_.has_value() && MayHaveRun(*pending)) {
     // No answer can be "not run" any more: the record is sent until the client's time is over.
     WriteRecord(pending, *cause.record_, true);
   } else if (!answer.reply_.has_value()) {
--- a/src/laburnumledge/entry/job_calls_implementation.hpp
+++ b/src/laburnumledge/entry/job_calls_implementation.hpp
@@ -86,6 +86,7 @@
   [[nodiscard]] std::optional<std::size_t> BeyondQuota(const ledger::Submission& submission) const;
   [[nodiscard]] bool StoreIsSuspected() const;
   [[nodiscard]] bool MayHaveRun(const PendingCall& pending) const;
+  [[nodiscard]] bool IsKnownStored(const PendingCall& pending) const;
   [[nodiscard]] core::Milliseconds RetryAfterFor(const PendingCall& pending) const;
   [[nodiscard]] core::Milliseconds PeerTimeout() const;
 };
--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -150,8 +150,11 @@
     LogForwarded(*pending, *answer.reply_, "appends are slow");
   }
   if (status != 0 && status != kUnavailable && status != kGatewayTimeout) {
-    if (status >= kBadRequest && MayHaveRun(*pending)) {
-      Refuse(pending, kUnavailable, "the record may be stored");
+    if (status >= kBadRequest && IsKnownStored(*pending)) {
+      ReplySuccess(pending);
+    } else if (status >= kBadRequest && MayHaveRun(*pending)) {
+      // No answer can be "not run" any more: the record is sent until the client's time is over.
+      WriteRecord(pending, record, true);
     } else {
       pending->respond_(std::move(answer.reply_->reply_));
     }
--- a/src/laburnumledge/entry/submission_batch.cpp
+++ b/src/laburnumledge/entry/submission_batch.cpp
@@ -158,15 +158,21 @@
   }
   const OpenAppend ended = std::move(found->second);
   queue.open_.erase(found);
-  if (queue.current_ == number) {
+  const bool in_time = queue.current_ == number;
+  if (in_time) {
     queue.current_ = 0;
   }
   if (outcome == AppendOutcome::kDone) {
     queue.refusals_ = 0;
+    queue.quick_failures_ = 0;
     queue.not_before_ = {};
   } else if (outcome != AppendOutcome::kInvalid && outcome != AppendOutcome::kUnknown) {
     queue.not_before_ =
         now + kInitialRefusalDelay * (1 << std::min(queue.refusals_++, kMaxDoublings));
+  } else if (outcome == AppendOutcome::kUnknown && in_time && queue.quick_failures_++ > 0) {
+    // One reset connection is nothing; a store that answers each append so must not be flooded.
+    queue.not_before_ =
+        now + kInitialRefusalDelay * (1 << std::min(queue.quick_failures_ - 2, kMaxDoublings));
   }
   std::vector<CallNumber> settled;
   for (const CallNumber call : ended.calls_) {
--- a/src/laburnumledge/entry/submission_batch.hpp
+++ b/src/laburnumledge/entry/submission_batch.hpp
@@ -53,8 +53,9 @@
   std::uint64_t current_{};                   ///< Number of the current append; 0: none.
   std::uint64_t last_append_{};
   CallNumber last_call_{};
-  std::uint32_t refusals_{};                         ///< In succession.
-  core::TimePoint not_before_{};                     ///< Earliest time of the next append.
+  std::uint32_t refusals_{};        ///< In succession.
+  std::uint32_t quick_failures_{};  ///< Answers without a clear outcome, in succession.
+  core::TimePoint not_before_{};    ///< Earliest time of the next append.
   std::map<std::string, RememberedKey> remembered_;  ///< Of calls that have left the queue.
 };
 
--- a/src/laburnumledge/http/server.cpp
+++ b/src/laburnumledge/http/server.cpp
@@ -291,7 +291,7 @@
     if (exchange->suspended_) {
       exchange->suspended_ = false;
       exchange->reply_ =
-          ProblemReply(503, core::Verdict::kMayHaveRun, "the node stopped before it answered");
+          ProblemReply(504, core::Verdict::kMayHaveRun, "the node stopped before it answered");
       MHD_resume_connection(exchange->connection_);
     }
   }
--- a/test/laburnumledge/entry/collectors.cpp
+++ b/test/laburnumledge/entry/collectors.cpp
@@ -9,6 +9,7 @@
 
 TEST_CASE("all nodes choose the same collector, and the same next one when it does not answer") {
   std::vector<std::string> nodes;
+  nodes.reserve(36);
   for (int index = 0; index < 36; ++index) {
     nodes.push_back(fmt::format("front-{}", index));
   }
--- a/test/laburnumledge/entry/submission_batch.cpp
+++ b/test/laburnumledge/entry/submission_batch.cpp
@@ -48,6 +48,20 @@
   CHECK(MakeAppend(queue, 0, kStart)->records_.size() == 1);
 }
 
+TEST_CASE("reset connections: a store that answers nothing clear is not flooded with appends") {
+  // Guards against an append for each round trip while a store resets connections or answers 500.
+  SubmissionQueue queue;
+  Enqueue(queue, Record("a"));
+  int appends = 0;
+  for (core::TimePoint now = kStart; now < kStart + Milliseconds(1000); now += Milliseconds(4)) {
+    if (const auto next = MakeAppend(queue, 0, now)) {
+      ++appends;
+      CHECK(EndAppend(queue, next->number_, AppendOutcome::kUnknown, now).empty());
+    }
+  }
+  CHECK(appends <= 5);
+}
+
 TEST_CASE("lost answers: a client's repeated call is in doubt like the call that it repeats") {
   SubmissionQueue queue;
   Enqueue(queue, Record("a"));
