Bound clients' timeouts and the size of a job's record

Cause: a review showed that a Deadline-Ms of an hour keeps an append in doubt open longer than its key is remembered, and that one record over the store's limit takes the batch of other jobs apart. Change: timeouts count up to 10 s, and a job whose record is over the limit is refused with 400.

--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -20,6 +20,9 @@
 
 /** Timeout of clients that send no Deadline-Ms, as the platform documents it. */
 constexpr core::Milliseconds kDefaultClientTimeout{3000};
+/** Longest timeout that is granted to a client: an append in doubt stays open as long, which must
+ * be well within the time for which its key is remembered. */
+constexpr core::Milliseconds kMaxClientTimeout{10000};
 /** Part of a client's timeout that is reserved for returning the answer. */
 constexpr core::Milliseconds kReplyMargin{200};
 /** Time after which clients should retry while no node reaches the store, where appends do not
@@ -262,7 +265,8 @@
     };
   }
   pending->started_ = implementation_->context_.loop_.Now();
-  const core::Milliseconds timeout = pending->call_.timeout_.value_or(kDefaultClientTimeout);
+  const core::Milliseconds timeout =
+      std::min(kMaxClientTimeout, pending->call_.timeout_.value_or(kDefaultClientTimeout));
   pending->deadline_ = pending->started_ + std::max(timeout - kReplyMargin, timeout / 2);
   pending->key_ = KeyOf(pending->call_);
   implementation_->HandleCall(pending);
--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -91,8 +91,16 @@
                   {"same_rack", first.same_rack_},
                   {"rack", first.affinity_rack_},
                   {"label", first.constraint_}});
-  ChangeJob(pending, {.key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, pending->job_),
-                      .value_ = ledger::Encode(*submission)});
+  platform::KeyedRecord record{
+      .key_ = ledger::JobKey(ledger::JobRecordKind::kSubmission, pending->job_),
+      .value_ = ledger::Encode(*submission)};
+  const std::size_t most = context_.deployment_.store_limits_.max_record_bytes_;
+  if (most > 0 && platform::EncodedBytes(record) > most) {
+    // In a batch it would make the store reject the other records as well.
+    Refuse(pending, kBadRequest, "the job is larger than a record of the store may be");
+    return;
+  }
+  ChangeJob(pending, std::move(record));
 }
 
 void JobCalls::Implementation::CancelJob(const PendingCallPointer& pending) {
