Share the expected ends of runs among the searches of a plan

Change: the sorted ends are made once per worker and plan, and four gangs instead of eight are served in each plan.

--- a/src/laburnumledge/dispatch/advance_reservation.cpp
+++ b/src/laburnumledge/dispatch/advance_reservation.cpp
@@ -20,7 +20,7 @@
 
 /** Gangs for which one plan looks for a reservation. The first ones in the order are those that
  * start next; each search goes over all runs. */
-constexpr std::uint32_t kMaxSearches = 8;
+constexpr std::uint32_t kMaxSearches = 4;
 
 /** Number of tasks of a gang that a worker can hold from a time on. */
 struct FutureOffer {
@@ -29,24 +29,29 @@
   std::uint32_t count_{};
 };
 
-core::TimePoint ExpectedEnd(const AssignedRun& assigned, core::TimePoint now) noexcept {
+core::TimePoint PredictEnd(const AssignedRun& assigned, core::TimePoint now) noexcept {
   if (assigned.expected_end_ == core::TimePoint{}) {
     return core::TimePoint::max();
   }
   return std::max(assigned.expected_end_, now + kOverdueRemainder);
 }
 
-/** Runs of a worker that are neither stopping nor preempted, by their expected end. */
-std::vector<std::pair<core::TimePoint, site::Resources>> CollectEnds(
-    const CandidateWorker& candidate, core::TimePoint now) {
-  std::vector<std::pair<core::TimePoint, site::Resources>> ends;
+/** Runs of a worker that are neither stopping nor preempted, by their expected end. All searches of
+ * a plan share them. */
+const std::vector<ExpectedEnd>& CollectEnds(CandidateWorker& candidate, core::TimePoint now) {
+  if (candidate.ends_.has_value() && candidate.ends_without_ == candidate.preempted_.size()) {
+    return *candidate.ends_;
+  }
+  std::vector<ExpectedEnd>& ends = candidate.ends_.emplace();
+  candidate.ends_without_ = candidate.preempted_.size();
+  ends.reserve(candidate.worker_->assigned_runs_.size());
   for (const auto& [run, assigned] : candidate.worker_->assigned_runs_) {
     if (!IsBeingStopped(assigned) && !candidate.preempted_.contains(run)) {
-      ends.emplace_back(ExpectedEnd(assigned, now), assigned.needs_);
+      ends.push_back({.at_ = PredictEnd(assigned, now), .needs_ = assigned.needs_});
     }
   }
   std::sort(ends.begin(), ends.end(),
-            [](const auto& left, const auto& right) { return left.first < right.first; });
+            [](const ExpectedEnd& left, const ExpectedEnd& right) { return left.at_ < right.at_; });
   return ends;
 }
 
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -8,6 +9,12 @@
 
 namespace laburnumledge::dispatch::internal {
 
+/** @brief Resources of a run and when they are expected to be free. */
+struct ExpectedEnd {
+  core::TimePoint at_;
+  site::Resources needs_;
+};
+
 /** @brief Worker that may be given work, with its resources as the plan under way changes them. */
 struct CandidateWorker {
   Worker* worker_{};
@@ -20,6 +27,8 @@
   bool urgent_headroom_{};          ///< Kept free for urgent jobs.
   const ledger::JobId* crash_suspect_job_{};  ///< Job here under which a worker has crashed before.
   core::TimePoint reserved_from_{core::TimePoint::max()};  ///< Begin of an advance reservation.
+  std::optional<std::vector<ExpectedEnd>> ends_;  ///< Of the runs, if a search has needed them.
+  std::size_t ends_without_{};               ///< Number of preempted runs when `ends_` was made.
   site::Resources free_beside_reservation_;  ///< Free from then on beside the reserved resources.
   KindSet kinds_{};                          ///< Kinds of the runs here; empty if no pair is known.
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
