Log what waiting steps wait for, and what else crashed with a worker

The log could not tell why: plan.capacity leaves out steps whose tasks wait for an earlier run that may still exist, and a crash was logged without what happened to other workers.

Once a second the leader now logs step.waiting for the ten steps that have waited longest, with the runs that are unresolved, a worker of theirs and how long its lease lasts, and the gauge laburnumledge_capacity_gpus gets use=waiting_unresolved. worker.crashed tells how many other workers crashed lately or don't answer; task.worker_crashed tells whether the start was confirmed.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -310,14 +310,16 @@
     families_->gpus_.Add({{"zone", zone}, {"use", "all"}}).Set(amounts.second);
   }
   const dispatch::CapacityUse& use = dispatcher.Use();
-  for (const auto& [name, amount] : {std::pair{"urgent", use.urgent_},
-                                     {"other", use.other_},
-                                     {"stopping", use.stopping_},
-                                     {"ineligible", use.ineligible_},
-                                     {"headroom", use.headroom_},
-                                     {"idle", use.idle_},
-                                     {"waiting_urgent", use.waiting_urgent_},
-                                     {"waiting_other", use.waiting_other_}}) {
+  for (const auto& [name, amount] :
+       {std::pair{"urgent", use.urgent_},
+        {"other", use.other_},
+        {"stopping", use.stopping_},
+        {"ineligible", use.ineligible_},
+        {"headroom", use.headroom_},
+        {"idle", use.idle_},
+        {"waiting_urgent", use.waiting_urgent_},
+        {"waiting_other", use.waiting_other_},
+        {"waiting_unresolved", dispatcher.WaitingForUnresolvedRuns()}}) {
     families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
   }
   UpdateOrganisations(dispatcher);
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -134,6 +134,10 @@
   [[nodiscard]] const JobTable& Jobs() const noexcept { return job_table_; }
   /** @brief Use of the fleet as the latest plan found it. */
   [[nodiscard]] const CapacityUse& Use() const noexcept { return capacity_use_; }
+  /** @brief GPUs that steps ask for whose tasks wait until an earlier run can no longer exist. */
+  [[nodiscard]] std::int64_t WaitingForUnresolvedRuns() const noexcept {
+    return waiting_unresolved_gpus_;
+  }
   [[nodiscard]] const Fleet& Workers() const noexcept { return fleet_; }
   [[nodiscard]] const Organisations& KnownOrganisations() const noexcept { return organisations_; }
   /** @brief Use by organisation index as the latest plan found it; empty before the first plan. */
@@ -194,6 +198,7 @@
                         core::TimePoint now);
   void FindCrashedPredecessor(const Worker& worker, core::TimePoint now);
   void OnCrash(Worker& worker, core::TimePoint now);
+  void LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const;
   [[nodiscard]] bool IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
                                    core::TimePoint now) const;
   [[nodiscard]] bool CountCrash(const Worker& worker, const RunId& run, core::TimePoint now);
@@ -252,6 +257,7 @@
   void RunPlan(PlanTime time);
   void LogCapacityUse(core::TimePoint now);
   void LogQuotas() const;
+  void LogWaitingSteps(core::TimePoint now);
   [[nodiscard]] Plan MakeFairPlan(PlanTime time,
                                   const std::vector<OrganisationUse>& organisation_use);
   void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
@@ -290,6 +296,7 @@
   std::vector<ledger::JobId> uncounted_;  ///< Jobs that CountJobRates has not seen.
   std::vector<QuotaWait> quota_waits_;    ///< See Plan::quota_waits_.
   core::TimePoint next_capacity_log_{};
+  std::int64_t waiting_unresolved_gpus_{};  ///< See WaitingForUnresolvedRuns.
   DispatchCounts counts_;
 };
 
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -87,11 +87,36 @@
     }
   }
   if (!jobs.empty()) {
+    LogCrash(worker, jobs.size(), now);
     worker.health_.crashed_at_ = now;
     worker.health_.crashed_jobs_ = std::move(jobs);
   }
 }
 
+/** Logs what else happened to the fleet about when a worker crashed: many crashes at once have a
+ * cause in common. */
+void Dispatcher::LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const {
+  std::size_t others = 0;
+  std::size_t crashed_lately = 0;
+  std::size_t away = 0;
+  for (const auto& [id, worker] : fleet_.workers_) {
+    if (&worker == &crashed) {
+      continue;
+    }
+    others += worker.listed_ ? 1 : 0;
+    away += worker.failed_calls_ > 0 ? 1 : 0;
+    const core::TimePoint at = worker.health_.crashed_at_;
+    crashed_lately += at != core::TimePoint{} && now < at + kCommonCauseWindow ? 1 : 0;
+  }
+  core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.crashed",
+                 {{"worker", crashed.entry_.id_},
+                  {"runs", crashed.assigned_runs_.size()},
+                  {"jobs", jobs},
+                  {"others", others},
+                  {"others_crashed", crashed_lately},
+                  {"others_away", away}});
+}
+
 /** Whether nothing but one job explains a crash: no other job had a run there, and no worker
  * without a run of the job is away or has crashed at about the same time. */
 bool Dispatcher::IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
@@ -139,6 +164,11 @@
                   {"run", run.run_},
                   {"worker", worker.entry_.id_},
                   {"crashes", task->crashes_},
+                  {"confirmed", is_assigned && assigned->second.started_ != core::TimePoint{}},
+                  {"at_work_ms", is_assigned && assigned->second.started_ != core::TimePoint{}
+                                     ? std::chrono::duration_cast<core::Milliseconds>(
+                                           now - assigned->second.started_)
+                                     : core::Milliseconds{}},
                   {"only_suspect", only_suspect}});
   return task->crashes_ >= (only_suspect ? kMaxCertainCrashes : internal::kMaxCrashes);
 }
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -3,6 +3,7 @@
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/dispatch/waiting_steps.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -29,6 +30,12 @@
 /** Interval of the log events that tell how the fleet is used. */
 constexpr core::Milliseconds kCapacityLogInterval{1000};
 
+/** Wait after which a ready step is reported; longer than a lost run takes to be resolved. */
+constexpr core::Milliseconds kReportedWait{3000};
+
+/** Steps reported each time, so that a shortage does not fill the log. */
+constexpr std::size_t kReportedSteps = 10;
+
 /** Interval at which finished jobs and departed workers are removed. */
 constexpr core::Milliseconds kCleanupInterval{100};
 
@@ -174,6 +181,39 @@
                   {"waiting_urgent", capacity_use_.waiting_urgent_},
                   {"waiting_other", capacity_use_.waiting_other_}});
   LogQuotas();
+  LogWaitingSteps(now);
+}
+
+/** Logs what the steps wait for that have waited for long: a run that may still exist keeps its
+ * task, and its whole gang, from starting, though resources are free. */
+void Dispatcher::LogWaitingSteps(core::TimePoint now) {
+  const std::vector<WaitingStep> steps =
+      FindWaitingSteps(job_table_, fleet_, now - kReportedWait, kReportedSteps);
+  waiting_unresolved_gpus_ = 0;
+  for (std::size_t index = 0; index < steps.size(); ++index) {
+    const WaitingStep& step = steps[index];
+    waiting_unresolved_gpus_ += step.unresolved_ > 0 ? step.gpus_ : 0;
+    if (index >= kReportedSteps) {
+      continue;
+    }
+    const Worker* worker = step.worker_.empty() ? nullptr : FindWorker(fleet_, step.worker_);
+    const core::Milliseconds lease_left =
+        worker == nullptr
+            ? core::Milliseconds{}
+            : std::chrono::duration_cast<core::Milliseconds>(worker->latest_lease_end_ - now);
+    core::LogEvent(
+        Level::kInfo, EventPriority::kLow, "step.waiting",
+        {{"step", ledger::ToString(step.step_)},
+         {"waited_ms", std::chrono::duration_cast<core::Milliseconds>(now - step.since_)},
+         {"tasks", step.waiting_},
+         {"gpus", step.gpus_},
+         {"unresolved", step.unresolved_},
+         {"worker", step.worker_},
+         {"listed", worker != nullptr && worker->listed_},
+         {"crashed", worker != nullptr && worker->crashed_},
+         {"failed_calls", worker == nullptr ? 0U : worker->failed_calls_},
+         {"lease_left_ms", lease_left}});
+  }
 }
 
 void Dispatcher::RunPlan(PlanTime time) {
