Give fake workers the start times of the platform as incarnations

The platform's born is the time of a worker's start, which tells workers that fell over together from one that fell over alone. The fakes counted 1, 2, 3 instead, so that every restart looked like one at the same moment.

--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -33,6 +33,9 @@
                                         kDone);
 }
 
+/** Incarnation of a worker that starts at a time. */
+site::Incarnation StartedAt(core::TimePoint time) { return core::ToMs(WallAt(time)); }
+
 /** The platform forbids to start a task three times more after three workers have crashed under it.
  */
 constexpr int kMaxCrashes = 3;
@@ -123,6 +126,7 @@
 FakeWorker& Add(FakeWorkers& field, const std::string& id, core::TimePoint started) {
   FakeWorker& worker = field.workers_[id];
   worker.id_ = id;
+  worker.incarnation_ = StartedAt(started);
   worker.started_ = started;
   return worker;
 }
@@ -178,10 +182,8 @@
   for (const auto& [task, run] : worker.runs_) {
     ++field.crashes_[task];
   }
-  worker = FakeWorker{.id_ = worker.id_,
-                      .incarnation_ = worker.incarnation_ + 1,
-                      .started_ = back,
-                      .down_until_ = back};
+  worker = FakeWorker{
+      .id_ = worker.id_, .incarnation_ = StartedAt(back), .started_ = back, .down_until_ = back};
 }
 
 platform::CommandResult DoStart(FakeWorkers& field, FakeWorker& worker,
