Move the simulated world of the dispatcher's tests to test/support

Files move, their namespace follows, and the loop over seeds becomes a function that both programs share. No check and no seed changes.

--- a/test/randomised/dispatch/lines.cpp
+++ b/test/randomised/dispatch/lines.cpp
@@ -10,7 +10,7 @@
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/log.hpp"
 #include "laburnumledge/ledger/codec.hpp"
-#include "world.hpp"
+#include "support/world.hpp"
 
 namespace laburnumledge::randomised {
 
@@ -61,7 +61,7 @@
 }
 
 /** @brief Runs a simulation with its log written to a file, and reads the log. */
-LoggedDecisions SimulateAndReadLog(World& world) {
+LoggedDecisions SimulateAndReadLog(support::World& world) {
   const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::tmpfile(), &std::fclose);
   REQUIRE(file != nullptr);
   core::FlushEvents();
@@ -91,12 +91,12 @@
   for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kRuns; ++seed) {
     CAPTURE(seed);
     // No leader crashes here: its last log lines would be lost with it.
-    World world(seed, {.lost_answer_ = 40,
-                       .late_call_ = 40,
-                       .failing_run_ = 80,
-                       .worker_crash_ = 20,
-                       .worker_cut_ = 40,
-                       .cancel_ = 10});
+    support::World world(seed, {.lost_answer_ = 40,
+                                .late_call_ = 40,
+                                .failing_run_ = 80,
+                                .worker_crash_ = 20,
+                                .worker_cut_ = 40,
+                                .cancel_ = 10});
     const LoggedDecisions decisions = SimulateAndReadLog(world);
     const std::uint64_t dropped = core::DroppedEvents();
     CHECK(dropped == 0);
--- a/test/randomised/dispatch/runs.cpp
+++ b/test/randomised/dispatch/runs.cpp
@@ -1,42 +1,16 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-#include <string>
-
-#include "laburnumledge/core/event.hpp"
-#include "laburnumledge/core/log.hpp"
-#include "world.hpp"
+#include "support/world_seeds.hpp"
 
 namespace laburnumledge::randomised {
 
 namespace {
 
-constexpr std::uint64_t kFirstSeed = 20261204;
-constexpr int kRuns = 60;
-constexpr int kQuotaRuns = 300;
-constexpr int kFaultySeconds = 30;
-
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::stoull(text);
-}
+constexpr std::uint64_t kRuns = 60;
+constexpr std::uint64_t kQuotaRuns = 300;
 
-void SimulateAllSeeds(const Faults& faults, std::uint64_t default_runs = kRuns) {
-  // LABURNUMLEDGE_LEVEL=info logs the dispatchers' decisions.
-  const char* level = std::getenv("LABURNUMLEDGE_LEVEL");
-  core::SetLevel(
-      core::ParseLevel(level == nullptr ? "error" : level).value_or(core::Level::kError));
-  const std::uint64_t first = FromEnvironment("LABURNUMLEDGE_SEED", kFirstSeed);
-  const std::uint64_t runs = FromEnvironment("LABURNUMLEDGE_RUNS", default_runs);
-  for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-    World world(seed, faults);
-    world.Simulate(kFaultySeconds);
-    core::FlushEvents();
-    const std::string violation = world.Violations().empty() ? "" : world.Violations().front();
-    CAPTURE(seed);
-    CHECK(violation == "");
-    CHECK(world.AllJobsFinished());
-  }
+void SimulateAllSeeds(const support::Faults& faults, std::uint64_t default_runs = kRuns) {
+  support::SimulateSeeds(faults, default_runs);
 }
 
 }  // namespace
--- a/test/randomised/dispatch/world.cpp
+++ b/test/support/world.cpp
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "support/world.hpp"
 
 #include <fmt/core.h>
 
@@ -10,7 +10,7 @@
 #include "laburnumledge/dispatch/fixture.hpp"
 #include "laburnumledge/ledger/codec.hpp"
 
-namespace laburnumledge::randomised {
+namespace laburnumledge::support {
 
 using platform::CommandOutcome;
 
@@ -28,7 +28,7 @@
   fake_workers_.course_ = [this](const platform::StartCommand& order) { return CourseOf(order); };
   for (int number = 1; number <= kWorkers; ++number) {
     const std::string id = fmt::format("w{}", number);
-    support::Add(fake_workers_, id, now_ - std::chrono::seconds(number));
+    Add(fake_workers_, id, now_ - std::chrono::seconds(number));
     reachability_[id] = {};
   }
   for (int number = 1; number <= kJobs; ++number) {
@@ -57,7 +57,7 @@
 }
 
 /** Chooses length and result of a run. All members of a gang get the same result. */
-support::RunCourse World::CourseOf(const platform::StartCommand& order) {
+RunCourse World::CourseOf(const platform::StartCommand& order) {
   const core::Milliseconds length = RandomDuration(200, 6000);
   const ledger::Submission& submission = *jobs_.entries_.at(order.task_.job_).submission_;
   if (!submission.steps_[order.task_.step_].gang_) {
@@ -73,10 +73,10 @@
     return;
   }
   Schedule(now_ + RandomDuration(20, 800), [this, id, order] {
-    support::FakeWorker& worker = fake_workers_.workers_.at(id);
+    FakeWorker& worker = fake_workers_.workers_.at(id);
     const auto run = worker.runs_.find(order.task_);
     if (run != worker.runs_.end() && run->second.number_ == order.run_) {
-      support::Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
+      Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
     }
   });
 }
@@ -97,7 +97,7 @@
   if (faults_.quota_change_ > 0) {
     submission.organisation_ =
         fmt::format("o{}", static_cast<std::uint32_t>(number) % kOrganisations);
-    submission.accepted_ = support::WallAt(now_);
+    submission.accepted_ = WallAt(now_);
   }
   jobs_.entries_[id].submission_ =
       std::make_shared<const ledger::Submission>(std::move(submission));
@@ -118,17 +118,17 @@
 /** Carries a call out soon, or seconds later without an answer; then answers it or lets it time
  * out at its deadline. */
 void World::Deliver(std::uint64_t term, const std::string& id, core::TimePoint deadline,
-                    const std::function<std::function<void()>(support::FakeWorker*)>& execute) {
+                    const std::function<std::function<void()>(FakeWorker*)>& execute) {
   const bool late = Chance(faults_.late_call_);
   const bool lost = late || Chance(faults_.lost_answer_);
   const core::TimePoint arrives = now_ + (late ? RandomDuration(1000, 8000) : RandomDuration(1, 4));
   const site::Incarnation incarnation = fake_workers_.workers_.at(id).incarnation_;
   Schedule(arrives, [this, term, id, deadline, execute, late, lost, incarnation] {
-    support::FakeWorker& worker = fake_workers_.workers_.at(id);
+    FakeWorker& worker = fake_workers_.workers_.at(id);
     const bool executed = Reachable(id, term) && (!late || worker.incarnation_ == incarnation);
     std::function<void()> answer;
     if (executed) {
-      support::Advance(fake_workers_, worker, now_);
+      Advance(fake_workers_, worker, now_);
       answer = execute(&worker);
     }
     if (late) {
@@ -193,11 +193,10 @@
   }
   for (const dispatch::StartAction& start : actions.starts_) {
     Deliver(leader->term_, start.worker_.id_, start.deadline_,
-            [this, leader, start, active](support::FakeWorker* worker) {
+            [this, leader, start, active](FakeWorker* worker) {
               const platform::CommandResult result =
-                  worker == nullptr
-                      ? platform::CommandResult{.outcome_ = CommandOutcome::kUnknown}
-                      : support::DoStart(fake_workers_, *worker, start.command_, now_);
+                  worker == nullptr ? platform::CommandResult{.outcome_ = CommandOutcome::kUnknown}
+                                    : DoStart(fake_workers_, *worker, start.command_, now_);
               if (worker != nullptr && result.outcome_ == CommandOutcome::kDone) {
                 CrashUnder(start.worker_.id_, start.command_);
               }
@@ -211,10 +210,10 @@
   }
   for (const dispatch::StopAction& stop : actions.stops_) {
     Deliver(leader->term_, stop.worker_.id_, stop.deadline_,
-            [this, leader, stop, active](support::FakeWorker* worker) {
+            [this, leader, stop, active](FakeWorker* worker) {
               const platform::CommandResult result =
                   worker == nullptr ? platform::CommandResult{.outcome_ = CommandOutcome::kUnknown}
-                                    : support::DoStop(fake_workers_, *worker, stop.command_, now_);
+                                    : DoStop(fake_workers_, *worker, stop.command_, now_);
               return std::function<void()>([this, leader, stop, active, result] {
                 if (active()) {
                   leader->dispatcher_->OnStopped(stop, result, now_);
@@ -225,10 +224,10 @@
   }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     Deliver(leader->term_, lease.worker_.id_, lease.call_.deadline_,
-            [this, leader, lease, active](support::FakeWorker* worker) {
+            [this, leader, lease, active](FakeWorker* worker) {
               const platform::LeaseResult result =
                   worker == nullptr ? platform::LeaseResult{.outcome_ = CommandOutcome::kUnknown}
-                                    : support::DoLease(fake_workers_, *worker, lease.call_, now_);
+                                    : DoLease(fake_workers_, *worker, lease.call_, now_);
               return std::function<void()>([this, leader, lease, active, result] {
                 if (active()) {
                   leader->dispatcher_->OnLease(lease, result, now_);
@@ -240,8 +239,7 @@
 }
 
 void World::Pump(const LeaderPointer& leader) {
-  const core::TimePoint next =
-      leader->dispatcher_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
+  const core::TimePoint next = leader->dispatcher_->Run({.now_ = now_, .wall_ = WallAt(now_)});
   dispatch::Actions actions = leader->dispatcher_->TakeActions();
   const bool superseded = actions.superseded_;
   Perform(leader, actions);
@@ -252,7 +250,7 @@
     const bool active = leader == leader_ || now_ < leader->stops_at_;
     if (active && now_ >= next) {
       dispatch::Actions due;
-      (void)leader->dispatcher_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
+      (void)leader->dispatcher_->Run({.now_ = now_, .wall_ = WallAt(now_)});
       due = leader->dispatcher_->TakeActions();
       if (due.superseded_ && leader != leader_) {
         leader->stops_at_ = now_;
@@ -285,7 +283,7 @@
     leader->dispatcher_->LoadTask(id, record);
   }
   for (const auto& [id, worker] : fake_workers_.workers_) {
-    leader->dispatcher_->OnWorker(support::EntryOf(worker, now_), now_);
+    leader->dispatcher_->OnWorker(EntryOf(worker, now_), now_);
   }
   leader->dispatcher_->Begin(now_, earlier_leases_end_);
   leader_ = leader;
@@ -302,9 +300,9 @@
 
 void World::InjectFaults() {
   for (auto& [id, worker] : fake_workers_.workers_) {
-    support::Advance(fake_workers_, worker, now_);
+    Advance(fake_workers_, worker, now_);
     if (Chance(faults_.worker_crash_)) {
-      support::Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
+      Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
       reachability_[id] = {};
     } else if (Chance(faults_.worker_cut_)) {
       reachability_[id].cut_until_ = now_ + RandomDuration(500, 9000);
@@ -360,9 +358,9 @@
   for (int reading = 1; reading < 2 * (seconds + 120); ++reading) {
     Schedule(now_ + core::Milliseconds(500 * reading), [this] {
       for (auto& [id, worker] : fake_workers_.workers_) {
-        support::Advance(fake_workers_, worker, now_);
+        Advance(fake_workers_, worker, now_);
         if (leader_ != nullptr && Reachable(id, term_)) {
-          leader_->dispatcher_->OnWorker(support::EntryOf(worker, now_), now_);
+          leader_->dispatcher_->OnWorker(EntryOf(worker, now_), now_);
         }
       }
       if (leader_ != nullptr) {
@@ -388,4 +386,4 @@
                      [](const auto& entry) { return ledger::IsFinal(entry.second.state_); });
 }
 
-}  // namespace laburnumledge::randomised
+}  // namespace laburnumledge::support
--- a/test/randomised/dispatch/world.hpp
+++ b/test/support/world.hpp
@@ -14,7 +14,7 @@
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "support/fake_workers.hpp"
 
-namespace laburnumledge::randomised {
+namespace laburnumledge::support {
 
 /** @brief Faults of a simulation, as probabilities in thousandths. */
 struct Faults {
@@ -103,10 +103,10 @@
   void StoreStatus(const LeaderPointer& leader, const dispatch::StatusChange& change);
 
   void CrashUnder(const std::string& worker, const platform::StartCommand& order);
-  [[nodiscard]] support::RunCourse CourseOf(const platform::StartCommand& order);
+  [[nodiscard]] RunCourse CourseOf(const platform::StartCommand& order);
   [[nodiscard]] bool Reachable(const std::string& worker, std::uint64_t term) const;
   void Deliver(std::uint64_t term, const std::string& worker, core::TimePoint deadline,
-               const std::function<std::function<void()>(support::FakeWorker*)>& execute);
+               const std::function<std::function<void()>(FakeWorker*)>& execute);
 
   core::Random random_;
   Faults faults_;
@@ -114,7 +114,7 @@
   core::TimePoint now_{std::chrono::hours(1)};
   std::multimap<core::TimePoint, std::function<void()>> events_;
   ledger::Jobs jobs_;
-  support::FakeWorkers fake_workers_;
+  FakeWorkers fake_workers_;
   std::map<std::string, Reachability> reachability_;
   std::map<ledger::TaskId, ledger::TaskRecord> records_;
   LeaderPointer leader_;
@@ -125,4 +125,4 @@
   std::vector<dispatch::Actions> issued_actions_;
 };
 
-}  // namespace laburnumledge::randomised
+}  // namespace laburnumledge::support
--- a/test/randomised/dispatch/world_quotas.cpp
+++ b/test/support/world_quotas.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
-#include "world.hpp"
+#include "support/world.hpp"
 
-namespace laburnumledge::randomised {
+namespace laburnumledge::support {
 
 namespace {
 
@@ -57,4 +57,4 @@
   return highest;
 }
 
-}  // namespace laburnumledge::randomised
+}  // namespace laburnumledge::support
