Reproduce the lost jobs with outages in series in a simulated world

A new leader reads the platform's list as the workers wrote it; before, it got entries of workers that had not started yet.

--- /dev/null
+++ b/test/support/world_list.cpp
@@ -0,0 +1,92 @@
+#include <algorithm>
+
+#include "laburnumledge/dispatch/fixture.hpp"
+#include "support/world.hpp"
+
+namespace laburnumledge::support {
+
+namespace {
+
+/** The platform's time to finish jobs after the last fault. */
+constexpr core::Milliseconds kFinishTime{14000};
+
+/** How long a job may have nothing running while there is room for it. */
+constexpr core::Milliseconds kLongestIdle{3000};
+
+}  // namespace
+
+void World::ListWorker(const std::string& id, const site::WorkerEntry& entry) {
+  worker_list_[id] = entry;
+  if (leader_ != nullptr) {
+    leader_->dispatcher_->OnWorker(entry, now_);
+    Pump(leader_);
+  }
+}
+
+void World::UnlistWorker(const std::string& id) {
+  worker_list_.erase(id);
+  if (leader_ != nullptr) {
+    leader_->dispatcher_->OnWorkerGone(id, now_);
+    Pump(leader_);
+  }
+}
+
+/** Workers that are up write their entries, and the leader reads those of workers on its side. */
+void World::ReadWorkerList() {
+  for (auto& [id, worker] : fake_workers_.workers_) {
+    Advance(fake_workers_, worker, now_);
+    if (now_ >= worker.down_until_) {
+      worker_list_[id] = EntryOf(worker, now_);
+    }
+    if (leader_ != nullptr && Reachable(id, term_)) {
+      leader_->dispatcher_->OnWorker(worker_list_.at(id), now_);
+    }
+  }
+  if (leader_ != nullptr) {
+    Pump(leader_);
+  }
+}
+
+bool World::HasUndoneTask(const ledger::JobId& job) const {
+  const ledger::Submission& submission = *jobs_.entries_.at(job).submission_;
+  for (std::uint32_t step = 0; step < submission.steps_.size(); ++step) {
+    for (std::uint32_t index = 0; index < submission.steps_[step].count_; ++index) {
+      if (!fake_workers_.done_at_.contains({.job_ = job, .step_ = step, .index_ = index})) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/** From 14 s after the last fault on, a job that isn't finished must not be without a run for 3 s
+ * while at most half of the GPUs are in use. */
+void World::CheckIdleJobs() {
+  std::int64_t gpus = 0;
+  std::int64_t used_gpus = 0;
+  std::set<ledger::JobId> running;
+  for (auto& [id, worker] : fake_workers_.workers_) {
+    if (now_ < worker.down_until_) {
+      continue;
+    }
+    Advance(fake_workers_, worker, now_);
+    gpus += fixture::kWorkerCapacity.gpus_;
+    for (const auto& [task, run] : worker.runs_) {
+      running.insert(task.job_);
+      used_gpus += run.gpus_;
+    }
+  }
+  const core::TimePoint begin = LastFaultEnds() + kFinishTime;
+  const bool has_room = 2 * used_gpus <= gpus;
+  for (const auto& [id, entry] : jobs_.entries_) {
+    core::TimePoint& since = idle_since_[id];
+    const bool is_idle = now_ >= begin && has_room && !ledger::IsFinal(entry.state_) &&
+                         !entry.cancelled_ && !running.contains(id) && HasUndoneTask(id);
+    since = is_idle ? std::max({since, begin, fake_workers_.active_at_[id]}) : now_;
+    if (is_idle && now_ - since >= kLongestIdle) {
+      Break(fake_workers_, now_, "LOST nothing runs while there is room: " + id);
+    }
+  }
+}
+
+}  // namespace laburnumledge::support
