--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -24,8 +24,12 @@
  * follow each other one at a time, so a plan that waits for the confirmation is sent no later. */
 constexpr core::Milliseconds kRecordTimeout{150};
 
-/** Gives all members of a gang the same counts of failures and crashes: a run counts for the whole
- * gang, whichever member's record holds it. */
+/** Time from a takeover until crashes that earlier leaders have noted are decided: the platform's
+ * list has to be up to date. */
+constexpr core::Milliseconds kTakeoverDecisionDelay{3000};
+
+/** Gives all members of a gang the same count of failures: a failure counts for the whole gang,
+ * whichever member's record holds it. */
 void ShareGangCounts(Job& job) noexcept {
   for (auto& [number, occurrence] : job.occurrences_) {
     for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
@@ -34,17 +38,11 @@
       }
       std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
       std::uint32_t failures = 0;
-      std::uint32_t crashes = 0;
-      std::uint64_t crashed_run = 0;
       for (const Task& task : tasks) {
         failures = std::max(failures, task.failures_);
-        crashes = std::max(crashes, task.crashes_);
-        crashed_run = std::max(crashed_run, task.crashed_run_);
       }
       for (Task& task : tasks) {
         task.failures_ = failures;
-        task.crashes_ = crashes;
-        task.crashed_run_ = crashed_run;
       }
     }
   }
@@ -56,8 +54,7 @@
       const bool counts_failures = !job.submission_->steps_[index].long_running_;
       for (const Task& task : occurrence.steps_[index].tasks_) {
         const bool used_up = counts_failures && task.failures_ >= job.treatment_.max_attempts_;
-        if (task.phase_ != TaskPhase::kDone &&
-            (used_up || task.crashes_ >= internal::kMaxCrashes)) {
+        if (task.phase_ != TaskPhase::kDone && (used_up || CrashesItsWorkers(task.crashes_))) {
           return true;
         }
       }
@@ -139,6 +136,11 @@
   task->failed_run_ = record.failed_run_;
   task->crashes_ = record.crashes_;
   task->crashed_run_ = record.crashed_run_;
+  for (const ledger::Crash& crash : record.crashes_) {
+    if (crash.cause_ == ledger::CrashCause::kUndecided) {
+      undecided_crashes_.push_back({.task_ = id, .run_ = crash.run_});
+    }
+  }
   if (record.outcome_ == ledger::TaskOutcome::kStarted) {
     if (task->phase_ == TaskPhase::kWaiting) {
       MarkPlaced(step, *task, record.run_, record.worker_);
@@ -151,7 +153,8 @@
                     .priority_ = job->treatment_.priority_,
                     .command_attempts_ = internal::kMaxStartAttempts,
                     .gang_ = spec.gang_,
-                    .crash_suspect_ = record.crashes_ > 0,
+                    .crash_suspect_ = !record.crashes_.empty(),
+                    .on_trial_ = IsOnTrial(record.crashes_),
                     .incarnation_ = record.incarnation_,
                     .gang_size_ = spec.gang_ ? spec.count_ : 1,
                     .pace_ = {.unknown_ = bounds_.harm_time_.count() > 0 && spec.uses_idle_cpus_}});
@@ -190,6 +193,10 @@
       StopJob(job, job.state_, now);
     }
   }
+  FindReplacedWorkers(now);
+  for (UndecidedCrash& crash : undecided_crashes_) {
+    crash.decided_at_ = std::max(crash.decided_at_, now + kTakeoverDecisionDelay);
+  }
   std::vector<ledger::JobId> open;
   for (const auto& [id, job] : job_table_.jobs_) {
     open.push_back(id);
@@ -219,13 +226,16 @@
   worker.entry_ = entry;
   worker.listed_ = true;
   worker.entry_seen_ = now;
-  if (changed && entry.address_.port_ != 0) {
-    FindCrashedPredecessor(worker, now);
+  if (changed) {
+    worker.incarnation_seen_ = now;
   }
   if (changed && worker.incarnation_ != entry.incarnation_) {
     AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
     worker.next_lease_ = now;
   }
+  if (changed && entry.address_.port_ != 0) {
+    NoteAddress(worker, now);
+  }
   UpdateClock(worker, entry.clock_, now);
   if (changed || was_eligible == entry.draining_) {
     ScheduleUpdate(worker, now);
@@ -242,12 +252,16 @@
   }
 }
 
-void Dispatcher::OnWorkerGone(const std::string& id, core::TimePoint /*now*/) {
+void Dispatcher::OnWorkerGone(const std::string& id, core::TimePoint now) {
   Worker* worker = FindWorker(fleet_, id);
   if (worker == nullptr || !worker->listed_) {
     return;
   }
   worker->listed_ = false;
+  if (!worker->entry_.draining_ && !worker->crashed_) {
+    fleet_.departed_[config::ToString(worker->entry_.address_)] = now;
+  }
+  ReadmitAtAddressOf(*worker);
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.unlisted",
                  {{"worker", id}, {"runs", worker->assigned_runs_.size()}});
 }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "laburnumledge/dispatch/actions.hpp"
+#include "laburnumledge/dispatch/crash_evidence.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/explanation.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
@@ -162,6 +163,19 @@
     core::TimePoint overdue_at_{};  ///< From then on the store counts as not answering.
   };
 
+  /** Worker that came up last at an address. */
+  struct AddressHolder {
+    std::string worker_;
+    site::Incarnation incarnation_{};
+  };
+
+  /** Crash whose cause is decided once the news of the rest of the fleet has arrived. */
+  struct UndecidedCrash {
+    ledger::TaskId task_;
+    std::uint64_t run_{};
+    core::TimePoint decided_at_{};  ///< Zero before Begin.
+  };
+
   /** Orders workers by the time of their next update, then by identifier, so that the order does
    * not depend on addresses. */
   struct UpdateOrder {
@@ -196,13 +210,21 @@
 
   void AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
                         core::TimePoint now);
-  void FindCrashedPredecessor(const Worker& worker, core::TimePoint now);
-  void OnCrash(Worker& worker, core::TimePoint now);
+  void NoteAddress(Worker& worker, core::TimePoint now);
+  void FindReplacedWorkers(core::TimePoint now);
+  void ReadmitAtAddressOf(const Worker& gone);
+  void OnReplaced(Worker& worker, const AddressHolder& successor, core::TimePoint now);
+  void CorrectRestart(const Worker& worker, site::Incarnation restarted);
+  void ExpireRuns(Worker& worker, const std::vector<RunId>& expired, core::TimePoint now);
+  void CountCrashes(Worker& worker, site::Incarnation restarted, core::TimePoint now);
   void LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const;
-  [[nodiscard]] bool IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
-                                   core::TimePoint now) const;
-  [[nodiscard]] bool CountCrash(const Worker& worker, const RunId& run, core::TimePoint now);
-  void GiveUpCrashingTask(const Worker& worker, const RunId& run, core::TimePoint now);
+  void CountCrash(const Worker& worker, const RunId& run, const ExpiredRun& crashed,
+                  site::Incarnation restarted, core::TimePoint now);
+  [[nodiscard]] ExplainedRestarts ExplainedCrashes(const Job& job) const;
+  void DecideCrashes(core::TimePoint now);
+  void DecideCrash(const UndecidedCrash& undecided, const FleetStarts& starts, core::TimePoint now);
+  void ClearProvenTask(const RunId& run, AssignedRun& assigned, core::TimePoint now);
+  void GiveUpCrashingTask(Job& job, const ledger::TaskId& task, core::TimePoint now);
   void ProcessResults(Worker& worker, const std::vector<platform::FinishedRun>& rows,
                       core::TimePoint now);
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
@@ -273,8 +295,8 @@
   Organisations organisations_;
   JobTable job_table_;
   Fleet fleet_;
-  /** Identifier of the newest worker at each IP address and port. */
-  std::map<std::pair<std::string, std::uint16_t>, std::string> worker_by_address_;
+  /** Newest worker at each IP address and port. */
+  std::map<std::pair<std::string, std::uint16_t>, AddressHolder> holder_by_address_;
   DurationModel durations_;
   UrgentHeadroom urgent_headroom_;
   InterferenceTable interference_;
@@ -282,6 +304,9 @@
   std::map<std::uint64_t, PendingBatch> pending_batches_;
   std::uint64_t next_batch_{1};
   std::uint64_t next_lease_call_{1};
+  std::vector<UndecidedCrash> undecided_crashes_;
+  ExplainedRestarts trial_crashes_;       ///< Under tasks on trial, while causes are undecided.
+  core::TimePoint calm_since_{};          ///< The maximum while the fleet is not calm.
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
   bool begun_{};
   std::set<UpdateOrder::Entry, UpdateOrder> due_updates_;  ///< All workers by next_update_.
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -2,7 +2,9 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "laburnumledge/dispatch/crash_evidence.hpp"
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
@@ -13,17 +15,62 @@
 using core::EventPriority;
 using core::Level;
 
-/** Crashes after which a task is given up if nothing else explains the latest one. */
-constexpr std::uint32_t kMaxCertainCrashes = 2;
+/** Time from the news of a crash until its cause is decided: by then the news of workers that fell
+ * over with it has arrived, at the interval of their heartbeats. */
+constexpr core::Milliseconds kDecisionDelay{3000};
 
-/** Workers that crash within this time of each other may have a cause in common, such as a zone
- * without power. */
-constexpr core::Milliseconds kCommonCauseWindow{3000};
+/** Time at work after which another task on a crashed worker is not to blame. */
+constexpr core::Milliseconds kFreshRunTime{3000};
 
 /** Time at work after which a long-running task is no longer suspected of crashing its workers: it
  * would otherwise be given up some day for crashes that have other causes. */
 constexpr core::Milliseconds kProvenRunTime{60000};
 
+/** How long a worker is asked for the result of a run that was lost by lease expiry; longer than a
+ * worker is ever cut off in the platform's test days. */
+constexpr core::Milliseconds kExpiredRunRetention{30000};
+
+bool IsConfirmed(const AssignedRun& assigned) noexcept {
+  return assigned.started_ != core::TimePoint{};
+}
+
+/** Whether the answer to the only start command is still to come. It tells whether the run began.
+ */
+bool IsFirstStartInFlight(const AssignedRun& assigned) noexcept {
+  return assigned.phase_ == RunPhase::kStartSent && assigned.command_in_flight_ &&
+         assigned.command_attempts_ == 1;
+}
+
+/** When a worker fell over, as far as its answers tell. */
+core::TimePoint CrashTime(const Worker& worker, core::TimePoint now) noexcept {
+  return worker.failed_calls_ > 0 ? worker.unreachable_since_ : now;
+}
+
+/** Whether a run of another job may be to blame as well: it had just started, and is suspected as
+ * much as the task is by earlier crashes. */
+bool IsBesideOtherSuspect(const Worker& worker, const RunId& run, const AssignedRun& assigned,
+                          core::TimePoint at) {
+  return std::any_of(
+      worker.assigned_runs_.begin(), worker.assigned_runs_.end(), [&](const auto& entry) {
+        const AssignedRun& other = entry.second;
+        const bool fresh = !IsConfirmed(other) || at < other.started_ + kFreshRunTime;
+        return entry.first.task_.job_ != run.task_.job_ && internal::MayBeOnWorker(other) &&
+               fresh && (!assigned.crash_suspect_ || other.crash_suspect_) &&
+               (!assigned.on_trial_ || other.on_trial_);
+      });
+}
+
+/** What is known about a run in case its worker turns out to have crashed. */
+ExpiredRun DescribeRun(const Worker& worker, const RunId& run, const AssignedRun& assigned,
+                       core::TimePoint at) {
+  ExpiredRun described{.beside_other_suspect_ = IsBesideOtherSuspect(worker, run, assigned, at),
+                       .on_trial_ = assigned.on_trial_};
+  if (IsConfirmed(assigned) && at > assigned.started_) {
+    described.age_ = std::chrono::duration_cast<core::Milliseconds>(at - assigned.started_);
+  }
+  return described;
+}
+
 }  // namespace
 
 void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
@@ -35,8 +82,9 @@
                     {"runs", worker.assigned_runs_.size()}});
   }
   worker.incarnation_ = incarnation;
+  worker.crashed_ = false;
   if (!was_draining) {
-    OnCrash(worker, now);
+    CountCrashes(worker, incarnation, now);
   }
   worker.results_processed_ = 0;
   worker.results_recorded_ = 0;
@@ -47,49 +95,119 @@
   worker.speed_ = {};
 }
 
-/** Finds the worker that had a new worker's address before: a worker that crashed may come back
- * under another identifier, and its address tells that it is the same one. */
-void Dispatcher::FindCrashedPredecessor(const Worker& worker, core::TimePoint now) {
-  const site::WorkerEntry& entry = worker.entry_;
-  std::string& newest = worker_by_address_[{entry.address_.ip_, entry.address_.port_}];
-  Worker* other = newest == entry.id_ ? nullptr : FindWorker(fleet_, newest);
-  if (other != nullptr && other->entry_.incarnation_ >= entry.incarnation_) {
+/** Notes which worker came up last at an address: a worker that crashed may come back under another
+ * identifier, and its address tells that it is the same one. The list may still show, or show
+ * again, the entry of the earlier one. */
+void Dispatcher::NoteAddress(Worker& worker, core::TimePoint now) {
+  const AddressHolder holder{.worker_ = worker.entry_.id_,
+                             .incarnation_ = NewestIncarnation(worker)};
+  const config::Address& address = worker.entry_.address_;
+  AddressHolder& newest = holder_by_address_[{address.ip_, address.port_}];
+  if (newest.worker_ == holder.worker_) {
+    newest.incarnation_ = std::max(newest.incarnation_, holder.incarnation_);
     return;
   }
-  newest = entry.id_;
-  if (other == nullptr || other->entry_.draining_) {
+  if (!newest.worker_.empty() && newest.incarnation_ >= holder.incarnation_) {
+    OnReplaced(worker, newest, now);
     return;
   }
-  other->crashed_ = true;
-  core::LogEvent(
-      Level::kWarning, EventPriority::kHigh, "worker.replaced",
-      {{"worker", other->entry_.id_}, {"by", entry.id_}, {"runs", other->assigned_runs_.size()}});
-  OnCrash(*other, now);
+  const std::string earlier = std::exchange(newest, holder).worker_;
+  if (Worker* other = FindWorker(fleet_, earlier)) {
+    OnReplaced(*other, holder, now);
+  }
+}
+
+/** Finds workers that were replaced while there was no leader. Records tell the addresses of those
+ * that the platform's list does not show any more. */
+void Dispatcher::FindReplacedWorkers(core::TimePoint now) {
+  for (auto& [id, worker] : fleet_.workers_) {
+    if (worker.entry_.address_.port_ != 0) {
+      NoteAddress(worker, now);
+    }
+  }
+}
+
+/** Handles the proof that a worker's process has ended: another one has come up at its address.
+ * Nothing runs on it any more, whatever its leases say. */
+void Dispatcher::OnReplaced(Worker& worker, const AddressHolder& successor, core::TimePoint now) {
+  if (worker.crashed_) {
+    CorrectRestart(worker, successor.incarnation_);
+  } else {
+    worker.crashed_ = true;
+    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.replaced",
+                   {{"worker", worker.entry_.id_},
+                    {"by", successor.worker_},
+                    {"runs", worker.assigned_runs_.size()}});
+  }
+  if (!worker.entry_.draining_) {
+    CountCrashes(worker, successor.incarnation_, now);
+  }
+}
+
+/** Gives work again to a listed worker that was taken for replaced by one that is gone: a clock
+ * that was set back makes a successor look like the earlier of two. */
+void Dispatcher::ReadmitAtAddressOf(const Worker& gone) {
+  for (auto& [id, worker] : fleet_.workers_) {
+    if (worker.listed_ && worker.crashed_ && worker.entry_.address_ == gone.entry_.address_) {
+      worker.crashed_ = false;
+      worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
+      holder_by_address_[{worker.entry_.address_.ip_, worker.entry_.address_.port_}] = {
+          .worker_ = id, .incarnation_ = NewestIncarnation(worker)};
+    }
+  }
+}
+
+/** Sets the time at which a worker came back, once the list shows its successor. */
+void Dispatcher::CorrectRestart(const Worker& worker, site::Incarnation restarted) {
+  const std::string address = config::ToString(worker.entry_.address_);
+  for (const UndecidedCrash& undecided : undecided_crashes_) {
+    Task* task = FindTask(job_table_, undecided.task_);
+    if (task == nullptr) {
+      continue;
+    }
+    for (ledger::Crash& crash : task->crashes_) {
+      if (crash.run_ == undecided.run_ && crash.worker_ == address) {
+        crash.restarted_ = std::min(crash.restarted_, restarted);
+      }
+    }
+  }
+}
+
+/** Gives up runs whose leases have expired. Results or the news of a crash may still come. */
+void Dispatcher::ExpireRuns(Worker& worker, const std::vector<RunId>& expired,
+                            core::TimePoint now) {
+  const core::TimePoint at = CrashTime(worker, now);
+  for (const RunId& run : expired) {
+    ExpiredRun& entry = worker.expired_runs_[run];
+    entry = DescribeRun(worker, run, worker.assigned_runs_.at(run), at);
+    entry.asked_until_ = now + kExpiredRunRetention;
+  }
+  for (const RunId& run : expired) {
+    MarkRunLost(worker, run, "its lease has passed", now);
+  }
 }
 
-/** Marks the runs that a worker had when it crashed; they are counted once they are removed. */
-void Dispatcher::OnCrash(Worker& worker, core::TimePoint now) {
+/** Notes a worker's crash with the tasks whose runs it had. */
+void Dispatcher::CountCrashes(Worker& worker, site::Incarnation restarted, core::TimePoint now) {
+  const core::TimePoint at = CrashTime(worker, now);
   std::set<ledger::JobId> jobs;
-  for (auto& [run, assigned] : worker.assigned_runs_) {
+  for (const auto& [run, assigned] : worker.assigned_runs_) {
     const bool of_earlier =
         assigned.incarnation_ != 0 && assigned.incarnation_ != worker.incarnation_;
-    if (internal::MayBeOnWorker(assigned) && (of_earlier || worker.crashed_)) {
-      assigned.crashed_ = true;
-      assigned.only_suspect_ = IsOnlySuspect(worker, run.task_.job_, now);
+    if (internal::MayBeOnWorker(assigned) && !IsFirstStartInFlight(assigned) &&
+        (of_earlier || worker.crashed_)) {
+      CountCrash(worker, run, DescribeRun(worker, run, assigned, at), restarted, now);
       jobs.insert(run.task_.job_);
     }
   }
   // Runs whose lease expired while the worker was away crashed with it, or ended before.
-  for (const auto& [run, until] : worker.expired_runs_) {
+  for (const auto& [run, expired] : worker.expired_runs_) {
+    CountCrash(worker, run, expired, restarted, now);
     jobs.insert(run.task_.job_);
-    if (CountCrash(worker, run, now)) {
-      GiveUpCrashingTask(worker, run, now);
-    }
   }
   if (!jobs.empty()) {
     LogCrash(worker, jobs.size(), now);
     worker.health_.crashed_at_ = now;
-    worker.health_.crashed_jobs_ = std::move(jobs);
   }
 }
 
@@ -106,7 +224,7 @@
     others += worker.listed_ ? 1 : 0;
     away += worker.failed_calls_ > 0 ? 1 : 0;
     const core::TimePoint at = worker.health_.crashed_at_;
-    crashed_lately += at != core::TimePoint{} && now < at + kCommonCauseWindow ? 1 : 0;
+    crashed_lately += at != core::TimePoint{} && now < at + kDecisionDelay ? 1 : 0;
   }
   core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.crashed",
                  {{"worker", crashed.entry_.id_},
@@ -117,72 +235,138 @@
                   {"others_away", away}});
 }
 
-/** Whether nothing but one job explains a crash: no other job had a run there, and no worker
- * without a run of the job is away or has crashed at about the same time. */
-bool Dispatcher::IsOnlySuspect(const Worker& crashed, const ledger::JobId& job,
-                               core::TimePoint now) const {
-  const auto is_of_job = [&job](const auto& entry) { return entry.first.task_.job_ == job; };
-  const auto shows_other_cause = [&](const Worker& worker) {
-    const Health& health = worker.health_;
-    const bool crashed_lately =
-        health.crashed_at_ != core::TimePoint{} && now < health.crashed_at_ + kCommonCauseWindow;
-    const bool away =
-        worker.failed_calls_ > 0 &&
-        std::none_of(worker.assigned_runs_.begin(), worker.assigned_runs_.end(), is_of_job);
-    return away || (crashed_lately && !health.crashed_jobs_.contains(job));
-  };
-  return std::all_of(crashed.assigned_runs_.begin(), crashed.assigned_runs_.end(), is_of_job) &&
-         std::none_of(fleet_.workers_.begin(), fleet_.workers_.end(), [&](const auto& entry) {
-           return &entry.second != &crashed && shows_other_cause(entry.second);
-         });
-}
-
-/** Counts a crash under a run's task, once for each run of a gang; returns whether the task is to
- * be given up. */
-bool Dispatcher::CountCrash(const Worker& worker, const RunId& run, core::TimePoint now) {
+/** Notes a crash with the task of one run. Members of a gang are suspected one by one: each has
+ * crashed only the worker that it was on. */
+void Dispatcher::CountCrash(const Worker& worker, const RunId& run, const ExpiredRun& crashed,
+                            site::Incarnation restarted, core::TimePoint now) {
   Job* job = FindJob(job_table_, run.task_.job_);
   Task* task = FindTask(job_table_, run.task_);
   if (job == nullptr || task == nullptr || task->phase_ == TaskPhase::kDone ||
       task->crashed_run_ >= run.run_) {
-    return false;
-  }
-  const ledger::Step& spec = job->submission_->steps_[run.task_.step_];
-  const auto assigned = worker.assigned_runs_.find(run);
-  const bool is_assigned = assigned != worker.assigned_runs_.end();
-  const bool proven = spec.long_running_ && is_assigned &&
-                      assigned->second.started_ != core::TimePoint{} &&
-                      now > assigned->second.started_ + kProvenRunTime;
-  for (Task& member : FindStep(job_table_, run.task_)->tasks_) {
-    if (spec.gang_ || &member == task) {
-      member.crashes_ = proven ? 0 : member.crashes_ + 1;
-      member.crashed_run_ = run.run_;
-    }
+    return;
+  }
+  task->crashed_run_ = run.run_;
+  if (job->submission_->steps_[run.task_.step_].long_running_ && crashed.age_ > kProvenRunTime) {
+    task->crashes_.clear();
+    return;
+  }
+  const bool ambiguous = crashed.beside_other_suspect_;
+  AddCrash(task->crashes_,
+           {.run_ = run.run_,
+            .worker_ = config::ToString(worker.entry_.address_),
+            .restarted_ = restarted,
+            .age_ = crashed.age_,
+            .cause_ = ambiguous ? ledger::CrashCause::kOther : ledger::CrashCause::kUndecided});
+  if (crashed.on_trial_) {
+    trial_crashes_[task->crashes_.back().worker_] = restarted;
+  }
+  if (!ambiguous) {
+    undecided_crashes_.push_back(
+        {.task_ = run.task_, .run_ = run.run_, .decided_at_ = now + kDecisionDelay});
   }
-  const bool only_suspect = is_assigned && assigned->second.only_suspect_;
   core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.worker_crashed",
                  {{"task", ledger::ToString(run.task_)},
                   {"run", run.run_},
                   {"worker", worker.entry_.id_},
-                  {"crashes", task->crashes_},
-                  {"confirmed", is_assigned && assigned->second.started_ != core::TimePoint{}},
-                  {"at_work_ms", is_assigned && assigned->second.started_ != core::TimePoint{}
-                                     ? std::chrono::duration_cast<core::Milliseconds>(
-                                           now - assigned->second.started_)
-                                     : core::Milliseconds{}},
-                  {"only_suspect", only_suspect}});
-  return task->crashes_ >= (only_suspect ? kMaxCertainCrashes : internal::kMaxCrashes);
-}
-
-void Dispatcher::GiveUpCrashingTask(const Worker& worker, const RunId& run, core::TimePoint now) {
-  Job& job = job_table_.jobs_.at(run.task_.job_);
-  if (ledger::IsFinal(job.state_)) {
+                  {"crashes", task->crashes_.size()},
+                  {"at_work_ms", crashed.age_},
+                  {"on_trial", crashed.on_trial_},
+                  {"beside_other_suspect", ambiguous}});
+}
+
+/** Crashes for which a job, or a task on trial, is an explanation. */
+ExplainedRestarts Dispatcher::ExplainedCrashes(const Job& job) const {
+  ExplainedRestarts explained = trial_crashes_;
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (const StepState& step : occurrence.steps_) {
+      for (const Task& task : step.tasks_) {
+        for (const ledger::Crash& crash : task.crashes_) {
+          site::Incarnation& latest = explained[crash.worker_];
+          latest = std::max(latest, crash.restarted_);
+        }
+      }
+    }
+  }
+  return explained;
+}
+
+void Dispatcher::DecideCrashes(core::TimePoint now) {
+  if (undecided_crashes_.empty()) {
+    trial_crashes_.clear();
+  }
+  const auto due =
+      std::stable_partition(undecided_crashes_.begin(), undecided_crashes_.end(),
+                            [now](const UndecidedCrash& crash) { return crash.decided_at_ > now; });
+  if (due == undecided_crashes_.end()) {
     return;
   }
+  const std::vector<UndecidedCrash> decided(due, undecided_crashes_.end());
+  undecided_crashes_.erase(due, undecided_crashes_.end());
+  const FleetStarts starts = CollectStarts(fleet_, now);
+  for (const UndecidedCrash& crash : decided) {
+    DecideCrash(crash, starts, now);
+  }
+  plan_due_ = true;
+}
+
+void Dispatcher::DecideCrash(const UndecidedCrash& undecided, const FleetStarts& starts,
+                             core::TimePoint now) {
+  Job* job = FindJob(job_table_, undecided.task_.job_);
+  Task* task = FindTask(job_table_, undecided.task_);
+  if (job == nullptr || task == nullptr) {
+    return;
+  }
+  const auto crash = std::find_if(
+      task->crashes_.begin(), task->crashes_.end(),
+      [&](const ledger::Crash& candidate) { return candidate.run_ == undecided.run_; });
+  if (crash == task->crashes_.end()) {
+    return;  // The task has been cleared since.
+  }
+  const CrashSurroundings surroundings = MeasureSurroundings(
+      starts, *crash, job->id_, ExplainedCrashes(*job), undecided.decided_at_ - kDecisionDelay);
+  const auto index = static_cast<std::size_t>(crash - task->crashes_.begin());
+  crash->cause_ = DecideCause(surroundings, WasOnTrial(task->crashes_, index));
+  StepState& step = *FindStep(job_table_, undecided.task_);
+  step.retry_at_ = std::max(step.retry_at_, now);
+  const bool gives_up = task->phase_ != TaskPhase::kDone && !ledger::IsFinal(job->state_) &&
+                        CrashesItsWorkers(task->crashes_);
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.crash_decided",
+                 {{"task", ledger::ToString(undecided.task_)},
+                  {"run", undecided.run_},
+                  {"worker", crash->worker_},
+                  {"others", surroundings.others_},
+                  {"informed", surroundings.informed_},
+                  {"fell_too", surroundings.fell_too_},
+                  {"fell_before", surroundings.fell_before_},
+                  {"cause", crash->cause_ == ledger::CrashCause::kTask ? "task" : "other"},
+                  {"crashes", task->crashes_.size()},
+                  {"gives_up", gives_up}});
+  if (gives_up) {
+    GiveUpCrashingTask(*job, undecided.task_, now);
+  }
+}
+
+/** Forgets the crashes under a task once a run of it has outlived them. */
+void Dispatcher::ClearProvenTask(const RunId& run, AssignedRun& assigned, core::TimePoint now) {
+  Task* task = FindTask(job_table_, run.task_);
+  if (task == nullptr || !IsConfirmed(assigned) ||
+      now < assigned.started_ + ClearingAge(task->crashes_)) {
+    return;
+  }
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.cleared",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"crashes", task->crashes_.size()}});
+  task->crashes_.clear();
+  assigned.crash_suspect_ = false;
+  assigned.on_trial_ = false;
+}
+
+void Dispatcher::GiveUpCrashingTask(Job& job, const ledger::TaskId& task, core::TimePoint now) {
   core::LogEvent(Level::kWarning, EventPriority::kHigh, "job.given_up",
                  {{"job", job.id_},
-                  {"task", ledger::ToString(run.task_)},
-                  {"worker", worker.entry_.id_},
-                  {"crashes", FindTask(job_table_, run.task_)->crashes_},
+                  {"task", ledger::ToString(task)},
+                  {"crashes", FindTask(job_table_, task)->crashes_.size()},
                   {"reason", "workers crash under the task"}});
   StopJob(job, ledger::JobState::kFailed, now);
 }
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -204,6 +204,9 @@
       StopOrphanedRun(worker, run, now);
       continue;
     }
+    if (found->second.on_trial_) {
+      ClearProvenTask(run, found->second, now);
+    }
     BeginExposure(found->second.exposure_, found->second.progress_rate_);
     const ProgressVerdict verdict = UpdateRunProgress(run, found->second, row, now);
     normal += verdict == ProgressVerdict::kNormal ? 1 : 0;
@@ -339,8 +342,8 @@
                                                           .failures_ = task->failures_,
                                                           .checkpoint_ = task->checkpoint_,
                                                           .failed_run_ = task->failed_run_,
-                                                          .crashes_ = task->crashes_,
-                                                          .crashed_run_ = task->crashed_run_});
+                                                          .crashed_run_ = task->crashed_run_,
+                                                          .crashes_ = task->crashes_});
   if (end != RunResult::kStopped) {
     step->retry_at_ = std::max(step->retry_at_, now + kRetryDelay);
   }
@@ -367,13 +370,8 @@
                     {"worker", worker.entry_.id_},
                     {"reason", reason}});
   }
-  const AssignedRun& assigned = worker.assigned_runs_.at(run);
-  const bool gives_up = assigned.crashed_ && CountCrash(worker, run, now);
   RecordBatch batch;
   FinishRun(worker, run, RunResult::kLeaseExpired, {}, batch, now);
-  if (gives_up) {
-    GiveUpCrashingTask(worker, run, now);
-  }
   if (!batch.tasks_.empty()) {
     IssueBatch(std::move(batch), {}, now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -15,10 +15,6 @@
 /** How long a worker gets no work after a start that got no answer or could not be sent. */
 constexpr core::Milliseconds kUnansweredStartPause{1000};
 
-/** How long a worker is asked for the result of a run that was lost by lease expiry; longer than a
- * worker is ever cut off in the platform's test days. */
-constexpr core::Milliseconds kExpiredRunRetention{30000};
-
 /** Consecutive failed lease calls after which results are no longer acknowledged to a worker
  * without runs. */
 constexpr std::uint32_t kMaxIdleLeaseFailures = 5;
@@ -322,6 +318,7 @@
     return;
   }
   if (worker->failed_calls_ == 0) {
+    worker->unreachable_since_ = now;
     core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.unreachable",
                    {{"worker", worker->entry_.id_},
                     {"outcome", platform::ToString(result.outcome_)},
@@ -353,17 +350,15 @@
       }
     }
   }
-  for (const RunId& run : expired) {
-    worker.expired_runs_.emplace(run, now + kExpiredRunRetention);
-    MarkRunLost(worker, run, "its lease has passed", now);
-  }
+  ExpireRuns(worker, expired, now);
   if (IsPacing(worker.pacing_)) {
     SendPaces(worker, now);
   }
   if (worker.listed_ && worker.entry_.draining_) {
     MoveRunsOffDrainingWorker(worker, now);
   }
-  std::erase_if(worker.expired_runs_, [now](const auto& entry) { return entry.second < now; });
+  std::erase_if(worker.expired_runs_,
+                [now](const auto& entry) { return entry.second.asked_until_ < now; });
   const bool results_to_acknowledge =
       AcknowledgeableResults(worker) > worker.results_acknowledged_ &&
       worker.failed_calls_ < kMaxIdleLeaseFailures;
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -104,6 +104,7 @@
     return now + kPlanInterval;
   }
   UpdateDueWorkers(now);
+  DecideCrashes(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupInterval;
     RemoveGoneWorkers();
@@ -290,7 +291,8 @@
          .organisation_ = job.organisation_,
          .priority_ = job.treatment_.priority_,
          .gang_ = spec.gang_,
-         .crash_suspect_ = task.crashes_ > 0,
+         .crash_suspect_ = !task.crashes_.empty(),
+         .on_trial_ = IsOnTrial(task.crashes_),
          .incarnation_ = worker.incarnation_,
          .resumed_ = !task.checkpoint_.empty(),
          .gang_size_ = spec.gang_ ? spec.count_ : 1,
@@ -308,8 +310,8 @@
                                                .failures_ = task.failures_,
                                                .checkpoint_ = task.checkpoint_,
                                                .failed_run_ = task.failed_run_,
-                                               .crashes_ = task.crashes_,
                                                .crashed_run_ = task.crashed_run_,
+                                               .crashes_ = task.crashes_,
                                            });
     pending.starts_.emplace_back(worker.entry_.id_, run);
   }
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -72,6 +72,11 @@
     CountJobRates(shares_, organisations_, job_table_, uncounted_);
   }
   uncounted_.clear();
+  if (!IsCalm(fleet_, time.now_, time.wall_)) {
+    calm_since_ = core::TimePoint::max();
+  } else if (calm_since_ > time.now_) {
+    calm_since_ = time.now_;
+  }
   const bool avoids = interference_.mode_ == site::InterferenceMode::kAvoid;
   const auto make = [&](bool by_share) {
     return MakePlan(job_table_, fleet_,
@@ -83,6 +88,8 @@
                      .shares_ = by_share ? &shares_ : nullptr,
                      .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
                      .interference_ = avoids ? &interference_ : nullptr,
+                     .calm_since_ = calm_since_,
+                     .trial_room_ = TrialRoom(fleet_),
                      .time_ = time});
   };
   const bool by_share = weighted && ordered_by_share_;
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -20,6 +20,14 @@
                                                            (1.0 + kClockTolerance));
 }
 
+site::Incarnation NewestIncarnation(const Worker& worker) noexcept {
+  site::Incarnation newest = worker.entry_.incarnation_;
+  for (const auto& [run, assigned] : worker.assigned_runs_) {
+    newest = std::max(newest, assigned.incarnation_);
+  }
+  return newest;
+}
+
 site::Resources FreeResources(const Worker& worker) noexcept {
   return worker.entry_.capacity_ - worker.used_;
 }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -47,8 +47,7 @@
   bool command_in_flight_{};
   bool gang_{};
   bool crash_suspect_{};             ///< A worker has crashed under an earlier run of the task.
-  bool crashed_{};                   ///< The worker has crashed since the run was assigned to it.
-  bool only_suspect_{};              ///< Nothing but the run's job explains that crash.
+  bool on_trial_{};                  ///< See IsOnTrial.
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
   bool resumed_{};                   ///< Started from a checkpoint.
   std::uint32_t gang_size_{1};       ///< Tasks that fail together with this run.
@@ -79,7 +78,15 @@
   bool slow_{};                        ///< Suspected only because its runs progress slowly.
   core::TimePoint failed_at_{};        ///< Last failure that the worker may have caused.
   core::TimePoint crashed_at_{};       ///< When the worker was last seen to have crashed.
-  std::set<ledger::JobId> crashed_jobs_;  ///< Jobs that had runs on the worker then.
+};
+
+/** @brief Run that was lost by lease expiry while its worker was away. Its result, or the news that
+ * the worker has crashed, may still come. */
+struct ExpiredRun {
+  core::TimePoint asked_until_{};  ///< Lease calls ask for its result until then.
+  core::Milliseconds age_{};       ///< For how long it was at work; zero if unknown.
+  bool beside_other_suspect_{};    ///< A run of another job there may be to blame as well.
+  bool on_trial_{};                ///< See IsOnTrial.
 };
 
 /** @brief Value of Worker::acknowledgement_limit_ that allows every acknowledgement. */
@@ -88,11 +95,12 @@
 /** @brief Worker with its resource accounting, lease and results. */
 struct Worker {
   site::WorkerEntry entry_;
-  bool listed_{};                    ///< The platform lists the worker.
-  bool crashed_{};                   ///< Another worker has come up at its address.
-  core::TimePoint entry_seen_{};     ///< When `entry_` was last read.
-  site::Incarnation incarnation_{};  ///< As reported by the worker; 0 before its first answer.
-  std::uint64_t fence_token_{};      ///< Token of commands that are sent now.
+  bool listed_{};                 ///< The platform lists the worker.
+  bool crashed_{};                ///< Another worker has come up at its address: nothing runs.
+  core::TimePoint entry_seen_{};  ///< When `entry_` was last read.
+  core::TimePoint incarnation_seen_{};  ///< When this incarnation was first seen in the list.
+  site::Incarnation incarnation_{};     ///< As reported by the worker; 0 before its first answer.
+  std::uint64_t fence_token_{};         ///< Token of commands that are sent now.
   std::optional<ClockReference> clock_;
   std::uint64_t results_processed_{};     ///< Results up to this number are processed.
   std::uint64_t results_recorded_{};      ///< Results up to this number are stored.
@@ -100,19 +108,18 @@
   core::TimePoint last_lease_answer_{};   ///< When the worker last answered a lease call.
   std::uint64_t acknowledgement_limit_{
       kNoAcknowledgementLimit};  ///< Results beyond this number are never acknowledged.
-  std::map<RunId, core::TimePoint>
-      expired_runs_;  ///< Lost by lease expiry, perhaps after they succeeded; lease calls go on
-                      ///< until this time.
+  std::map<RunId, ExpiredRun> expired_runs_;
   bool lease_in_flight_{};
   std::uint64_t lease_call_number_{};  ///< Number of the lease call in flight.
   core::TimePoint lease_sent_{};
-  core::TimePoint next_lease_{};        ///< When the next lease call is due.
-  core::TimePoint latest_lease_end_{};  ///< No run can exist on the worker after this time.
-  core::WorkerTime lease_deadline_{};   ///< In the newest lease call, on the worker's clock.
-  core::TimePoint next_drain_check_{};  ///< When the runs of a draining worker are checked again.
-  core::TimePoint next_update_{};       ///< When the dispatcher checks this worker again.
-  core::TimePoint last_answer_{};       ///< When the worker last answered a start or a lease call.
-  std::uint32_t failed_calls_{};        ///< Consecutive lease calls without success.
+  core::TimePoint next_lease_{};         ///< When the next lease call is due.
+  core::TimePoint latest_lease_end_{};   ///< No run can exist on the worker after this time.
+  core::WorkerTime lease_deadline_{};    ///< In the newest lease call, on the worker's clock.
+  core::TimePoint next_drain_check_{};   ///< When the runs of a draining worker are checked again.
+  core::TimePoint next_update_{};        ///< When the dispatcher checks this worker again.
+  core::TimePoint last_answer_{};        ///< When the worker last answered a start or a lease call.
+  std::uint32_t failed_calls_{};         ///< Consecutive lease calls without success.
+  core::TimePoint unreachable_since_{};  ///< First of the failed calls, or of the last ones.
   Health health_;
   RelativeSpeed speed_;
   Pacing pacing_;
@@ -122,6 +129,8 @@
 
 /** @brief All workers by identifier. */
 struct Fleet {
+  /** Addresses of workers that vanished from the list without having announced it, and when. */
+  std::map<std::string, core::TimePoint> departed_;
   std::map<std::string, Worker, std::less<>> workers_;
 };
 
@@ -129,6 +138,9 @@
  */
 [[nodiscard]] core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept;
 
+/** @brief Start of the newest incarnation of a worker that the list or a run's record shows. */
+[[nodiscard]] site::Incarnation NewestIncarnation(const Worker& worker) noexcept;
+
 /** @brief Resources of a worker that no assigned run uses. */
 [[nodiscard]] site::Resources FreeResources(const Worker& worker) noexcept;
 
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -19,10 +19,6 @@
  * the time that members of a gang wait for each other. */
 inline constexpr std::uint32_t kMaxStartAttempts = 4;
 
-/** @brief Workers that may crash under a task before it is given up for certain. The platform
- * allows to give up after two and forbids to go on after three. */
-inline constexpr std::uint32_t kMaxCrashes = 3;
-
 /** @brief Interval at which an unanswered stop command is resent. */
 inline constexpr core::Milliseconds kStopRetryInterval{300};
 
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,10 @@
   const Shares* shares_{};  ///< Null if shares don't affect the order; needs organisations.
   std::int64_t urgent_headroom_gpus_{};      ///< GPUs kept free for urgent jobs.
   const InterferenceTable* interference_{};  ///< Null if interference is not avoided.
+  /** The fleet is calm since then, so that tasks on trial may start; see IsCalm. */
+  core::TimePoint calm_since_{};
+  /** Workers on which tasks on trial may start; the others show what else happens to the fleet. */
+  std::size_t trial_room_{std::numeric_limits<std::size_t>::max()};
   PlanTime time_;
   PlanObserver before_step_{};  ///< Empty except for dry runs.
 };
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "laburnumledge/dispatch/crash_evidence.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 #include "laburnumledge/dispatch/share.hpp"
 
@@ -27,6 +28,13 @@
  * of workers last five to seven seconds. */
 constexpr core::Milliseconds kFailedWorkerAvoidance{6000};
 
+/** Time at work after which a task on trial, or one beside it, is not about to crash the worker. */
+constexpr core::Milliseconds kFreshRunTime{3000};
+
+/** How long a step on trial waits for workers without tasks of other jobs, and then for workers
+ * without young ones. */
+constexpr core::Milliseconds kMaxTrialWait{2000};
+
 /** Fraction of the time that a step can wait without being late after which the step may preempt
  * less urgent runs. The rest is a margin: predictions are rough, and preempted runs take time to
  * stop. */
@@ -50,6 +58,61 @@
   return kind == kNoKind || context.interference_->known_[kind] == 0 ? kNoKind : kind;
 }
 
+/** Collects the tasks of a step that can start. Tasks on trial wait until the cause of their latest
+ * crash is decided and the fleet is calm, and start after the others of their step. */
+void CollectTasks(const ledger::Step& spec, const StepState& state, const PlanContext& context,
+                  ReadyStep& step) {
+  std::vector<std::uint32_t> on_trial;
+  for (std::uint32_t index = 0; index < state.tasks_.size(); ++index) {
+    const Task& task = state.tasks_[index];
+    if (task.phase_ != TaskPhase::kWaiting || task.outstanding_runs_ > 0) {
+      continue;
+    }
+    if (!IsOnTrial(task.crashes_)) {
+      step.tasks_.push_back(index);
+    } else if (context.calm_since_ <= context.time_.now_ && !AwaitsDecision(task.crashes_)) {
+      on_trial.push_back(index);
+    }
+  }
+  if (!on_trial.empty() && (spec.gang_ || step.tasks_.empty())) {
+    step.on_trial_ = true;
+    step.tasks_.insert(step.tasks_.end(), on_trial.begin(), on_trial.end());
+    std::sort(step.tasks_.begin(), step.tasks_.end());
+  }
+}
+
+/** When a step on trial could have started for the first time. */
+core::TimePoint TrialSince(const ReadyStep& step, const PlanContext& context) noexcept {
+  return std::max(step.state_->retry_at_, context.calm_since_);
+}
+
+bool WaitsForTrialRoom(const ReadyStep& step, const PlanContext& context) noexcept {
+  return step.on_trial_ && context.time_.now_ < TrialSince(step, context) + kMaxTrialWait;
+}
+
+/** Whether a run is so young that its task may crash the worker yet. */
+bool IsFresh(const AssignedRun& assigned, core::TimePoint now) noexcept {
+  return assigned.started_ == core::TimePoint{} || now < assigned.started_ + kFreshRunTime;
+}
+
+/** Leaves out tasks on trial beyond the room for trials, unless they have waited for long. A gang
+ * starts as a whole. */
+void LimitTrials(std::vector<ReadyStep>& steps, const PlanContext& context) {
+  std::size_t room = context.trial_room_;
+  std::erase_if(steps, [&](ReadyStep& step) {
+    if (!step.on_trial_) {
+      return false;
+    }
+    const std::size_t tasks = std::min(room, step.tasks_.size());
+    room -= tasks;
+    if (!WaitsForTrialRoom(step, context) || (step.spec_->gang_ && tasks > 0)) {
+      return false;
+    }
+    step.tasks_.resize(tasks);
+    return tasks == 0;
+  });
+}
+
 void CollectIfReady(const Job& job, std::uint32_t number, const Occurrence& occurrence,
                     std::uint32_t index, const PlanContext& context,
                     std::vector<ReadyStep>& steps) {
@@ -61,12 +124,7 @@
   const ledger::Step& spec = job.submission_->steps_[index];
   ReadyStep step{
       .job_ = &job, .occurrence_ = number, .index_ = index, .spec_ = &spec, .state_ = &state};
-  for (std::uint32_t task = 0; task < state.tasks_.size(); ++task) {
-    if (state.tasks_[task].phase_ == TaskPhase::kWaiting &&
-        state.tasks_[task].outstanding_runs_ == 0) {
-      step.tasks_.push_back(task);
-    }
-  }
+  CollectTasks(spec, state, context, step);
   if (step.tasks_.empty() || (spec.gang_ && step.tasks_.size() < state.tasks_.size())) {
     return;
   }
@@ -91,7 +149,7 @@
       last_attempt && time.now_ < state.retry_at_ + kFailedWorkerAvoidance;
   step.crash_suspect_ =
       std::any_of(step.tasks_.begin(), step.tasks_.end(),
-                  [&state](std::uint32_t task) { return state.tasks_[task].crashes_ > 0; });
+                  [&state](std::uint32_t task) { return !state.tasks_[task].crashes_.empty(); });
   steps.push_back(std::move(step));
 }
 
@@ -123,6 +181,7 @@
     AssignBands(steps, *context.organisations_, context.organisation_use_);
   }
   std::sort(steps.begin(), steps.end(), IsPlacedBefore);
+  LimitTrials(steps, context);
   return steps;
 }
 
@@ -143,6 +202,9 @@
       if (assigned.crash_suspect_) {
         candidate.crash_suspect_job_ = &run.task_.job_;
       }
+      if (assigned.on_trial_ && IsFresh(assigned, now)) {
+        candidate.trial_job_ = &run.task_.job_;
+      }
     }
     candidate.probe_only_ = worker.health_.times_suspected_ > 0;
     candidate.recently_failed_ = worker.health_.failed_at_ != core::TimePoint{} &&
@@ -226,6 +288,31 @@
                                     label) != worker.entry_.labels_.end();
 }
 
+namespace {
+
+/** Whether a task on trial, of this or another job, would have company there. The crash of its
+ * worker would not be conclusive then, and would hit others. */
+bool DisturbsTrial(const Planner& planner, const CandidateWorker& candidate,
+                   const ReadyStep& step) noexcept {
+  const ledger::JobId& job = step.job_->id_;
+  if (!step.on_trial_) {
+    return candidate.trial_job_ != nullptr && *candidate.trial_job_ != job;
+  }
+  const core::TimePoint now = planner.context_.time_.now_;
+  const bool waits_for_empty = WaitsForTrialRoom(step, planner.context_);
+  if (!waits_for_empty && now >= TrialSince(step, planner.context_) + 2 * kMaxTrialWait) {
+    return false;
+  }
+  const bool shared = std::any_of(candidate.worker_->assigned_runs_.begin(),
+                                  candidate.worker_->assigned_runs_.end(), [&](const auto& entry) {
+                                    return entry.first.task_.job_ != job &&
+                                           (waits_for_empty || IsFresh(entry.second, now));
+                                  });
+  return shared || (candidate.planned_job_ != nullptr && *candidate.planned_job_ != job);
+}
+
+}  // namespace
+
 bool CanHost(const Planner& planner, const CandidateWorker& candidate,
              const ReadyStep& step) noexcept {
   const bool avoids_failed = step.avoids_failed_workers_ &&
@@ -236,6 +323,7 @@
   const bool beside_suspect = step.crash_suspect_ && candidate.crash_suspect_job_ != nullptr &&
                               *candidate.crash_suspect_job_ != step.job_->id_;
   return (!beside_suspect || ExceedsIdleWait(planner, step)) &&
+         !DisturbsTrial(planner, candidate, step) &&
          (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
          candidate.worker_->entry_.service_ == step.job_->treatment_.service_ &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -26,6 +26,8 @@
   std::uint32_t assigned_tasks_{};  ///< Tasks assigned here of the step that is being placed.
   bool urgent_headroom_{};          ///< Kept free for urgent jobs.
   const ledger::JobId* crash_suspect_job_{};  ///< Job here under which a worker has crashed before.
+  const ledger::JobId* trial_job_{};          ///< Job here with a task on trial; see IsOnTrial.
+  const ledger::JobId* planned_job_{};  ///< Job of the latest task that this plan starts here.
   core::TimePoint reserved_from_{core::TimePoint::max()};  ///< Begin of an advance reservation.
   std::optional<std::vector<ExpectedEnd>> ends_;  ///< Of the runs, if a search has needed them.
   std::size_t ends_without_{};               ///< Number of preempted runs when `ends_` was made.
@@ -59,6 +61,7 @@
   /** One more failure ends the job: the step waits a while for a worker without recent failures. */
   bool avoids_failed_workers_{};
   bool crash_suspect_{};  ///< A worker has crashed under one of the tasks.
+  bool on_trial_{};       ///< One of the tasks is on trial: none of another job runs beside it.
   ShareBand band_{};      ///< The same for all steps without shares.
 };
 
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -96,6 +96,10 @@
   if (step.crash_suspect_) {
     candidate.crash_suspect_job_ = &step.job_->id_;
   }
+  if (step.on_trial_) {
+    candidate.trial_job_ = &step.job_->id_;
+  }
+  candidate.planned_job_ = &step.job_->id_;
   planned.push_back({.task_ = {.job_ = step.job_->id_,
                                .occurrence_ = step.occurrence_,
                                .step_ = step.index_,
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -156,8 +156,18 @@
   message.set_failures(record.failures_);
   message.set_checkpoint(record.checkpoint_);
   message.set_failed_run(record.failed_run_);
-  message.set_crashes(record.crashes_);
   message.set_crashed_run(record.crashed_run_);
+  std::uint32_t caused = 0;
+  for (const Crash& crash : record.crashes_) {
+    wire::Crash& row = *message.add_crash();
+    row.set_run(crash.run_);
+    row.set_worker(crash.worker_);
+    row.set_restarted_unix_ms(crash.restarted_);
+    row.set_age_ms(crash.age_.count());
+    row.set_cause(static_cast<wire::Crash::Cause>(crash.cause_));
+    caused += crash.cause_ == CrashCause::kTask ? 1 : 0;
+  }
+  message.set_crashes(caused);
   return message.SerializeAsString();
 }
 
@@ -169,7 +179,7 @@
   if (!wire::TaskRecord::State_IsValid(message->state())) {
     return core::Fail("task state {} is not known", static_cast<int>(message->state()));
   }
-  return TaskRecord{
+  TaskRecord record{
       .outcome_ = static_cast<TaskOutcome>(message->state()),
       .run_ = message->run(),
       .worker_ = message->worker(),
@@ -177,9 +187,19 @@
       .failures_ = message->failures(),
       .checkpoint_ = message->checkpoint(),
       .failed_run_ = message->failed_run(),
-      .crashes_ = message->crashes(),
       .crashed_run_ = message->crashed_run(),
   };
+  for (const wire::Crash& row : message->crash()) {
+    // A cause that a later version has added is taken for one that doesn't count.
+    const bool known = wire::Crash::Cause_IsValid(row.cause());
+    record.crashes_.push_back(
+        {.run_ = row.run(),
+         .worker_ = row.worker(),
+         .restarted_ = row.restarted_unix_ms(),
+         .age_ = core::Milliseconds(row.age_ms()),
+         .cause_ = known ? static_cast<CrashCause>(row.cause()) : CrashCause::kOther});
+  }
+  return record;
 }
 
 std::string Encode(const Term& term) {
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -104,6 +104,24 @@
   kWaiting,  ///< The last run ended without success; the task may run again.
 };
 
+/** @brief What explains that a worker crashed under a task. */
+enum class CrashCause : unsigned char {
+  kUndecided,  ///< News of the rest of the fleet may still arrive.
+  kTask,       ///< Nothing but the task.
+  kOther,      ///< A cause in common with other workers, or possibly another task.
+};
+
+/** @brief Crash of a worker under a run of a task. */
+struct Crash {
+  std::uint64_t run_{};
+  std::string worker_;        ///< Address: the worker may be back under another identifier.
+  std::int64_t restarted_{};  ///< Start of its next incarnation, in milliseconds since 1970.
+  core::Milliseconds age_{};  ///< For how long the run had been at work; zero if unknown.
+  CrashCause cause_{CrashCause::kUndecided};
+
+  [[nodiscard]] bool operator==(const Crash&) const = default;
+};
+
 /** @brief Stored state of a task: its newest record. */
 struct TaskRecord {
   TaskOutcome outcome_{TaskOutcome::kWaiting};
@@ -113,8 +131,8 @@
   std::uint32_t failures_{};
   std::string checkpoint_;
   std::uint64_t failed_run_{};   ///< Newest run that is counted in failures_.
-  std::uint32_t crashes_{};      ///< Runs under which a worker has crashed.
-  std::uint64_t crashed_run_{};  ///< Newest run that is counted in crashes_.
+  std::uint64_t crashed_run_{};  ///< Newest run that was counted as a crash.
+  std::vector<Crash> crashes_;   ///< Since the task was last cleared, oldest first.
 };
 
 /** @brief Term: period in which one node is the leader. */
