End the runs of a worker as soon as its replacement shows

Cause: that another worker answers at an address ("other-incarnation"), or is listed there, proves that the earlier one has ended, but was handled as silence. Its runs stayed assigned until their leases, or after a takeover all leases of earlier terms, had passed; one such run keeps a whole gang waiting. A new leader didn't know where a run was if its worker had left the list. The list may show a dead worker again, which was given work once more.

Change: the newest worker at each address counts. An answer or an entry of a successor ends the runs of the earlier worker at once, a start whose only command is unanswered by that command's own answer. Records of starts hold the worker's address. A replaced worker gets no work; if a clock that was set back made the wrong one look replaced, it gets work again once the other leaves the list.

Three of the new tests in outages.cpp fail without this change.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -146,6 +146,10 @@
       MarkPlaced(step, *task, record.run_, record.worker_);
     }
     Worker& worker = FindOrAddWorker(record.worker_);
+    if (const auto address = config::ParseAddress(record.worker_address_)) {
+      // The list may not show the worker any more, though it may still have the run.
+      worker.entry_.address_ = *address;
+    }
     AddAssignedRun(worker, {.task_ = id, .run_ = record.run_},
                    {.phase_ = RunPhase::kStartSent,
                     .needs_ = spec.task_resources_,
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -213,8 +213,12 @@
   void NoteAddress(Worker& worker, core::TimePoint now);
   void FindReplacedWorkers(core::TimePoint now);
   void ReadmitAtAddressOf(const Worker& gone);
+  [[nodiscard]] AddressHolder SuccessorOf(const Worker& worker, core::TimePoint now) const;
   void OnReplaced(Worker& worker, const AddressHolder& successor, core::TimePoint now);
   void CorrectRestart(const Worker& worker, site::Incarnation restarted);
+  void EndRunOfReplacedWorker(Worker& worker, const RunId& run, core::TimePoint now);
+  void OnOtherIncarnation(Worker& worker, core::TimePoint now);
+  void EndRunsOfReplacedWorker(Worker& worker, core::TimePoint now);
   void ExpireRuns(Worker& worker, const std::vector<RunId>& expired, core::TimePoint now);
   void CountCrashes(Worker& worker, site::Incarnation restarted, core::TimePoint now);
   void LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const;
@@ -225,6 +229,7 @@
   void DecideCrash(const UndecidedCrash& undecided, const FleetStarts& starts, core::TimePoint now);
   void ClearProvenTask(const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void GiveUpCrashingTask(Job& job, const ledger::TaskId& task, core::TimePoint now);
+  [[nodiscard]] ledger::WallTime WallAt(core::TimePoint now) const noexcept;
   void ProcessResults(Worker& worker, const std::vector<platform::FinishedRun>& rows,
                       core::TimePoint now);
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
@@ -307,6 +312,7 @@
   std::vector<UndecidedCrash> undecided_crashes_;
   ExplainedRestarts trial_crashes_;       ///< Under tasks on trial, while causes are undecided.
   core::TimePoint calm_since_{};          ///< The maximum while the fleet is not calm.
+  PlanTime latest_run_;                   ///< Time of the latest call of Run.
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
   bool begun_{};
   std::set<UpdateOrder::Entry, UpdateOrder> due_updates_;  ///< All workers by next_update_.
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -125,6 +125,15 @@
       NoteAddress(worker, now);
     }
   }
+  for (auto& [id, worker] : fleet_.workers_) {
+    if (worker.crashed_) {
+      EndRunsOfReplacedWorker(worker, now);
+    }
+  }
+}
+
+ledger::WallTime Dispatcher::WallAt(core::TimePoint now) const noexcept {
+  return latest_run_.wall_ + std::chrono::duration_cast<core::Milliseconds>(now - latest_run_.now_);
 }
 
 /** Handles the proof that a worker's process has ended: another one has come up at its address.
@@ -142,6 +151,28 @@
   if (!worker.entry_.draining_) {
     CountCrashes(worker, successor.incarnation_, now);
   }
+  worker.expired_runs_.clear();
+  worker.acknowledgement_limit_ = 0;  // Its results can't be read any more.
+  if (begun_) {
+    EndRunsOfReplacedWorker(worker, now);
+  }
+}
+
+/** Handles an answer that names another incarnation: the worker was replaced, though the platform's
+ * list may not show its successor yet. */
+void Dispatcher::OnOtherIncarnation(Worker& worker, core::TimePoint now) {
+  OnReplaced(worker, SuccessorOf(worker, now), now);
+}
+
+/** The worker that came up at a replaced worker's address; without identifier until the list shows
+ * it. */
+Dispatcher::AddressHolder Dispatcher::SuccessorOf(const Worker& worker, core::TimePoint now) const {
+  const config::Address& address = worker.entry_.address_;
+  const auto holder = holder_by_address_.find({address.ip_, address.port_});
+  if (holder != holder_by_address_.end() && holder->second.worker_ != worker.entry_.id_) {
+    return holder->second;
+  }
+  return {.worker_ = {}, .incarnation_ = core::ToMs(WallAt(now))};
 }
 
 /** Gives work again to a listed worker that was taken for replaced by one that is gone: a clock
@@ -173,6 +204,33 @@
   }
 }
 
+void Dispatcher::EndRunsOfReplacedWorker(Worker& worker, core::TimePoint now) {
+  std::vector<RunId> ended;
+  for (const auto& [run, assigned] : worker.assigned_runs_) {
+    if (internal::MayBeOnWorker(assigned) && !IsFirstStartInFlight(assigned)) {
+      ended.push_back(run);
+    }
+  }
+  for (const RunId& run : ended) {
+    // The loss of one member of a gang can give up its job, and with it others of these runs.
+    if (worker.assigned_runs_.contains(run)) {
+      MarkRunLost(worker, run, "the worker has crashed", now);
+    }
+  }
+}
+
+/** Ends a run whose worker has been replaced, after the answer to a start command. */
+void Dispatcher::EndRunOfReplacedWorker(Worker& worker, const RunId& run, core::TimePoint now) {
+  const AssignedRun& assigned = worker.assigned_runs_.at(run);
+  if (assigned.command_attempts_ > 1) {
+    // An earlier start command may have reached the worker before it crashed.
+    CountCrash(worker, run, DescribeRun(worker, run, assigned, now),
+               SuccessorOf(worker, now).incarnation_, now);
+  }
+  ++counts_.starts_refused_;
+  MarkRunLost(worker, run, platform::ToString(platform::CommandOutcome::kOtherIncarnation), now);
+}
+
 /** Gives up runs whose leases have expired. Results or the news of a crash may still come. */
 void Dispatcher::ExpireRuns(Worker& worker, const std::vector<RunId>& expired,
                             core::TimePoint now) {
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -164,8 +164,11 @@
     case CommandOutcome::kUnknown:
       RetryStart(*worker, run, assigned, now);
       return;
-    case CommandOutcome::kNotSent:
     case CommandOutcome::kOtherIncarnation:
+      EndRunOfReplacedWorker(*worker, run, now);
+      OnOtherIncarnation(*worker, now);
+      return;
+    case CommandOutcome::kNotSent:
       if (assigned.command_attempts_ > 1) {
         // An earlier start command may have reached the worker.
         AwaitRunList(*worker, run, assigned, now);
@@ -240,6 +243,10 @@
     worker->next_lease_ = std::min(worker->next_lease_, now);
     return;
   }
+  if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
+    OnOtherIncarnation(*worker, now);
+    return;
+  }
   if (result.outcome_ == CommandOutcome::kFenced &&
       action.command_.fence_token_ >= worker->fence_token_) {
     actions_.superseded_ = true;
@@ -317,6 +324,10 @@
     }
     return;
   }
+  if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
+    OnOtherIncarnation(*worker, now);
+    return;
+  }
   if (worker->failed_calls_ == 0) {
     worker->unreachable_since_ = now;
     core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.unreachable",
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -100,6 +100,7 @@
 
 core::TimePoint Dispatcher::Run(PlanTime time) {
   const core::TimePoint now = time.now_;
+  latest_run_ = time;
   if (!begun_) {
     return now + kPlanInterval;
   }
@@ -302,17 +303,19 @@
          .exposure_ = {.kind_ = KindOf(job, start.task_.step_, now)}});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
-    batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
-                                               .outcome_ = ledger::TaskOutcome::kStarted,
-                                               .run_ = run_number,
-                                               .worker_ = worker.entry_.id_,
-                                               .incarnation_ = worker.incarnation_,
-                                               .failures_ = task.failures_,
-                                               .checkpoint_ = task.checkpoint_,
-                                               .failed_run_ = task.failed_run_,
-                                               .crashed_run_ = task.crashed_run_,
-                                               .crashes_ = task.crashes_,
-                                           });
+    batch.tasks_.emplace_back(start.task_,
+                              ledger::TaskRecord{
+                                  .outcome_ = ledger::TaskOutcome::kStarted,
+                                  .run_ = run_number,
+                                  .worker_ = worker.entry_.id_,
+                                  .incarnation_ = worker.incarnation_,
+                                  .failures_ = task.failures_,
+                                  .checkpoint_ = task.checkpoint_,
+                                  .failed_run_ = task.failed_run_,
+                                  .crashed_run_ = task.crashed_run_,
+                                  .worker_address_ = config::ToString(worker.entry_.address_),
+                                  .crashes_ = task.crashes_,
+                              });
     pending.starts_.emplace_back(worker.entry_.id_, run);
   }
 }
--- a/test/laburnumledge/dispatch/outages.cpp
+++ b/test/laburnumledge/dispatch/outages.cpp
@@ -37,7 +37,7 @@
 // Guards against a job that is shown as failed because its workers lost power with others, again
 // and again (issue 36, LOST).
 TEST_CASE("a gang is not given up for outages in series that hit a part of the fleet") {
-  for (const bool with_takeovers : {false}) {
+  for (const bool with_takeovers : {false, true}) {
     CAPTURE(with_takeovers);
     CrashHarness harness(20);
     harness.Submit(JobId(1), {MakeGang(3)});
@@ -77,6 +77,52 @@
   CHECK(harness.WorkersOf(JobId(1)).size() == 4);
 }
 
+// Guards against runs that wait for a lease although their worker is known to be gone (issue 36).
+TEST_CASE("a gang starts again as soon as another worker answers at a member's address") {
+  CrashHarness harness(8);
+  harness.Submit(JobId(1), {MakeGang(3)});
+  harness.Advance(std::chrono::seconds(1));
+  harness.down_.insert("w1");
+  REQUIRE(!harness.running_["w1"].empty());
+  for (const auto& id : {"w1", "w2", "w3"}) {
+    harness.running_[id].clear();  // The other members are broken with the first one.
+  }
+  harness.replaced_.insert("w1");
+  harness.Advance(std::chrono::seconds(1));
+  CHECK(harness.WorkersOf(JobId(1)).size() == 3);
+}
+
+// Guards against jobs that wait for the leases of earlier leaders although the workers of their
+// runs are known to be gone (issue 36, LOST).
+TEST_CASE("a gang starts again after a takeover if its workers have come back meanwhile") {
+  CrashHarness harness(8);
+  harness.Submit(JobId(1), {MakeGang(3)});
+  harness.Advance(std::chrono::seconds(1));
+  const std::vector<std::string> workers = harness.WorkersOf(JobId(1));
+  REQUIRE(workers.size() == 3);
+  for (const std::string& id : workers) {
+    harness.running_[id].clear();
+    harness.replaced_.insert(id);
+    harness.incarnations_.erase(id);
+    harness.incarnations_[id + "'"] = CrashHarness::StartedAt(harness.now_);
+  }
+  harness.TakeOver(2, {{JobId(1), {MakeGang(3)}}}, core::Milliseconds(16000));
+  harness.Advance(std::chrono::seconds(1));
+  CHECK(harness.WorkersOf(JobId(1)).size() == 3);
+}
+
+// Guards against starts at a dead worker whose entry the platform lists once more (issue 36).
+TEST_CASE("a worker whose entry is listed again after its successor's gets no work") {
+  CrashHarness harness(1);
+  const site::WorkerEntry earlier = harness.EntryOf("w1");
+  harness.Replace("w1", core::Milliseconds(1000));
+  harness.dispatcher_.OnWorker(earlier, harness.now_);
+  harness.Submit(JobId(1), {MakeStep(2, 8)});
+  harness.Advance(std::chrono::seconds(2));
+  CHECK(harness.WorkersOf(JobId(1)) == std::vector<std::string>{"w1'"});
+  CHECK(harness.dispatcher_.Counts().starts_refused_ == 0);
+}
+
 // Guards against deadly tasks that go on because other workers crash as well (issue 26, BUDGET).
 TEST_CASE("a task that crashes its workers is given up between outages of the fleet") {
   CrashHarness harness(20);
