Let a gang put several members on a worker on probation

A worker that was suspected took one task until a run there succeeded. A gang that needs more than one task per worker could not start at all, so the run that would have ended the probation never came: the condition could last for good. The members of a gang end together, so further members on the same worker risk nothing more. The probe is now one task or one gang.

--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -334,7 +334,9 @@
 std::uint32_t RemainingTaskLimit(const CandidateWorker& candidate, const ReadyStep& step) noexcept {
   constexpr std::uint32_t kNoLimit = 1U << 30U;
   const std::uint32_t limit = step.spec_->anti_affinity_;
-  const std::uint32_t probe_limit = candidate.assigned_tasks_ > 0 ? 0 : 1;
+  // The members of a gang end together: one that has a member here risks nothing more by others.
+  const std::uint32_t probe_size = step.spec_->gang_ ? kNoLimit : 1;
+  const std::uint32_t probe_limit = candidate.assigned_tasks_ > 0 ? 0 : probe_size;
   if (limit == 0) {
     return candidate.probe_only_ ? probe_limit : kNoLimit;
   }
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -21,7 +21,7 @@
   site::Resources free_;  ///< Free for immediate starts.
   /** Free once all stopping and preempted runs are gone, less reservations of other steps. */
   site::Resources free_after_stops_;
-  bool probe_only_{};          ///< Was suspected: takes one run at a time until a run succeeds.
+  bool probe_only_{};          ///< Was suspected: one task or gang at a time until a run succeeds.
   std::set<RunId> preempted_;  ///< Runs that this plan preempts.
   std::uint32_t assigned_tasks_{};  ///< Tasks assigned here of the step that is being placed.
   bool urgent_headroom_{};          ///< Kept free for urgent jobs.
@@ -128,7 +128,7 @@
 
 /**
  * @brief Number of further tasks of a step that a worker may take under the step's limit of tasks
- * per worker, and the limit of one run on a worker that is probed.
+ * per worker, and the limit of one task, or one gang, on a worker that is probed.
  */
 [[nodiscard]] std::uint32_t RemainingTaskLimit(const CandidateWorker& candidate,
                                                const ReadyStep& step) noexcept;
--- a/test/laburnumledge/dispatch/outages.cpp
+++ b/test/laburnumledge/dispatch/outages.cpp
@@ -142,4 +142,18 @@
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kFailed);
 }
 
+// Guards against a gang that waits for good after its workers have lost runs: on probation they
+// took one task each (LOST).
+TEST_CASE("a gang starts again on workers that have lost its runs") {
+  CrashHarness harness(2);
+  ledger::Step gang = MakeStep(4, 4);
+  gang.gang_ = true;
+  harness.Submit(JobId(1), {gang});
+  harness.Advance(std::chrono::seconds(1));
+  REQUIRE(harness.running_["w1"].size() + harness.running_["w2"].size() == 4);
+  harness.running_.clear();
+  harness.Advance(std::chrono::seconds(10));
+  CHECK(harness.running_["w1"].size() + harness.running_["w2"].size() == 4);
+}
+
 }  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -97,6 +97,30 @@
   CHECK(CountStarts(harness.Make()) == 3);
 }
 
+// Guards against a gang that waits for good on workers that were suspected: no run could end their
+// probation, since the gang needs more than one task per worker.
+TEST_CASE("a gang may put several tasks on a worker on probation, other steps one") {
+  PlanningHarness harness;
+  AddWorker(harness.fleet_, MakeEntry("w1")).health_.times_suspected_ = 1;
+  AddWorker(harness.fleet_, MakeEntry("w2")).health_.times_suspected_ = 1;
+  ledger::Step step = MakeStep(4, 4);
+  SUBCASE("gang") {
+    step.gang_ = true;
+    AddJob(harness.table_, JobId(1), {step});
+    CHECK(CountStarts(harness.Make()) == 4);
+  }
+  SUBCASE("gang with a limit of tasks per worker") {
+    step.gang_ = true;
+    step.anti_affinity_ = 1;
+    AddJob(harness.table_, JobId(1), {step});
+    CHECK(CountStarts(harness.Make()) == 0);
+  }
+  SUBCASE("no gang") {
+    AddJob(harness.table_, JobId(1), {step});
+    CHECK(CountStarts(harness.Make()) == 2);
+  }
+}
+
 TEST_CASE("a gang that asks for one rack waits for a rack before it is spread over several") {
   PlanningHarness harness;
   AddWorker(harness.fleet_, MakeEntry("w1", "r1"));
