End the probation of a worker by a long-running task at work

Only a run that succeeds ended a probation, and a task that lasts never does: a worker on probation kept it as its only run, and one that had kept an earlier run got no work at all. A long-running task that has been at work for 7 s after the worker's pause now counts as a success; the platform's disruptions of workers last five to seven seconds.

Before the change the test failed: 30 s after one worker had lost its runs, 1 of 3 tasks ran.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -207,6 +207,9 @@
     if (found->second.on_trial_) {
       ClearProvenTask(run, found->second, now);
     }
+    if (OutlastsSuspicion(found->second, worker.health_, now) && IsLongRunning(run)) {
+      UpdateHealth(worker, true, now);  // The run does not end by itself.
+    }
     BeginExposure(found->second.exposure_, found->second.progress_rate_);
     const ProgressVerdict verdict = UpdateRunProgress(run, found->second, row, now);
     normal += verdict == ProgressVerdict::kNormal ? 1 : 0;
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -13,8 +13,19 @@
  * drift of a worker's clock, and as much for the local clock. */
 constexpr double kClockTolerance = 0.04;
 
+/** Time at work that ends a worker's probation. The platform specifies that disruptions of workers
+ * last five to seven seconds. */
+constexpr core::Milliseconds kProbationTime{7000};
+
 }  // namespace
 
+bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
+                       core::TimePoint now) noexcept {
+  return health.times_suspected_ > 0 && assigned.phase_ == RunPhase::kRunning &&
+         assigned.started_ != core::TimePoint{} &&
+         now >= std::max(assigned.started_, health.suspected_until_) + kProbationTime;
+}
+
 core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept {
   return std::chrono::duration_cast<core::Clock::duration>(bounds.longest_lease_ *
                                                            (1.0 + kClockTolerance));
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -141,6 +141,11 @@
 /** @brief Start of the newest incarnation of a worker that the list or a run's record shows. */
 [[nodiscard]] site::Incarnation NewestIncarnation(const Worker& worker) noexcept;
 
+/** @brief Whether a run has been at work on a suspected worker for so long after the worker's pause
+ * that whatever disturbed the worker has passed. */
+[[nodiscard]] bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
+                                     core::TimePoint now) noexcept;
+
 /** @brief Resources of a worker that no assigned run uses. */
 [[nodiscard]] site::Resources FreeResources(const Worker& worker) noexcept;
 
--- a/test/laburnumledge/dispatch/outages.cpp
+++ b/test/laburnumledge/dispatch/outages.cpp
@@ -156,4 +156,19 @@
   CHECK(harness.running_["w1"].size() + harness.running_["w2"].size() == 4);
 }
 
+// Guards against a worker that is left unused for the day: a task that lasts never succeeds, so
+// that its run could not end the probation of a worker that had lost runs.
+TEST_CASE("a long-running task at work ends the probation of its worker") {
+  CrashHarness harness(1);
+  ledger::Step step = MakeStep(3, 2);
+  step.long_running_ = true;
+  harness.Submit(JobId(1), {step});
+  harness.Advance(std::chrono::seconds(1));
+  REQUIRE(harness.running_["w1"].size() == 3);
+  SUBCASE("all runs are lost") { harness.running_["w1"].clear(); }
+  SUBCASE("one run is left") { harness.running_["w1"].resize(1); }
+  harness.Advance(std::chrono::seconds(30));
+  CHECK(harness.running_["w1"].size() == 3);
+}
+
 }  // namespace laburnumledge::dispatch
