Don't put workers on probation for runs that ended with a restart

A worker that no longer lists its runs was paused, for 3 s, doubled each time up to 24 s, and then put on probation, also when another incarnation answered: the restart explains the loss by itself, so one outage put the whole fleet on probation. Such a worker is now paused for 3 s only. The pause stays, since the task that crashed the worker is not known before.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -13,8 +13,7 @@
 using core::Level;
 using platform::RunResult;
 
-/** Consecutive failed runs after which a worker is suspected; a single failure is taken for the
- * task's own. */
+/** Consecutive failed runs that make a worker suspected; a single one may be the task's fault. */
 constexpr std::uint32_t kFailuresToSuspect = 2;
 
 /** How long a suspected worker gets no work: the first pause, doubled with each further suspicion
@@ -183,8 +182,11 @@
       lost_running = lost_running || assigned.phase_ == RunPhase::kRunning;
     }
   }
-  if (lost_running) {
+  if (lost_running && worker.assigned_runs_.at(lost.front()).incarnation_ == worker.incarnation_) {
     SuspectWorker(worker, "it no longer lists its runs", now);
+  } else if (lost_running) {  // A restart explains the loss, but its cause is not decided yet.
+    worker.health_.suspected_until_ =
+        std::max(worker.health_.suspected_until_, now + kMinSuspectedTime);
   }
   for (const RunId& run : lost) {
     MarkRunLost(worker, run, "the worker does not list the run", now);
--- a/test/laburnumledge/dispatch/outages.cpp
+++ b/test/laburnumledge/dispatch/outages.cpp
@@ -171,4 +171,20 @@
   CHECK(harness.running_["w1"].size() == 3);
 }
 
+// Guards against workers that are on probation after an outage that they did not cause: tasks that
+// last must run again 9 s after their last run at the latest (LOST).
+TEST_CASE("all long-running tasks run again within 9 s after their workers have restarted") {
+  CrashHarness harness(2);
+  ledger::Step step = MakeStep(8, 2);
+  step.long_running_ = true;
+  harness.Submit(JobId(1), {step});
+  for (int outage = 1; outage <= 4; ++outage) {
+    CAPTURE(outage);
+    harness.Advance(std::chrono::seconds(1));
+    harness.Crash({"w1", "w2"});
+    harness.Advance(std::chrono::seconds(8));
+    CHECK(harness.running_["w1"].size() + harness.running_["w2"].size() == 8);
+  }
+}
+
 }  // namespace laburnumledge::dispatch
