Bound the wait of long-running tasks for better workers in a busy fleet

A step may wait for its rack, urgent headroom or a reservation only briefly while most of the fleet is idle. In a busy fleet the wait had no bound. For tasks that last the platform's rule on waiting tasks holds however full the fleet is (LOST), so they could wait for good beside a worker that was kept free. For long-running steps the bound of 1.5 s now holds at any time; urgent work may still preempt them.

Before the change the test failed: with three of four workers busy the task did not start on the fourth.

--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -275,7 +275,9 @@
 }
 
 bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept {
-  return planner.mostly_idle_ && planner.context_.time_.now_ >= step.ready_since_ + kMaxIdleWait;
+  // The platform's rule holds for long-running tasks however much of the fleet is in use.
+  return (planner.mostly_idle_ || step.spec_->long_running_) &&
+         planner.context_.time_.now_ >= step.ready_since_ + kMaxIdleWait;
 }
 
 bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept {
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -112,7 +112,8 @@
  */
 [[nodiscard]] bool MayPreempt(const Planner& planner, const ReadyStep& step) noexcept;
 
-/** @brief Whether a step has waited as long as is allowed while most resources are idle. */
+/** @brief Whether a step has waited as long as is allowed while resources for it are free: while
+ * most of the fleet is idle or, for long-running steps, at any time. */
 [[nodiscard]] bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept;
 
 /** @brief Whether a step should keep waiting for the rack that it wants rather than start
--- a/test/laburnumledge/dispatch/placement.cpp
+++ b/test/laburnumledge/dispatch/placement.cpp
@@ -121,6 +121,23 @@
   }
 }
 
+// Guards against long-running tasks that wait for good in a busy fleet, though workers have room
+// for them: the platform's rule on waiting tasks holds for them however full the fleet is (LOST).
+TEST_CASE("a long-running task does not wait for good for urgent headroom in a busy fleet") {
+  PlanningHarness harness;
+  for (const std::string id : {"w1", "w2", "w3"}) {
+    AddAssignedRun(AddWorker(harness.fleet_, MakeEntry(id)),
+                   {.task_ = {.job_ = JobId(9)}, .run_ = 1}, MakeRunning(8, 0));
+  }
+  AddWorker(harness.fleet_, MakeEntry("w0"));
+  harness.urgent_headroom_gpus_ = 8;
+  ledger::Step step = MakeStep(1, 2);
+  step.long_running_ = true;
+  AddJob(harness.table_, JobId(1), {step});
+  CHECK(CountStarts(harness.Make(core::Milliseconds(1000))) == 0);
+  CHECK(CountStarts(harness.Make(core::Milliseconds(2000))) == 1);
+}
+
 TEST_CASE("a gang that asks for one rack waits for a rack before it is spread over several") {
   PlanningHarness harness;
   AddWorker(harness.fleet_, MakeEntry("w1", "r1"));
