Ask for the run list after a repeated start was refused

A start without an answer is sent again. If the worker refused the second one, as unhealthy or without room, the run was ended and its task started elsewhere at once. The refusal says nothing about the first start, which may have reached the worker: the task could run twice (TWICE). As after a repeated start that could not be sent, the worker's list now decides.

Before the change the test failed: the next start was recorded at once, before any list.

--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -169,18 +169,18 @@
       OnOtherIncarnation(*worker, now);
       return;
     case CommandOutcome::kNotSent:
+    case CommandOutcome::kInsufficientResources:
+    case CommandOutcome::kNoTicket:
+    case CommandOutcome::kInvalid:
+    case CommandOutcome::kUnhealthy:
       if (assigned.command_attempts_ > 1) {
         // An earlier start command may have reached the worker.
         AwaitRunList(*worker, run, assigned, now);
         return;
       }
-      worker->health_.suspected_until_ = now + kUnansweredStartPause;
-      break;
-    case CommandOutcome::kInsufficientResources:
-    case CommandOutcome::kNoTicket:
-    case CommandOutcome::kInvalid:
-    case CommandOutcome::kUnhealthy:
-      worker->health_.suspected_until_ = now + kRefusedStartPause;
+      worker->health_.suspected_until_ =
+          now + (result.outcome_ == CommandOutcome::kNotSent ? kUnansweredStartPause
+                                                             : kRefusedStartPause);
       break;
   }
   ++counts_.starts_refused_;
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -295,6 +295,49 @@
   CHECK(second[0].command_.fence_token_ > first[0].command_.fence_token_);
 }
 
+// Guards against a task that runs twice: the refusal of a repeated start does not tell what became
+// of the first one, which got no answer (TWICE).
+TEST_CASE("a task whose repeated start is refused waits until its worker lists its runs") {
+  for (const CommandOutcome refusal :
+       {CommandOutcome::kUnhealthy, CommandOutcome::kInsufficientResources}) {
+    for (const bool first_has_arrived : {true, false}) {
+      CAPTURE(platform::ToString(refusal));
+      CAPTURE(first_has_arrived);
+      Harness harness;
+      harness.dispatcher_.OnWorker(MakeEntry("w2"), harness.now_);
+      harness.Submit(JobId(1), {MakeStep(1, 1)});
+      harness.Run();
+      harness.ConfirmRecords();
+      const std::vector<StartAction> first = harness.Run().starts_;
+      REQUIRE(first.size() == 1);
+      harness.dispatcher_.OnStarted(first[0], {.outcome_ = CommandOutcome::kUnknown}, harness.now_);
+      const std::vector<StartAction> second = harness.Run().starts_;
+      REQUIRE(second.size() == 1);
+      harness.now_ += core::Milliseconds(5);
+      harness.dispatcher_.OnStarted(second[0], {.outcome_ = refusal}, harness.now_);
+      CHECK(harness.Run(core::Milliseconds(100)).records_.empty());
+      platform::LeaseResult lists{.outcome_ = CommandOutcome::kDone, .incarnation_ = 1000};
+      if (first_has_arrived) {
+        lists.running_ = {RunningRowOf(first[0])};
+      }
+      const std::string& worker = first[0].worker_.id_;
+      for (int call = 0; call < 2; ++call) {
+        REQUIRE(harness.open_leases_.contains(worker));
+        const LeaseAction lease = harness.open_leases_.extract(worker).mapped();
+        harness.dispatcher_.OnLease(lease, lists, harness.now_);
+        if (call == 0) {
+          harness.Run(core::Milliseconds(100));  // The first call was sent with the first start.
+        }
+      }
+      bool is_recorded = false;
+      for (int i = 0; i < 5; ++i) {
+        is_recorded = is_recorded || !harness.Run(core::Milliseconds(50)).records_.empty();
+      }
+      CHECK(is_recorded != first_has_arrived);
+    }
+  }
+}
+
 TEST_CASE("a result is acknowledged to its worker only after it is recorded") {
   Harness harness;
   harness.Submit(JobId(1), {MakeStep(1, 1)});
