Store an append that is too large for one call in several calls

All starts of a plan are recorded by one append. One beyond the store's limit per call was sent as it was, rejected and sent again for ever; the appends behind it and all further plans waited for it, under each next leader as well. Such an append is now sent in parts, in order, and is done with its last record.

--- a/src/laburnumledge/control/stream_writer.cpp
+++ b/src/laburnumledge/control/stream_writer.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/control/stream_writer.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "laburnumledge/control/store_timeout.hpp"
@@ -40,6 +41,14 @@
   std::function<void()> done_;
 };
 
+std::size_t BytesOf(const std::vector<platform::KeyedRecord>& records) {
+  std::size_t bytes = 0;
+  for (const platform::KeyedRecord& record : records) {
+    bytes += platform::EncodedBytes(record);
+  }
+  return bytes;
+}
+
 }  // namespace
 
 struct StreamWriter::Implementation : std::enable_shared_from_this<StreamWriter::Implementation> {
@@ -73,6 +82,7 @@
         superseded_(std::move(superseded)) {}
 
   void AppendNext();
+  void TakePart();
   void Send();
   void ResendWithoutAnswer(core::TimePoint sent);
   [[nodiscard]] core::Milliseconds AdaptiveTimeout(core::TimePoint now) const;
@@ -90,13 +100,14 @@
   busy_ = true;
   std::size_t bytes = 0;
   while (!queue_.empty()) {
-    std::size_t entry_bytes = 0;
-    for (const platform::KeyedRecord& record : queue_.front().records_) {
-      entry_bytes += platform::EncodedBytes(record);
-    }
+    const std::size_t entry_bytes = BytesOf(queue_.front().records_);
     if (!in_flight_.empty() && bytes + entry_bytes > max_call_bytes_) {
       break;
     }
+    if (max_call_bytes_ > 0 && entry_bytes > max_call_bytes_) {
+      TakePart();
+      break;
+    }
     bytes += entry_bytes;
     for (platform::KeyedRecord& record : queue_.front().records_) {
       in_flight_records_.push_back(std::move(record));
@@ -121,6 +132,25 @@
   Send();
 }
 
+/** Takes as many records of an append that is too large for one call as one call may have. The rest
+ * stays queued, and the append is done with its last record. */
+void StreamWriter::Implementation::TakePart() {
+  std::vector<platform::KeyedRecord>& records = queue_.front().records_;
+  std::size_t bytes = 0;
+  auto end = records.begin();
+  do {
+    bytes += platform::EncodedBytes(*end);
+    ++end;
+  } while (end != records.end() && bytes + platform::EncodedBytes(*end) <= max_call_bytes_);
+  std::move(records.begin(), end, std::back_inserter(in_flight_records_));
+  records.erase(records.begin(), end);
+  if (records.empty()) {
+    // A single record that is too large: its rejection is reported with the append.
+    in_flight_.push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+}
+
 core::Milliseconds StreamWriter::Implementation::AdaptiveTimeout(core::TimePoint now) const {
   return std::clamp(kTimeoutMargin * entry::LearnedLatency(latency_, now),
                     failures_ == 0 ? kAppendTimeout : kResendTimeout, kMaxAppendTimeout);
