Don't end the runs of a worker that answers because of a list entry

A review showed with a scratch test: if clocks differ, the list may show a dead worker again whose start is later than its successor's. The runs of the living successor were ended and started elsewhere (two copies, TWICE), and it got no work; a worker whose clock was set back got none for 120 s after the other had left the list. An entry of the list is older evidence than an answer.

Now an entry alone ends the runs only of a worker that doesn't answer. One that answers is called at once, and other-incarnation ends them. A worker is barred only by a later one that is listed.

There is no test of its own for differing clocks yet.

--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -41,6 +41,12 @@
          assigned.command_attempts_ == 1;
 }
 
+/** Whether a worker has answered its latest lease calls, the latest of them not long ago. */
+bool IsAnswering(const Worker& worker, core::TimePoint now) noexcept {
+  return worker.last_lease_answer_ != core::TimePoint{} && worker.failed_calls_ == 0 &&
+         now <= worker.last_lease_answer_ + internal::kLeaseCallWait + internal::kLeaseAnswerMargin;
+}
+
 /** When a worker fell over, as far as its answers tell. */
 core::TimePoint CrashTime(const Worker& worker, core::TimePoint now) noexcept {
   return worker.failed_calls_ > 0 ? worker.unreachable_since_ : now;
@@ -107,12 +113,23 @@
     newest.incarnation_ = std::max(newest.incarnation_, holder.incarnation_);
     return;
   }
+  Worker* other = FindWorker(fleet_, newest.worker_);
   if (!newest.worker_.empty() && newest.incarnation_ >= holder.incarnation_) {
-    OnReplaced(worker, newest, now);
+    // A clock that was set back makes a successor look like the earlier one.
+    if (other != nullptr && other->listed_ && !IsAnswering(worker, now)) {
+      OnReplaced(worker, newest, now);
+    }
     return;
   }
-  const std::string earlier = std::exchange(newest, holder).worker_;
-  if (Worker* other = FindWorker(fleet_, earlier)) {
+  newest = holder;
+  if (other == nullptr) {
+    return;
+  }
+  if (IsAnswering(*other, now)) {
+    // Its next answer tells for certain; the list may be old.
+    other->next_lease_ = now;
+    ScheduleUpdate(*other, now);
+  } else {
     OnReplaced(*other, holder, now);
   }
 }
