Compare a crash with workers that have nothing to do with the job only

Only workers without crashes or runs of the job are compared with now, and they have to be half of the fleet. No crash explains that of another job. Two crashes need the same age, or on trial both within 6 s. Workers that vanished or fell silent count as fallen for 30 s.

--- a/src/laburnumledge/dispatch/crash_evidence.cpp
+++ b/src/laburnumledge/dispatch/crash_evidence.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t kWorkersPerOddFailure = 100;
 
 /** Time for which a worker that has stopped answering may be about to come back as crashed. */
-constexpr core::Milliseconds kOutageTime{10000};
+constexpr core::Milliseconds kOutageTime{30000};
 
 /** Time before a crash in which single crashes of other workers show that workers crash now and
  * then by themselves. */
@@ -36,10 +36,13 @@
  * two and forbids to go on for long after three. */
 constexpr std::size_t kCrashesBeforeTrial = 2;
 
-/** Crashes, of any cause, after which two conclusive ones are enough at any age: the latest of them
- * came on trial. */
+/** Crashes, of any cause, of which the latest came on trial. */
 constexpr std::size_t kCrashesWithTrial = 3;
 
+/** Age up to which crashes on trial count as crashes at the start of the run, as late as they show.
+ */
+constexpr core::Milliseconds kEarlyAge{6000};
+
 /** Difference of the ages at which a task crashes its workers, by the interval of the answers. */
 constexpr core::Milliseconds kSameAge{1000};
 
@@ -102,8 +105,7 @@
                                       core::TimePoint noticed) {
   const site::Incarnation related = EarliestRelatedStart(crash);
   const auto is_explained = [&](const std::string& worker) {
-    const auto found = explained.find(worker);
-    return found != explained.end() && found->second >= related;
+    return explained.by_job_.contains(worker) || explained.by_task_.contains(worker);
   };
   CrashSurroundings surroundings{.listed_ = static_cast<std::uint32_t>(starts.by_time_.size())};
   for (const Worker* worker : starts.away_) {
@@ -117,6 +119,7 @@
   for (const FleetStarts::Start& start : starts.by_time_) {
     const bool related_start = start.incarnation_ >= related;
     surroundings.informed_ += start.seen_ > noticed ? 1 : 0;
+    surroundings.of_task_ += explained.by_task_.contains(start.worker_) ? 1 : 0;
     if (is_explained(start.worker_)) {
       continue;
     }
@@ -124,7 +127,7 @@
     surroundings.fell_too_ += related_start ? 1 : 0;
     surroundings.fell_before_ +=
         !related_start && start.incarnation_ >= crash.restarted_ - kBackgroundTime.count() &&
-                !explained.contains(start.worker_)
+                !explained.before_.contains(start.worker_)
             ? 1
             : 0;
   }
@@ -138,8 +141,11 @@
 }
 
 CrashCause DecideCause(const CrashSurroundings& surroundings, bool on_trial) noexcept {
-  const bool informed = 2 * surroundings.informed_ > surroundings.listed_;
-  const bool conclusive = informed && surroundings.others_ > 0 &&
+  // A job with tasks on most workers leaves too few that show what else has happened.
+  const bool informed = surroundings.others_ > 0 &&
+                        2 * surroundings.informed_ > surroundings.listed_ &&
+                        2 * surroundings.others_ >= surroundings.listed_ - surroundings.of_task_;
+  const bool conclusive = informed &&
                           !IsCommonCause(surroundings.fell_too_, surroundings.others_) &&
                           (on_trial || surroundings.fell_too_ + surroundings.fell_before_ == 0);
   return conclusive ? CrashCause::kTask : CrashCause::kOther;
@@ -150,19 +156,17 @@
 }
 
 bool CrashesItsWorkers(const std::vector<ledger::Crash>& crashes) noexcept {
-  std::size_t caused = 0;
+  const bool has_trial = crashes.size() >= kCrashesWithTrial;
   for (auto crash = crashes.begin(); crash != crashes.end(); ++crash) {
-    if (!IsCaused(*crash)) {
-      continue;
-    }
-    ++caused;
-    if (std::any_of(crashes.begin(), crash, [&](const ledger::Crash& earlier) {
-          return IsCaused(earlier) && HaveSameAge(earlier, *crash);
-        })) {
+    const bool agrees = std::any_of(crashes.begin(), crash, [&](const ledger::Crash& earlier) {
+      const bool early = crash->age_ <= kEarlyAge && earlier.age_ <= kEarlyAge;
+      return IsCaused(earlier) && (HaveSameAge(earlier, *crash) || (has_trial && early));
+    });
+    if (IsCaused(*crash) && agrees) {
       return true;
     }
   }
-  return caused >= 2 && crashes.size() >= kCrashesWithTrial;
+  return false;
 }
 
 bool IsOnTrial(const std::vector<ledger::Crash>& crashes) noexcept {
--- a/src/laburnumledge/dispatch/crash_evidence.hpp
+++ b/src/laburnumledge/dispatch/crash_evidence.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,13 +25,18 @@
   std::set<std::string> departed_;   ///< Addresses of workers that have vanished from the list.
 };
 
-/** @brief Addresses of workers whose crash is explained, with their start after it. */
-using ExplainedRestarts = std::map<std::string, site::Incarnation>;
+/** @brief Addresses of workers that don't show whether a crash has a common cause. */
+struct ExplainedRestarts {
+  std::set<std::string> by_task_;  ///< Crashed under the task at that time.
+  std::set<std::string> by_job_;   ///< Crashed under the job at that time, or have runs of it now.
+  std::set<std::string> before_;   ///< Crashed under the job at any time.
+};
 
 /** @brief What happened to the rest of the fleet when a worker crashed. */
 struct CrashSurroundings {
   std::uint32_t listed_{};       ///< Workers in the list.
   std::uint32_t informed_{};     ///< Of these, workers whose entry was read since the crash.
+  std::uint32_t of_task_{};      ///< Of the listed ones, workers that crashed under the task.
   std::uint32_t others_{};       ///< Of these, workers whose crash nothing would explain.
   std::uint32_t fell_too_{};     ///< Other workers that restarted then or since, or have vanished.
   std::uint32_t fell_before_{};  ///< Other workers that restarted in the time before.
@@ -50,7 +54,7 @@
  * @param starts The fleet.
  * @param crash The crash.
  * @param job Job of the task under which the worker crashed.
- * @param explained Crashes that the job, or another task on trial, explains.
+ * @param explained Crashes that the job explains.
  * @param noticed When the crash was noticed: older entries say nothing about the time after it.
  */
 [[nodiscard]] CrashSurroundings MeasureSurroundings(const FleetStarts& starts,
@@ -80,8 +84,9 @@
 /**
  * @brief Whether a task has crashed its workers for certain.
  *
- * Two crashes that nothing else explains are enough if the latest came on trial or if both came at
- * the same age of the run: a task that crashes its workers does so each time at the same point.
+ * Two crashes that nothing else explains are enough if they came at the same age of the run, as a
+ * task that crashes its workers does so each time at the same point, or, once a crash came on
+ * trial, if both came early.
  */
 [[nodiscard]] bool CrashesItsWorkers(const std::vector<ledger::Crash>& crashes) noexcept;
 
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -224,7 +224,8 @@
   void LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const;
   void CountCrash(const Worker& worker, const RunId& run, const ExpiredRun& crashed,
                   site::Incarnation restarted, core::TimePoint now);
-  [[nodiscard]] ExplainedRestarts ExplainedCrashes(const Job& job) const;
+  [[nodiscard]] ExplainedRestarts ExplainedCrashes(const Job& job, const Task& suspect,
+                                                   const ledger::Crash& crash) const;
   void DecideCrashes(core::TimePoint now);
   void DecideCrash(const UndecidedCrash& undecided, const FleetStarts& starts, core::TimePoint now);
   void ClearProvenTask(const RunId& run, AssignedRun& assigned, core::TimePoint now);
@@ -310,7 +311,6 @@
   std::uint64_t next_batch_{1};
   std::uint64_t next_lease_call_{1};
   std::vector<UndecidedCrash> undecided_crashes_;
-  ExplainedRestarts trial_crashes_;       ///< Under tasks on trial, while causes are undecided.
   core::TimePoint calm_since_{};          ///< The maximum while the fleet is not calm.
   PlanTime latest_run_;                   ///< Time of the latest call of Run.
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -332,9 +332,6 @@
             .restarted_ = restarted,
             .age_ = crashed.age_,
             .cause_ = ambiguous ? ledger::CrashCause::kOther : ledger::CrashCause::kUndecided});
-  if (crashed.on_trial_) {
-    trial_crashes_[task->crashes_.back().worker_] = restarted;
-  }
   if (!ambiguous) {
     undecided_crashes_.push_back(
         {.task_ = run.task_, .run_ = run.run_, .decided_at_ = now + kDecisionDelay});
@@ -349,15 +346,24 @@
                   {"beside_other_suspect", ambiguous}});
 }
 
-/** Crashes for which a job, or a task on trial, is an explanation. */
-ExplainedRestarts Dispatcher::ExplainedCrashes(const Job& job) const {
-  ExplainedRestarts explained = trial_crashes_;
+/** Workers that a job's own runs keep from showing what else happened when a worker crashed under
+ * one of its tasks. Crashes under other jobs explain nothing: an outage may hit many that are on
+ * trial. */
+ExplainedRestarts Dispatcher::ExplainedCrashes(const Job& job, const Task& suspect,
+                                               const ledger::Crash& crash) const {
+  ExplainedRestarts explained;
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (const StepState& step : occurrence.steps_) {
       for (const Task& task : step.tasks_) {
-        for (const ledger::Crash& crash : task.crashes_) {
-          site::Incarnation& latest = explained[crash.worker_];
-          latest = std::max(latest, crash.restarted_);
+        for (const ledger::Crash& other : task.crashes_) {
+          explained.before_.insert(other.worker_);
+          if (other.restarted_ >= EarliestRelatedStart(crash)) {
+            (&task == &suspect ? explained.by_task_ : explained.by_job_).insert(other.worker_);
+          }
+        }
+        const auto worker = fleet_.workers_.find(task.worker_);
+        if (task.phase_ == TaskPhase::kPlaced && worker != fleet_.workers_.end()) {
+          explained.by_job_.insert(config::ToString(worker->second.entry_.address_));
         }
       }
     }
@@ -366,9 +372,6 @@
 }
 
 void Dispatcher::DecideCrashes(core::TimePoint now) {
-  if (undecided_crashes_.empty()) {
-    trial_crashes_.clear();
-  }
   const auto due =
       std::stable_partition(undecided_crashes_.begin(), undecided_crashes_.end(),
                             [now](const UndecidedCrash& crash) { return crash.decided_at_ > now; });
@@ -397,8 +400,9 @@
   if (crash == task->crashes_.end()) {
     return;  // The task has been cleared since.
   }
-  const CrashSurroundings surroundings = MeasureSurroundings(
-      starts, *crash, job->id_, ExplainedCrashes(*job), undecided.decided_at_ - kDecisionDelay);
+  const CrashSurroundings surroundings =
+      MeasureSurroundings(starts, *crash, job->id_, ExplainedCrashes(*job, *task, *crash),
+                          undecided.decided_at_ - kDecisionDelay);
   const auto index = static_cast<std::size_t>(crash - task->crashes_.begin());
   crash->cause_ = DecideCause(surroundings, WasOnTrial(task->crashes_, index));
   StepState& step = *FindStep(job_table_, undecided.task_);
--- a/test/laburnumledge/dispatch/crash_evidence.cpp
+++ b/test/laburnumledge/dispatch/crash_evidence.cpp
@@ -38,9 +38,10 @@
 }
 
 CrashCause CauseWith(const Fleet& fleet, bool on_trial = true) {
-  const CrashSurroundings surroundings = MeasureSurroundings(
-      CollectStarts(fleet, kNow), MakeCrash(CrashCause::kUndecided, 500), JobId(1),
-      {{"10.0.0.1:8000", kRestarted}}, kNow - core::Milliseconds(3000));
+  const ExplainedRestarts explained{.by_task_ = {"10.0.0.1:8000"}, .by_job_ = {}, .before_ = {}};
+  const CrashSurroundings surroundings =
+      MeasureSurroundings(CollectStarts(fleet, kNow), MakeCrash(CrashCause::kUndecided, 500),
+                          JobId(1), explained, kNow - core::Milliseconds(3000));
   return DecideCause(surroundings, on_trial);
 }
 
@@ -81,6 +82,24 @@
   CHECK(DecideCause({.listed_ = 1, .informed_ = 1, .others_ = 0}, true) == CrashCause::kOther);
 }
 
+// Guards against a wide job that is given up since it has tasks on every worker that an outage hits
+// (issue 36, LOST).
+TEST_CASE("a crash is not conclusive if the job has tasks on most of the workers") {
+  const Fleet fleet = MakeFleet(6, kRestarted);
+  const auto cause = [&](int workers_of_job) {
+    ExplainedRestarts explained;
+    for (int number = 1; number <= workers_of_job; ++number) {
+      explained.by_job_.insert(fmt::format("10.0.0.{}:8000", number));
+    }
+    return DecideCause(
+        MeasureSurroundings(CollectStarts(fleet, kNow), MakeCrash(CrashCause::kUndecided, 500),
+                            JobId(1), explained, kNow - core::Milliseconds(3000)),
+        true);
+  };
+  CHECK(cause(6) == CrashCause::kTask);
+  CHECK(cause(30) == CrashCause::kOther);
+}
+
 // Guards against verdicts while the store is silent and the list shows no restart (issue 36, LOST).
 TEST_CASE("a list that is older than a crash says nothing about it") {
   Fleet fleet = MakeFleet(1, kRestarted);
@@ -116,6 +135,7 @@
   CHECK(CrashesItsWorkers({early, other, early}));
   CHECK(CrashesItsWorkers({late, unknown}));
   CHECK(CrashesItsWorkers({other, early, late}));
+  CHECK(!CrashesItsWorkers({other, early, MakeCrash(CrashCause::kTask, 15000)}));
 }
 
 TEST_CASE("after two crashes a task is on trial, and waits while a cause is undecided") {
--- a/test/laburnumledge/dispatch/outages.cpp
+++ b/test/laburnumledge/dispatch/outages.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,11 @@
     CAPTURE(with_takeovers);
     CrashHarness harness(20);
     harness.Submit(JobId(1), {MakeGang(3)});
-    for (int outage = 1; outage <= 6; ++outage) {
+    for (std::uint64_t outage = 1; outage <= 6; ++outage) {
       harness.Advance(std::chrono::seconds(3));
       harness.ReplaceAll(WorkersToHit(harness, JobId(1), 5), core::Milliseconds(3500));
       if (with_takeovers) {
-        harness.TakeOver(static_cast<std::uint64_t>(outage + 1), {{JobId(1), {MakeGang(3)}}},
-                         core::Milliseconds(8000));
+        harness.TakeOver(outage + 1, {{JobId(1), {MakeGang(3)}}}, core::Milliseconds(8000));
       }
     }
     harness.Advance(std::chrono::seconds(8));
@@ -55,6 +55,30 @@
   }
 }
 
+// Guards against tasks on trial that explain each other's crashes, and against a job that has tasks
+// on all workers that an outage hits (issue 36, LOST).
+TEST_CASE("jobs are not given up when the same workers fall over again and again") {
+  for (const bool one_job : {false, true}) {
+    CAPTURE(one_job);
+    CrashHarness harness(20);
+    for (int number = 1; number <= (one_job ? 1 : 20); ++number) {
+      harness.Submit(JobId(number), {MakeStep(one_job ? 20 : 1, 8)});
+    }
+    std::vector<std::string> hit = {"w1", "w2", "w3", "w4", "w5", "w6"};
+    for (int outage = 0; outage < 5; ++outage) {
+      harness.Advance(std::chrono::seconds(8));
+      harness.ReplaceAll(hit, core::Milliseconds(3000));
+      for (std::string& id : hit) {
+        id += "'";
+      }
+    }
+    harness.Advance(std::chrono::seconds(8));
+    for (const auto& [job, state] : harness.states_) {
+      CHECK(state == ledger::JobState::kRunning);
+    }
+  }
+}
+
 // Guards against members on different workers that count as crashes of one task (issue 36, LOST).
 TEST_CASE("single crashes that hit another member of a gang each time don't end its job") {
   CrashHarness harness(20);
