--- a/src/laburnumledge/dispatch/crash_evidence.cpp
+++ b/src/laburnumledge/dispatch/crash_evidence.cpp
@@ -144,7 +144,7 @@
   // A job with tasks on most workers leaves too few that show what else has happened.
   const bool informed = surroundings.others_ > 0 &&
                         2 * surroundings.informed_ > surroundings.listed_ &&
-                        2 * surroundings.others_ >= surroundings.listed_ - surroundings.of_task_;
+                        4 * surroundings.others_ >= surroundings.listed_ - surroundings.of_task_;
   const bool conclusive = informed &&
                           !IsCommonCause(surroundings.fell_too_, surroundings.others_) &&
                           (on_trial || surroundings.fell_too_ + surroundings.fell_before_ == 0);
