Review: a late start runs a task twice after two crashes of its minion

One of 45 starts is carried out 9 s late, on a minion that has crashed twice since. The leader has not shown the new life its fencing token: run 1 works beside run 2.

--- a/review/standin.py
+++ b/review/standin.py
@@ -301,7 +301,8 @@
         self.record = record
         self.minions = []
         self.starts = []  # (time, minion, task, run)
-        self.ends = []  # (time, minion, task, run, how)
+        self.ends = []  # (time, minion, task, run, how): ends that minions have listed
+        self.losses = []  # (time, minion, task, run): runs that a crash of their minion has ended
         self.noted = []  # (time, task, run, how): ends that `last_seen` has reached
 
     def running(self, task):
@@ -334,6 +335,7 @@
         self.silent_since = None
         self.fails = False  # Every run fails soon after its start.
         self.hold_at = 0.0  # When the last hold arrived.
+        self.late_s = None  # The next start gets no answer and is carried out that much later.
         fleet.minions.append(self)
 
     async def start(self):
@@ -358,6 +360,7 @@
         self.up = False
         self.silent_since = steady_ms()
         for task, run in self.runs.items():
+            self.fleet.losses.append((self.fleet.record.now(), self.name, task, run.number))
             self.fleet.record.write("run.lost", minion=self.name, task=task, run=run.number)
         self.runs = {}
         for loop in self.loops:
@@ -416,6 +419,10 @@
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {"clock_ms": self.clock(), "born": self.born}
         order = json.loads(body or b"{}")
+        if path == "/-/run-start" and self.late_s is not None:
+            seconds, self.late_s = self.late_s, None
+            asyncio.create_task(self.carry_out_late(order, seconds))
+            return None
         if path in ("/-/run-start", "/-/run-stop", "/-/hold"):
             if order.get("fencing_token", 0) < self.fence:
                 return 409, self.reply(reason="fence")
@@ -428,6 +435,20 @@
             return await self.hold(order)
         return (200, {}) if path == "/health" else (404, {})
 
+    async def carry_out_late(self, order, seconds):
+        self.fleet.record.write("order.held", minion=self.name, task=order["task"], run=order["run"])
+        await asyncio.sleep(seconds)
+        if not self.up:
+            self.fleet.record.write("order.void", minion=self.name, task=order["task"])
+            return
+        if order["fencing_token"] < self.fence:
+            outcome = "409 fence"
+        else:
+            self.fence = order["fencing_token"]
+            status, reply = self.run_start(order)
+            outcome = f"{status} {reply.get('reason', '')}".strip()
+        self.fleet.record.write("order.late", minion=self.name, task=order["task"], run=order["run"], outcome=outcome)
+
     def reply(self, **fields):
         return {"clock_ms": self.clock(), "born": self.born, **fields}
 
