--- a/review/standin.py
+++ b/review/standin.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import struct
 import subprocess
 import sys
@@ -38,6 +39,20 @@
     return int(time.time() * 1000)
 
 
+def free_port():
+    """A port that is free now, below those that the kernel gives to outgoing connections."""
+    for _ in range(1000):
+        port = random.randrange(10000, 30000)
+        with socket.socket() as trial:
+            try:
+                trial.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                trial.bind((HOST, port))
+                return port
+            except OSError:
+                pass
+    raise RuntimeError("no port is free")
+
+
 class Record:
     """What was sent, answered and run, one line each."""
 
@@ -60,7 +75,7 @@
 
     def __init__(self, handle, port=0):
         self.handle = handle
-        self.port = port
+        self.port = port or free_port()
         self.server = None
         self.writers = set()
         self.tasks = set()
@@ -78,7 +93,6 @@
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port, limit=1 << 24)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def abort(self):
         """Ends the server as the end of its process does: all connections are reset."""
@@ -537,20 +551,8 @@
         self.bounds = bounds or {}  # Where they differ from those below.
         self.nodes = []
 
-    def free_ports(self, count):
-        import socket
-
-        held = [socket.socket() for _ in range(count)]
-        for one in held:
-            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            one.bind((HOST, 0))
-        ports = [one.getsockname()[1] for one in held]
-        for one in held:
-            one.close()
-        return ports
-
     def add(self, index, store_port=None):
-        front, ready, peers = self.free_ports(3)
+        front, ready, peers = free_port(), free_port(), free_port()
         zone = self.zones[index % len(self.zones)]
         settings = {
             "node_name": f"front-{zone}-{index // len(self.zones) + 1}",
@@ -631,6 +633,8 @@
     async def wait_ready(self, node, seconds=10.0):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
+            if node["process"].poll() is not None:
+                self.start(node)  # The platform starts a process that has ended again.
             answer = await call(node["ready"], "GET", "/-/ready", timeout=1.0)
             if answer is not None and answer[0] == 200:
                 return True
