--- a/review/standin.py
+++ b/review/standin.py
@@ -550,6 +550,7 @@
         self.store, self.zones, self.folder = store, zones, folder
         self.bounds = bounds or {}  # Where they differ from those below.
         self.nodes = []
+        self.started = []  # All processes, also those that have been replaced.
 
     def add(self, index, store_port=None):
         front, ready, peers = free_port(), free_port(), free_port()
@@ -629,6 +630,7 @@
             node["process"] = subprocess.Popen(
                 [BINARY, "node"], cwd=ROOT, env=environment, stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
+        self.started.append(node["process"])
 
     async def wait_ready(self, node, seconds=10.0):
         end = time.monotonic() + seconds
@@ -651,9 +653,8 @@
         return None
 
     def end_all(self):
-        for node in self.nodes:
-            process = node["process"]
-            if process is not None and process.poll() is None:
+        for process in self.started:
+            if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
@@ -724,10 +725,12 @@
     work = tempfile.mkdtemp(prefix="laburnumledge-review-")
     record = Record(os.path.join(folder, "record.txt"))
     holder = {}
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))  # Ends the nodes on the way out.
     try:
         loop = asyncio.new_event_loop()
         broken = loop.run_until_complete(asyncio.wait_for(case(record, work, trouble, holder), 115))
-    except Exception as error:  # Whatever keeps the case from running is no verdict on the rule.
+    except (Exception, SystemExit) as error:  # Whatever keeps the case from running is no verdict on the rule.
         record.write("case.error", error=repr(error))
         broken = None
     finally:
