End runs on answers of their workers only, never on the list

An entry of another writer repeats a worker's address; the next leader starts the worker's task elsewhere, beside the first run.

Cause: two entries with one address, or another start time in an entry, counted as the proof that a worker's process had ended. At a takeover nobody has been asked yet; and since calls went to whatever address the entry named, an entry that names another worker made that worker's 421 count as proof, without a takeover too.

Evidence: on worker.replaced and task.lost come in the millisecond of takeover.complete, before the first call.

Change: the address that a start was sent to is kept with the run, and all commands for it go there. A run ends by the answer of another process at that address, an answer of the worker itself, or its leases. An entry only makes the leader ask; a worker in dispute gets no more work until it has answered. Runs that a worker lists belong to the incarnation that lists them, so that a wrong start time in the list charges no crash. On related paths: adoption of a start time from the list, answers to starts and stops, expired runs, acknowledgements, orphaned runs.

--- a/src/laburnumledge/dispatch/crash_evidence.cpp
+++ b/src/laburnumledge/dispatch/crash_evidence.cpp
@@ -71,7 +71,7 @@
   FleetStarts starts;
   std::set<std::string> listed;
   for (const auto& [id, worker] : fleet.workers_) {
-    if (worker.entry_.draining_ || worker.crashed_) {
+    if (worker.entry_.draining_ || worker.replaced_) {
       continue;
     }
     if (worker.listed_) {
@@ -205,7 +205,7 @@
   std::uint32_t workers = 0;
   std::uint32_t fell = 0;
   for (const auto& [id, worker] : fleet.workers_) {
-    const bool counts = worker.listed_ && !worker.crashed_ && !worker.entry_.draining_;
+    const bool counts = worker.listed_ && !worker.replaced_ && !worker.entry_.draining_;
     workers += counts ? 1 : 0;
     const bool restarted = counts && now < worker.incarnation_seen_ + kCommonCauseWindow &&
                            worker.entry_.incarnation_ > recent;
@@ -223,7 +223,7 @@
   std::size_t workers = 0;
   std::size_t on_trial = 0;
   for (const auto& [id, worker] : fleet.workers_) {
-    if (!worker.listed_ || worker.crashed_) {
+    if (!worker.listed_ || worker.replaced_) {
       continue;
     }
     ++workers;
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -146,22 +146,20 @@
       MarkPlaced(step, *task, record.run_, record.worker_);
     }
     Worker& worker = FindOrAddWorker(record.worker_);
-    if (const auto address = config::ParseAddress(record.worker_address_)) {
-      // The list may not show the worker any more, though it may still have the run.
-      worker.entry_.address_ = *address;
-    }
-    AddAssignedRun(worker, {.task_ = id, .run_ = record.run_},
-                   {.phase_ = RunPhase::kStartSent,
-                    .needs_ = spec.task_resources_,
-                    .organisation_ = job->organisation_,
-                    .priority_ = job->treatment_.priority_,
-                    .command_attempts_ = internal::kMaxStartAttempts,
-                    .gang_ = spec.gang_,
-                    .crash_suspect_ = !record.crashes_.empty(),
-                    .on_trial_ = IsOnTrial(record.crashes_),
-                    .incarnation_ = record.incarnation_,
-                    .gang_size_ = spec.gang_ ? spec.count_ : 1,
-                    .pace_ = {.unknown_ = bounds_.harm_time_.count() > 0 && spec.uses_idle_cpus_}});
+    AddAssignedRun(
+        worker, {.task_ = id, .run_ = record.run_},
+        {.phase_ = RunPhase::kStartSent,
+         .needs_ = spec.task_resources_,
+         .organisation_ = job->organisation_,
+         .priority_ = job->treatment_.priority_,
+         .command_attempts_ = internal::kMaxStartAttempts,
+         .gang_ = spec.gang_,
+         .crash_suspect_ = !record.crashes_.empty(),
+         .on_trial_ = IsOnTrial(record.crashes_),
+         .incarnation_ = record.incarnation_,
+         .address_ = config::ParseAddress(record.worker_address_).value_or(config::Address{}),
+         .gang_size_ = spec.gang_ ? spec.count_ : 1,
+         .pace_ = {.unknown_ = bounds_.harm_time_.count() > 0 && spec.uses_idle_cpus_}});
     ++task->outstanding_runs_;
     ++job->outstanding_runs_;
   } else if (record.outcome_ == ledger::TaskOutcome::kDone) {
@@ -197,7 +195,6 @@
       StopJob(job, job.state_, now);
     }
   }
-  FindReplacedWorkers(now);
   for (UndecidedCrash& crash : undecided_crashes_) {
     crash.decided_at_ = std::max(crash.decided_at_, now + kTakeoverDecisionDelay);
   }
@@ -225,6 +222,8 @@
 void Dispatcher::OnWorker(const site::WorkerEntry& entry, core::TimePoint now) {
   Worker& worker = FindOrAddWorker(entry.id_);
   const bool changed = worker.entry_.incarnation_ != entry.incarnation_;
+  const bool moved = worker.entry_.address_ != entry.address_;
+  const bool moved_alive = moved && !changed && worker.entry_.address_.port_ != 0;
   const bool was_eligible = worker.listed_ && !worker.entry_.draining_;
   const bool was_draining = worker.entry_.draining_;
   worker.entry_ = entry;
@@ -234,14 +233,19 @@
     worker.incarnation_seen_ = now;
   }
   if (changed && worker.incarnation_ != entry.incarnation_) {
-    AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
+    if (HasNothingToAsk(worker)) {
+      AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
+    }
+    // Otherwise its answer tells whether its process has ended: the entry may be of another writer.
     worker.next_lease_ = now;
   }
-  if (changed && entry.address_.port_ != 0) {
+  if (changed || moved) {
+    worker.replaced_ = false;
+    worker.unverified_ = moved_alive;
     NoteAddress(worker, now);
   }
   UpdateClock(worker, entry.clock_, now);
-  if (changed || was_eligible == entry.draining_) {
+  if (changed || moved || was_eligible == entry.draining_) {
     ScheduleUpdate(worker, now);
   }
   if (was_eligible == entry.draining_) {
@@ -262,10 +266,10 @@
     return;
   }
   worker->listed_ = false;
-  if (!worker->entry_.draining_ && !worker->crashed_) {
+  if (!worker->entry_.draining_ && !worker->replaced_) {
     fleet_.departed_[config::ToString(worker->entry_.address_)] = now;
   }
-  ReadmitAtAddressOf(*worker);
+  VerifyWorkersAt(worker->entry_.address_, now);
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.unlisted",
                  {{"worker", id}, {"runs", worker->assigned_runs_.size()}});
 }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -163,7 +164,7 @@
     core::TimePoint overdue_at_{};  ///< From then on the store counts as not answering.
   };
 
-  /** Worker that came up last at an address. */
+  /** Worker that came up last at an address, as far as the list tells. */
   struct AddressHolder {
     std::string worker_;
     site::Incarnation incarnation_{};
@@ -211,16 +212,19 @@
   void AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
                         core::TimePoint now);
   void NoteAddress(Worker& worker, core::TimePoint now);
-  void FindReplacedWorkers(core::TimePoint now);
-  void ReadmitAtAddressOf(const Worker& gone);
-  [[nodiscard]] AddressHolder SuccessorOf(const Worker& worker, core::TimePoint now) const;
-  void OnReplaced(Worker& worker, const AddressHolder& successor, core::TimePoint now);
-  void CorrectRestart(const Worker& worker, site::Incarnation restarted);
+  void RequestVerification(Worker& worker, core::TimePoint now);
+  void VerifyWorkersAt(const config::Address& address, core::TimePoint now);
+  void NoteVerified(Worker& worker, const config::Address& address);
+  void NoteListedRuns(Worker& worker, const platform::LeaseResult& result);
+  [[nodiscard]] AddressHolder SuccessorOf(const Worker& worker, const config::Address& address,
+                                          core::TimePoint now) const;
+  void CorrectRestart(const config::Address& address, site::Incarnation restarted);
   void EndRunOfReplacedWorker(Worker& worker, const RunId& run, core::TimePoint now);
-  void OnOtherIncarnation(Worker& worker, core::TimePoint now);
-  void EndRunsOfReplacedWorker(Worker& worker, core::TimePoint now);
+  void OnOtherIncarnation(Worker& worker, const config::Address& address, core::TimePoint now);
   void ExpireRuns(Worker& worker, const std::vector<RunId>& expired, core::TimePoint now);
-  void CountCrashes(Worker& worker, site::Incarnation restarted, core::TimePoint now);
+  using IsCrashed = std::function<bool(const config::Address&, site::Incarnation)>;
+  void CountCrashes(Worker& worker, const IsCrashed& is_crashed, site::Incarnation restarted,
+                    core::TimePoint now);
   void LogCrash(const Worker& crashed, std::size_t jobs, core::TimePoint now) const;
   void CountCrash(const Worker& worker, const RunId& run, const ExpiredRun& crashed,
                   site::Incarnation restarted, core::TimePoint now);
@@ -301,7 +305,7 @@
   Organisations organisations_;
   JobTable job_table_;
   Fleet fleet_;
-  /** Newest worker at each IP address and port. */
+  /** Newest worker at each IP address and port, by the list; no proof of anything. */
   std::map<std::pair<std::string, std::uint16_t>, AddressHolder> holder_by_address_;
   DurationModel durations_;
   UrgentHeadroom urgent_headroom_;
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -34,19 +34,6 @@
   return assigned.started_ != core::TimePoint{};
 }
 
-/** Whether the answer to the only start command is still to come. It tells whether the run began.
- */
-bool IsFirstStartInFlight(const AssignedRun& assigned) noexcept {
-  return assigned.phase_ == RunPhase::kStartSent && assigned.command_in_flight_ &&
-         assigned.command_attempts_ == 1;
-}
-
-/** Whether a worker has answered its latest lease calls, the latest of them not long ago. */
-bool IsAnswering(const Worker& worker, core::TimePoint now) noexcept {
-  return worker.last_lease_answer_ != core::TimePoint{} && worker.failed_calls_ == 0 &&
-         now <= worker.last_lease_answer_ + internal::kLeaseCallWait + internal::kLeaseAnswerMargin;
-}
-
 /** When a worker fell over, as far as its answers tell. */
 core::TimePoint CrashTime(const Worker& worker, core::TimePoint now) noexcept {
   return worker.failed_calls_ > 0 ? worker.unreachable_since_ : now;
@@ -69,7 +56,9 @@
 /** What is known about a run in case its worker turns out to have crashed. */
 ExpiredRun DescribeRun(const Worker& worker, const RunId& run, const AssignedRun& assigned,
                        core::TimePoint at) {
-  ExpiredRun described{.beside_other_suspect_ = IsBesideOtherSuspect(worker, run, assigned, at),
+  ExpiredRun described{.address_ = internal::AddressOf(worker, assigned).address_,
+                       .incarnation_ = assigned.incarnation_,
+                       .beside_other_suspect_ = IsBesideOtherSuspect(worker, run, assigned, at),
                        .on_trial_ = assigned.on_trial_};
   if (IsConfirmed(assigned) && at > assigned.started_) {
     described.age_ = std::chrono::duration_cast<core::Milliseconds>(at - assigned.started_);
@@ -79,170 +68,17 @@
 
 }  // namespace
 
-void Dispatcher::AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
-                                  core::TimePoint now) {
-  if (worker.incarnation_ != 0) {
-    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.restarted",
-                   {{"worker", worker.entry_.id_},
-                    {"incarnation", incarnation},
-                    {"runs", worker.assigned_runs_.size()}});
-  }
-  worker.incarnation_ = incarnation;
-  worker.crashed_ = false;
-  if (!was_draining) {
-    CountCrashes(worker, incarnation, now);
-  }
-  worker.results_processed_ = 0;
-  worker.results_recorded_ = 0;
-  worker.results_acknowledged_ = 0;
-  worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
-  worker.expired_runs_.clear();
-  worker.clock_.reset();
-  worker.speed_ = {};
-}
-
-/** Notes which worker came up last at an address: a worker that crashed may come back under another
- * identifier, and its address tells that it is the same one. The list may still show, or show
- * again, the entry of the earlier one. */
-void Dispatcher::NoteAddress(Worker& worker, core::TimePoint now) {
-  const AddressHolder holder{.worker_ = worker.entry_.id_,
-                             .incarnation_ = NewestIncarnation(worker)};
-  const config::Address& address = worker.entry_.address_;
-  AddressHolder& newest = holder_by_address_[{address.ip_, address.port_}];
-  if (newest.worker_ == holder.worker_) {
-    newest.incarnation_ = std::max(newest.incarnation_, holder.incarnation_);
-    return;
-  }
-  Worker* other = FindWorker(fleet_, newest.worker_);
-  if (!newest.worker_.empty() && newest.incarnation_ >= holder.incarnation_) {
-    // A clock that was set back makes a successor look like the earlier one.
-    if (other != nullptr && other->listed_ && !IsAnswering(worker, now)) {
-      OnReplaced(worker, newest, now);
-    }
-    return;
-  }
-  newest = holder;
-  if (other == nullptr) {
-    return;
-  }
-  if (IsAnswering(*other, now)) {
-    // Its next answer tells for certain; the list may be old.
-    other->next_lease_ = now;
-    ScheduleUpdate(*other, now);
-  } else {
-    OnReplaced(*other, holder, now);
-  }
-}
-
-/** Finds workers that were replaced while there was no leader. Records tell the addresses of those
- * that the platform's list does not show any more. */
-void Dispatcher::FindReplacedWorkers(core::TimePoint now) {
-  for (auto& [id, worker] : fleet_.workers_) {
-    if (worker.entry_.address_.port_ != 0) {
-      NoteAddress(worker, now);
-    }
-  }
-  for (auto& [id, worker] : fleet_.workers_) {
-    if (worker.crashed_) {
-      EndRunsOfReplacedWorker(worker, now);
-    }
-  }
-}
-
 ledger::WallTime Dispatcher::WallAt(core::TimePoint now) const noexcept {
   return latest_run_.wall_ + std::chrono::duration_cast<core::Milliseconds>(now - latest_run_.now_);
 }
 
-/** Handles the proof that a worker's process has ended: another one has come up at its address.
- * Nothing runs on it any more, whatever its leases say. */
-void Dispatcher::OnReplaced(Worker& worker, const AddressHolder& successor, core::TimePoint now) {
-  if (worker.crashed_) {
-    CorrectRestart(worker, successor.incarnation_);
-  } else {
-    worker.crashed_ = true;
-    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.replaced",
-                   {{"worker", worker.entry_.id_},
-                    {"by", successor.worker_},
-                    {"runs", worker.assigned_runs_.size()}});
-  }
-  if (!worker.entry_.draining_) {
-    CountCrashes(worker, successor.incarnation_, now);
-  }
-  worker.expired_runs_.clear();
-  worker.acknowledgement_limit_ = 0;  // Its results can't be read any more.
-  if (begun_) {
-    EndRunsOfReplacedWorker(worker, now);
-  }
-}
-
-/** Handles an answer that names another incarnation: the worker was replaced, though the platform's
- * list may not show its successor yet. */
-void Dispatcher::OnOtherIncarnation(Worker& worker, core::TimePoint now) {
-  OnReplaced(worker, SuccessorOf(worker, now), now);
-}
-
-/** The worker that came up at a replaced worker's address; without identifier until the list shows
- * it. */
-Dispatcher::AddressHolder Dispatcher::SuccessorOf(const Worker& worker, core::TimePoint now) const {
-  const config::Address& address = worker.entry_.address_;
-  const auto holder = holder_by_address_.find({address.ip_, address.port_});
-  if (holder != holder_by_address_.end() && holder->second.worker_ != worker.entry_.id_) {
-    return holder->second;
-  }
-  return {.worker_ = {}, .incarnation_ = core::ToMs(WallAt(now))};
-}
-
-/** Gives work again to a listed worker that was taken for replaced by one that is gone: a clock
- * that was set back makes a successor look like the earlier of two. */
-void Dispatcher::ReadmitAtAddressOf(const Worker& gone) {
-  for (auto& [id, worker] : fleet_.workers_) {
-    if (worker.listed_ && worker.crashed_ && worker.entry_.address_ == gone.entry_.address_) {
-      worker.crashed_ = false;
-      worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
-      holder_by_address_[{worker.entry_.address_.ip_, worker.entry_.address_.port_}] = {
-          .worker_ = id, .incarnation_ = NewestIncarnation(worker)};
-    }
-  }
-}
-
-/** Sets the time at which a worker came back, once the list shows its successor. */
-void Dispatcher::CorrectRestart(const Worker& worker, site::Incarnation restarted) {
-  const std::string address = config::ToString(worker.entry_.address_);
-  for (const UndecidedCrash& undecided : undecided_crashes_) {
-    Task* task = FindTask(job_table_, undecided.task_);
-    if (task == nullptr) {
-      continue;
-    }
-    for (ledger::Crash& crash : task->crashes_) {
-      if (crash.run_ == undecided.run_ && crash.worker_ == address) {
-        crash.restarted_ = std::min(crash.restarted_, restarted);
-      }
-    }
-  }
-}
-
-void Dispatcher::EndRunsOfReplacedWorker(Worker& worker, core::TimePoint now) {
-  std::vector<RunId> ended;
-  for (const auto& [run, assigned] : worker.assigned_runs_) {
-    if (internal::MayBeOnWorker(assigned) && !IsFirstStartInFlight(assigned)) {
-      ended.push_back(run);
-    }
-  }
-  for (const RunId& run : ended) {
-    // The loss of one member of a gang can give up its job, and with it others of these runs.
-    if (worker.assigned_runs_.contains(run)) {
-      MarkRunLost(worker, run, "the worker has crashed", now);
-    }
-  }
-}
-
 /** Ends a run whose worker has been replaced, after the answer to a start command. */
 void Dispatcher::EndRunOfReplacedWorker(Worker& worker, const RunId& run, core::TimePoint now) {
   const AssignedRun& assigned = worker.assigned_runs_.at(run);
   if (assigned.command_attempts_ > 1) {
     // An earlier start command may have reached the worker before it crashed.
     CountCrash(worker, run, DescribeRun(worker, run, assigned, now),
-               SuccessorOf(worker, now).incarnation_, now);
+               SuccessorOf(worker, assigned.address_, now).incarnation_, now);
   }
   ++counts_.starts_refused_;
   MarkRunLost(worker, run, platform::ToString(platform::CommandOutcome::kOtherIncarnation), now);
@@ -262,23 +98,24 @@
   }
 }
 
-/** Notes a worker's crash with the tasks whose runs it had. */
-void Dispatcher::CountCrashes(Worker& worker, site::Incarnation restarted, core::TimePoint now) {
+/** Notes a worker's crash with the tasks whose runs it had, of those that the crash has ended. */
+void Dispatcher::CountCrashes(Worker& worker, const IsCrashed& is_crashed,
+                              site::Incarnation restarted, core::TimePoint now) {
   const core::TimePoint at = CrashTime(worker, now);
   std::set<ledger::JobId> jobs;
   for (const auto& [run, assigned] : worker.assigned_runs_) {
-    const bool of_earlier =
-        assigned.incarnation_ != 0 && assigned.incarnation_ != worker.incarnation_;
-    if (internal::MayBeOnWorker(assigned) && !IsFirstStartInFlight(assigned) &&
-        (of_earlier || worker.crashed_)) {
+    if (internal::MayBeOnWorker(assigned) && !internal::IsFirstStartInFlight(assigned) &&
+        is_crashed(assigned.address_, assigned.incarnation_)) {
       CountCrash(worker, run, DescribeRun(worker, run, assigned, at), restarted, now);
       jobs.insert(run.task_.job_);
     }
   }
   // Runs whose lease expired while the worker was away crashed with it, or ended before.
   for (const auto& [run, expired] : worker.expired_runs_) {
-    CountCrash(worker, run, expired, restarted, now);
-    jobs.insert(run.task_.job_);
+    if (is_crashed(expired.address_, expired.incarnation_)) {
+      CountCrash(worker, run, expired, restarted, now);
+      jobs.insert(run.task_.job_);
+    }
   }
   if (!jobs.empty()) {
     LogCrash(worker, jobs.size(), now);
@@ -328,7 +165,7 @@
   const bool ambiguous = crashed.beside_other_suspect_;
   AddCrash(task->crashes_,
            {.run_ = run.run_,
-            .worker_ = config::ToString(worker.entry_.address_),
+            .worker_ = config::ToString(crashed.address_),
             .restarted_ = restarted,
             .age_ = crashed.age_,
             .cause_ = ambiguous ? ledger::CrashCause::kOther : ledger::CrashCause::kUndecided});
@@ -363,7 +200,7 @@
         }
         const auto worker = fleet_.workers_.find(task.worker_);
         if (task.phase_ == TaskPhase::kPlaced && worker != fleet_.workers_.end()) {
-          explained.by_job_.insert(config::ToString(worker->second.entry_.address_));
+          explained.by_job_.insert(config::ToString(CallAddress(worker->second)));
         }
       }
     }
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -24,6 +24,14 @@
 /** Pause before a step is placed again after one of its runs ended otherwise than by a stop. */
 constexpr core::Milliseconds kRetryDelay{50};
 
+/** Time since the worker's latest answer; -1 without one in this term. */
+core::Milliseconds AgeOfAnswer(const Worker& worker, core::TimePoint now) noexcept {
+  constexpr core::Milliseconds kNone{-1};
+  return worker.last_answer_ == core::TimePoint{}
+             ? kNone
+             : std::chrono::duration_cast<core::Milliseconds>(now - worker.last_answer_);
+}
+
 }  // namespace
 
 void Dispatcher::UpdateHealth(Worker& worker, bool success, core::TimePoint now) {
@@ -123,7 +131,8 @@
   core::LogEvent(
       Level::kWarning, EventPriority::kHigh, "task.stray",
       {{"task", ledger::ToString(run.task_)}, {"run", run.run_}, {"worker", worker.entry_.id_}});
-  AssignedRun orphan{.phase_ = RunPhase::kRunning, .settled_at_ = now};
+  AssignedRun orphan{
+      .phase_ = RunPhase::kRunning, .address_ = CallAddress(worker), .settled_at_ = now};
   if (Job* job = FindJob(job_table_, run.task_.job_)) {
     if (run.task_.step_ < job->submission_->steps_.size()) {
       orphan.needs_ = job->submission_->steps_[run.task_.step_].task_resources_;
@@ -373,7 +382,10 @@
                    {{"task", ledger::ToString(run.task_)},
                     {"run", run.run_},
                     {"worker", worker.entry_.id_},
-                    {"reason", reason}});
+                    {"reason", reason},
+                    {"answered_ms_ago", AgeOfAnswer(worker, now)},
+                    {"lease_left_ms", std::chrono::duration_cast<core::Milliseconds>(
+                                          worker.latest_lease_end_ - now)}});
   }
   RecordBatch batch;
   FinishRun(worker, run, RunResult::kLeaseExpired, {}, batch, now);
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -51,7 +51,7 @@
   }
   worker.next_lease_ = std::min(worker.next_lease_, now);
   ++counts_.starts_;
-  actions_.starts_.push_back({.worker_ = internal::AddressOf(worker),
+  actions_.starts_.push_back({.worker_ = internal::AddressOf(worker, assigned),
                               .command_ = {.task_ = run.task_,
                                            .run_ = run.run_,
                                            .spec_ = job.submission_->payload_,
@@ -68,7 +68,7 @@
   assigned.command_in_flight_ = true;
   assigned.next_stop_ = core::TimePoint::max();
   actions_.stops_.push_back(
-      {.worker_ = internal::AddressOf(worker),
+      {.worker_ = internal::AddressOf(worker, assigned),
        .command_ = {.task_ = run.task_, .run_ = run.run_, .fence_token_ = worker.fence_token_},
        .deadline_ = now + internal::kCommandTimeout});
 }
@@ -166,7 +166,7 @@
       return;
     case CommandOutcome::kOtherIncarnation:
       EndRunOfReplacedWorker(*worker, run, now);
-      OnOtherIncarnation(*worker, now);
+      OnOtherIncarnation(*worker, action.worker_.address_, now);
       return;
     case CommandOutcome::kNotSent:
     case CommandOutcome::kInsufficientResources:
@@ -244,7 +244,7 @@
     return;
   }
   if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
-    OnOtherIncarnation(*worker, now);
+    OnOtherIncarnation(*worker, action.worker_.address_, now);
     return;
   }
   if (result.outcome_ == CommandOutcome::kFenced &&
@@ -258,15 +258,14 @@
 void Dispatcher::SendLease(Worker& worker, core::TimePoint now) {
   // A worker that did not answer lately may have restarted and numbers its results from 1 again:
   // result numbers of its earlier incarnation must not be acknowledged to it.
-  const bool answering =
-      worker.failed_calls_ == 0 &&
-      now <= worker.last_lease_answer_ + internal::kLeaseCallWait + internal::kLeaseAnswerMargin;
-  const std::uint64_t last_seen = answering ? AcknowledgeableResults(worker) : 0;
+  const std::uint64_t last_seen =
+      internal::IsAnswering(worker, now) ? AcknowledgeableResults(worker) : 0;
   const bool unacknowledged = worker.results_processed_ > last_seen;
   const bool responsive = worker.last_answer_ != core::TimePoint{} && worker.failed_calls_ == 0;
-  const core::Milliseconds wait = !responsive || unacknowledged ? core::Milliseconds{}
-                                  : IsPacing(worker.pacing_)    ? internal::kPacingLeaseCallWait
-                                                                : internal::kLeaseCallWait;
+  const bool at_once = !responsive || unacknowledged || IsVerifiedByNextCall(worker);
+  const core::Milliseconds wait = at_once                    ? core::Milliseconds{}
+                                  : IsPacing(worker.pacing_) ? internal::kPacingLeaseCallWait
+                                                             : internal::kLeaseCallWait;
   worker.lease_in_flight_ = true;
   worker.lease_call_number_ = next_lease_call_++;
   worker.lease_sent_ = now;
@@ -275,9 +274,14 @@
     worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
     worker.lease_deadline_ = EstimateClock(worker, now) + bounds_.longest_lease_;
   }
+  platform::WorkerAddress called = internal::AddressOf(worker);
+  if (worker.failed_calls_ % 2 == 1 && worker.listed_ && !worker.replaced_) {
+    // It may have restarted under its identifier at the address that its entry names.
+    called.address_ = worker.entry_.address_;
+  }
   // An unanswered call may still have reached the worker, so each extension counts. If calls to a
   // worker that does not answer extended its lease, its runs would never expire.
-  actions_.leases_.push_back({.worker_ = internal::AddressOf(worker),
+  actions_.leases_.push_back({.worker_ = std::move(called),
                               .call_ = {.fence_token_ = worker.fence_token_,
                                         .acknowledged_ = last_seen,
                                         .lease_deadline_ = worker.lease_deadline_,
@@ -303,6 +307,8 @@
     worker->failed_calls_ = 0;
     worker->last_answer_ = now;
     worker->last_lease_answer_ = now;
+    NoteVerified(*worker, action.worker_.address_);
+    NoteListedRuns(*worker, result);
     if (worker->incarnation_ == result.incarnation_) {
       worker->results_acknowledged_ =
           std::max(worker->results_acknowledged_, action.call_.acknowledged_);
@@ -325,7 +331,8 @@
     return;
   }
   if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
-    OnOtherIncarnation(*worker, now);
+    worker->next_lease_ = now + internal::kLeaseRetryInterval;
+    OnOtherIncarnation(*worker, action.worker_.address_, now);
     return;
   }
   if (worker->failed_calls_ == 0) {
@@ -373,12 +380,14 @@
   const bool results_to_acknowledge =
       AcknowledgeableResults(worker) > worker.results_acknowledged_ &&
       worker.failed_calls_ < kMaxIdleLeaseFailures;
-  needs_lease = needs_lease || !worker.expired_runs_.empty() || results_to_acknowledge;
+  const bool asks_for_results = !worker.expired_runs_.empty() || results_to_acknowledge;
+  needs_lease =
+      needs_lease || IsVerifiedByNextCall(worker) || (asks_for_results && !worker.replaced_);
   if (!needs_lease) {
     // The worker is no longer called; its entry in the platform's list tells whether it is alive.
     worker.failed_calls_ = 0;
   }
-  const bool has_address = worker.entry_.address_.port_ != 0;
+  const bool has_address = CallAddress(worker).port_ != 0;
   if (needs_lease && has_address && !worker.lease_in_flight_) {
     if (worker.next_lease_ <= now) {
       SendLease(worker, now);
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -212,7 +212,7 @@
          {"unresolved", step.unresolved_},
          {"worker", step.worker_},
          {"listed", worker != nullptr && worker->listed_},
-         {"crashed", worker != nullptr && worker->crashed_},
+         {"replaced", worker != nullptr && worker->replaced_},
          {"failed_calls", worker == nullptr ? 0U : worker->failed_calls_},
          {"lease_left_ms", lease_left}});
   }
@@ -283,6 +283,7 @@
   for (const PlannedStart& start : unit) {
     Task& task = *FindTask(job_table_, start.task_);
     Worker& worker = *start.worker_;
+    const config::Address address = CallAddress(worker);
     MarkPlaced(*FindStep(job_table_, start.task_), task, run_number, worker.entry_.id_);
     const RunId run{.task_ = start.task_, .run_ = run_number};
     AddAssignedRun(
@@ -295,6 +296,7 @@
          .crash_suspect_ = !task.crashes_.empty(),
          .on_trial_ = IsOnTrial(task.crashes_),
          .incarnation_ = worker.incarnation_,
+         .address_ = address,
          .resumed_ = !task.checkpoint_.empty(),
          .gang_size_ = spec.gang_ ? spec.count_ : 1,
          .preemptions_ = task.preemptions_,
@@ -303,19 +305,18 @@
          .exposure_ = {.kind_ = KindOf(job, start.task_.step_, now)}});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
-    batch.tasks_.emplace_back(start.task_,
-                              ledger::TaskRecord{
-                                  .outcome_ = ledger::TaskOutcome::kStarted,
-                                  .run_ = run_number,
-                                  .worker_ = worker.entry_.id_,
-                                  .incarnation_ = worker.incarnation_,
-                                  .failures_ = task.failures_,
-                                  .checkpoint_ = task.checkpoint_,
-                                  .failed_run_ = task.failed_run_,
-                                  .crashed_run_ = task.crashed_run_,
-                                  .worker_address_ = config::ToString(worker.entry_.address_),
-                                  .crashes_ = task.crashes_,
-                              });
+    batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
+                                               .outcome_ = ledger::TaskOutcome::kStarted,
+                                               .run_ = run_number,
+                                               .worker_ = worker.entry_.id_,
+                                               .incarnation_ = worker.incarnation_,
+                                               .failures_ = task.failures_,
+                                               .checkpoint_ = task.checkpoint_,
+                                               .failed_run_ = task.failed_run_,
+                                               .crashed_run_ = task.crashed_run_,
+                                               .worker_address_ = config::ToString(address),
+                                               .crashes_ = task.crashes_,
+                                           });
     pending.starts_.emplace_back(worker.entry_.id_, run);
   }
 }
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -31,12 +31,24 @@
                                                            (1.0 + kClockTolerance));
 }
 
-site::Incarnation NewestIncarnation(const Worker& worker) noexcept {
-  site::Incarnation newest = worker.entry_.incarnation_;
+const config::Address& CallAddress(const Worker& worker) noexcept {
+  const AssignedRun* newest = nullptr;
   for (const auto& [run, assigned] : worker.assigned_runs_) {
-    newest = std::max(newest, assigned.incarnation_);
+    const bool known = assigned.address_.port_ != 0;
+    if (known && (newest == nullptr || assigned.incarnation_ > newest->incarnation_)) {
+      newest = &assigned;
+    }
   }
-  return newest;
+  return newest == nullptr ? worker.entry_.address_ : newest->address_;
+}
+
+bool IsVerifiedByNextCall(const Worker& worker) noexcept {
+  return worker.unverified_ && worker.listed_ && CallAddress(worker) == worker.entry_.address_;
+}
+
+bool HasNothingToAsk(const Worker& worker) noexcept {
+  return worker.assigned_runs_.empty() && worker.expired_runs_.empty() &&
+         worker.results_processed_ == worker.results_acknowledged_;
 }
 
 site::Resources FreeResources(const Worker& worker) noexcept {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -49,6 +49,7 @@
   bool crash_suspect_{};             ///< A worker has crashed under an earlier run of the task.
   bool on_trial_{};                  ///< See IsOnTrial.
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
+  config::Address address_;          ///< Where all commands for the run are sent.
   bool resumed_{};                   ///< Started from a checkpoint.
   std::uint32_t gang_size_{1};       ///< Tasks that fail together with this run.
   std::uint32_t preemptions_{};      ///< Earlier runs of the task that were preempted.
@@ -83,10 +84,12 @@
 /** @brief Run that was lost by lease expiry while its worker was away. Its result, or the news that
  * the worker has crashed, may still come. */
 struct ExpiredRun {
-  core::TimePoint asked_until_{};  ///< Lease calls ask for its result until then.
-  core::Milliseconds age_{};       ///< For how long it was at work; zero if unknown.
-  bool beside_other_suspect_{};    ///< A run of another job there may be to blame as well.
-  bool on_trial_{};                ///< See IsOnTrial.
+  core::TimePoint asked_until_{};    ///< Lease calls ask for its result until then.
+  config::Address address_;          ///< Where its worker was.
+  site::Incarnation incarnation_{};  ///< Of its worker; 0 if unknown.
+  core::Milliseconds age_{};         ///< For how long it was at work; zero if unknown.
+  bool beside_other_suspect_{};      ///< A run of another job there may be to blame as well.
+  bool on_trial_{};                  ///< See IsOnTrial.
 };
 
 /** @brief Value of Worker::acknowledgement_limit_ that allows every acknowledgement. */
@@ -95,9 +98,10 @@
 /** @brief Worker with its resource accounting, lease and results. */
 struct Worker {
   site::WorkerEntry entry_;
-  bool listed_{};                 ///< The platform lists the worker.
-  bool crashed_{};                ///< Another worker has come up at its address: nothing runs.
-  core::TimePoint entry_seen_{};  ///< When `entry_` was last read.
+  bool listed_{};                       ///< The platform lists the worker.
+  bool replaced_{};                     ///< Another process has answered at the entry's address.
+  bool unverified_{};                   ///< The worker has to answer before it gets more work.
+  core::TimePoint entry_seen_{};        ///< When `entry_` was last read.
   core::TimePoint incarnation_seen_{};  ///< When this incarnation was first seen in the list.
   site::Incarnation incarnation_{};     ///< As reported by the worker; 0 before its first answer.
   std::uint64_t fence_token_{};         ///< Token of commands that are sent now.
@@ -138,9 +142,6 @@
  */
 [[nodiscard]] core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept;
 
-/** @brief Start of the newest incarnation of a worker that the list or a run's record shows. */
-[[nodiscard]] site::Incarnation NewestIncarnation(const Worker& worker) noexcept;
-
 /** @brief Whether a run has been at work on a suspected worker for so long after the worker's pause
  * that whatever disturbed the worker has passed. */
 [[nodiscard]] bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
@@ -152,6 +153,20 @@
 /** @brief Lower bound of the worker's clock at a local time; the entry's clock if none was read. */
 [[nodiscard]] core::WorkerTime EstimateClock(const Worker& worker, core::TimePoint now) noexcept;
 
+/**
+ * @brief Address of a worker for lease calls: that of its newest run, or of its entry without runs.
+ *
+ * Only the process that was told to start a run can tell whether the run has ended. The entry may
+ * meanwhile name another address: anybody can write to the list.
+ */
+[[nodiscard]] const config::Address& CallAddress(const Worker& worker) noexcept;
+
+/** @brief Whether the next lease call goes to the address that a worker's entry has to prove. */
+[[nodiscard]] bool IsVerifiedByNextCall(const Worker& worker) noexcept;
+
+/** @brief Whether a worker has nothing that the answer to a lease call could decide. */
+[[nodiscard]] bool HasNothingToAsk(const Worker& worker) noexcept;
+
 /**
  * @brief Updates the estimate of a worker's clock; an older reading changes nothing.
  * @param worker The worker.
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -39,9 +39,17 @@
  * for further results. */
 inline constexpr core::Milliseconds kLeaseIntervalWhileRecording{1000};
 
-/** @brief Address of a worker as actions carry it. */
+/** @brief Address of a worker as lease calls carry it. */
 [[nodiscard]] inline platform::WorkerAddress AddressOf(const Worker& worker) {
-  return {.id_ = worker.entry_.id_, .address_ = worker.entry_.address_};
+  return {.id_ = worker.entry_.id_, .address_ = CallAddress(worker)};
+}
+
+/** @brief Address of a run's worker as commands for the run carry it. */
+[[nodiscard]] inline platform::WorkerAddress AddressOf(const Worker& worker,
+                                                       const AssignedRun& assigned) {
+  return assigned.address_.port_ == 0
+             ? AddressOf(worker)
+             : platform::WorkerAddress{.id_ = worker.entry_.id_, .address_ = assigned.address_};
 }
 
 /** @brief Whether a command for the run was sent, so that the worker may have the run. */
@@ -49,6 +57,19 @@
   return assigned.phase_ != RunPhase::kRecording && assigned.phase_ != RunPhase::kWithdrawn;
 }
 
+/** @brief Whether the answer to the only start command is still to come. It tells whether the run
+ * began. */
+[[nodiscard]] inline bool IsFirstStartInFlight(const AssignedRun& assigned) noexcept {
+  return assigned.phase_ == RunPhase::kStartSent && assigned.command_in_flight_ &&
+         assigned.command_attempts_ == 1;
+}
+
+/** @brief Whether a worker has answered its latest lease calls, the latest of them not long ago. */
+[[nodiscard]] inline bool IsAnswering(const Worker& worker, core::TimePoint now) noexcept {
+  return worker.last_lease_answer_ != core::TimePoint{} && worker.failed_calls_ == 0 &&
+         now <= worker.last_lease_answer_ + kLeaseCallWait + kLeaseAnswerMargin;
+}
+
 /** @brief Whether the run is to leave its worker without having ended by itself. */
 [[nodiscard]] inline bool IsBeingStopped(const AssignedRun& assigned) noexcept {
   return assigned.phase_ == RunPhase::kStopping || assigned.phase_ == RunPhase::kWithdrawn;
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -154,7 +154,7 @@
 }  // namespace
 
 bool IsEligible(const Worker& worker, const site::Rules& rules, core::TimePoint now) noexcept {
-  return worker.listed_ && !worker.crashed_ && !worker.entry_.draining_ &&
+  return worker.listed_ && !worker.replaced_ && !worker.unverified_ && !worker.entry_.draining_ &&
          worker.failed_calls_ == 0 && worker.health_.suspected_until_ <= now &&
          !rules.zones_out_.contains(worker.entry_.zone_);
 }
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -27,6 +27,9 @@
   std::map<std::string, site::Incarnation> incarnations_;
   std::set<std::string> down_;      ///< Workers that answer nothing.
   std::set<std::string> replaced_;  ///< Workers at whose address another incarnation answers.
+  std::map<std::string, core::Milliseconds> latest_wait_;  ///< Of the latest lease call.
+  std::map<std::string, config::Address> addresses_;  ///< Of workers that have come up elsewhere.
+  std::map<std::string, site::WorkerEntry> foreign_;  ///< Entries of another writer, by key.
 
   explicit CrashHarness(int workers) {
     dispatcher_.SetRules({});
@@ -47,6 +50,9 @@
     site::WorkerEntry entry = MakeEntry(id, id);
     entry.incarnation_ = incarnations_.at(id);
     entry.address_.ip_ = "10.0.0." + id.substr(1, id.find('\'') - 1);
+    if (const auto moved = addresses_.find(id); moved != addresses_.end()) {
+      entry.address_ = moved->second;
+    }
     return entry;
   }
 
@@ -72,10 +78,19 @@
       return;
     }
     for (const auto& [id, incarnation] : incarnations_) {
-      if (!down_.contains(id) && !replaced_.contains(id)) {
+      if (!down_.contains(id) && !replaced_.contains(id) && !foreign_.contains(id)) {
         dispatcher_.OnWorker(EntryOf(id), now_);
       }
     }
+    for (const auto& [id, entry] : foreign_) {
+      dispatcher_.OnWorker(entry, now_);
+    }
+  }
+
+  /** @brief Whether a call finds another process than the one that it names. */
+  [[nodiscard]] bool ReachesOtherProcess(const platform::WorkerAddress& called) const {
+    return replaced_.contains(called.id_) || !incarnations_.contains(called.id_) ||
+           EntryOf(called.id_).address_ != called.address_;
   }
 
   void Answer(const Actions& actions) {
@@ -89,7 +104,7 @@
       states_[change.job_] = change.state_;
     }
     for (const StartAction& start : actions.starts_) {
-      if (replaced_.contains(start.worker_.id_)) {
+      if (ReachesOtherProcess(start.worker_)) {
         dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
         continue;
       }
@@ -102,7 +117,8 @@
       dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kDone}, now_);
     }
     for (const LeaseAction& lease : actions.leases_) {
-      if (replaced_.contains(lease.worker_.id_)) {
+      latest_wait_[lease.worker_.id_] = lease.call_.wait_;
+      if (ReachesOtherProcess(lease.worker_)) {
         dispatcher_.OnLease(lease, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
         continue;
       }
@@ -166,7 +182,12 @@
       dispatcher_.LoadTask(id, record);
     }
     for (const auto& [id, incarnation] : incarnations_) {
-      dispatcher_.OnWorker(EntryOf(id), now_);
+      if (!foreign_.contains(id)) {
+        dispatcher_.OnWorker(EntryOf(id), now_);
+      }
+    }
+    for (const auto& [id, entry] : foreign_) {
+      dispatcher_.OnWorker(entry, now_);
     }
     dispatcher_.Begin(now_, now_ + earlier_leases_left);
   }
