Read on behind a record that can't be read

What operators of other systems saw: one odd entry, and the machines that read the list stopped following it.

Cause here: a record without a key, or shorter than its key, made the whole answer of the store unusable; the reader asked for the same offset for ever. An item of a page with a value that is no base64 did the same to each takeover.

Change: such a record is passed over, with a line on standard error; answers tell the offset or key at which reading goes on.

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -142,10 +142,10 @@
   if (loaded_records_.empty()) {
     load_end_ = result.end_;
   }
-  const bool more = result.has_more_ && !result.records_.empty();
+  const bool more = result.has_more_ && !result.last_key_.empty();
   std::move(result.records_.begin(), result.records_.end(), std::back_inserter(loaded_records_));
   if (more) {
-    LoadPage(std::string(loaded_records_.back().record_.key_));
+    LoadPage(result.last_key_);
     return;
   }
   FinishLoading();
@@ -197,6 +197,7 @@
       added.push_back(record);
     }
   }
+  next_offset_ = std::max(next_offset_, result.next_);
   if (!added.empty()) {
     events_.added_(std::move(added));
   }
--- a/src/laburnumledge/platform/store.cpp
+++ b/src/laburnumledge/platform/store.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "laburnumledge/core/log.hpp"
 #include "laburnumledge/core/reason.hpp"
 #include "laburnumledge/platform/json.hpp"
 
@@ -98,6 +99,7 @@
             .end_ = 0,
             .first_ = body.has_value() ? Unsigned(*body, "first_offset").value_or(0) : 0,
             .records_ = {},
+            .next_ = from,
             .reason_ = "the offset is no longer retained"};
   }
   if (response.status_ != kOk) {
@@ -184,6 +186,7 @@
                     .end_ = BigEndian(body.substr(0, kOffsetBytes)),
                     .first_ = BigEndian(body.substr(kOffsetBytes, kOffsetBytes)),
                     .records_ = {},
+                    .next_ = from,
                     .reason_ = {}};
   body.remove_prefix(2 * kOffsetBytes);
   std::uint64_t offset = from;
@@ -193,14 +196,17 @@
     if (body.size() < kLengthBytes + length) {
       return core::Fail("the answer to a read ends within the record at offset {}", offset);
     }
-    std::optional<KeyedRecord> record = ParseRecord(body.substr(kLengthBytes, length));
-    if (!record.has_value()) {
-      return std::nullopt;
+    // A record of another writer that can't be read must not hold back those after it.
+    if (std::optional<KeyedRecord> record = ParseRecord(body.substr(kLengthBytes, length))) {
+      result.records_.push_back({.offset_ = offset, .record_ = *std::move(record)});
+    } else {
+      core::Warning(core::Part::kPlatform, "skipped the record at offset {}: {}", offset,
+                    core::LastReason());
     }
-    result.records_.push_back({.offset_ = offset, .record_ = *std::move(record)});
     body.remove_prefix(kLengthBytes + length);
     ++offset;
   }
+  result.next_ = offset;
   return result;
 }
 
@@ -216,6 +222,7 @@
   }
   NewestResult result{.done_ = true,
                       .records_ = {},
+                      .last_key_ = {},
                       .has_more_ = Flag(*object, "has_more"),
                       .end_ = *end,
                       .reason_ = {}};
@@ -224,10 +231,11 @@
   }
   for (const nlohmann::json& item : *items) {
     const std::optional<std::string> key = Text(item, "key");
+    result.last_key_ = key.value_or(result.last_key_);
     const std::string encoded = Text(item, "value").value_or("");
     std::string value;
     if (!key.has_value() || !absl::Base64Unescape(encoded, &value)) {
-      return core::Fail("a page of newest records has a malformed item");
+      continue;  // As above; the page still tells where the next one begins.
     }
     result.records_.push_back({.offset_ = Unsigned(item, "offset").value_or(0),
                                .record_ = {.key_ = *key, .value_ = std::move(value)}});
--- a/src/laburnumledge/platform/store.hpp
+++ b/src/laburnumledge/platform/store.hpp
@@ -86,16 +86,18 @@
 /** @brief Result of a read. */
 struct ReadResult {
   ReadOutcome outcome_{ReadOutcome::kFailed};
-  std::uint64_t end_{};    ///< End of the stream.
-  std::uint64_t first_{};  ///< Oldest retained offset.
-  std::vector<StoredRecord> records_;
+  std::uint64_t end_{};                ///< End of the stream.
+  std::uint64_t first_{};              ///< Oldest retained offset.
+  std::vector<StoredRecord> records_;  ///< Without those that can't be read.
+  std::uint64_t next_{};               ///< Offset after the last record of the answer.
   std::string reason_;
 };
 
 /** @brief Page of the newest records, one for each key. */
 struct NewestResult {
   bool done_{};
-  std::vector<StoredRecord> records_;
+  std::vector<StoredRecord> records_;  ///< Without those that can't be read.
+  std::string last_key_;               ///< Of the page; the next page begins after it.
   bool has_more_{};
   std::uint64_t end_{};  ///< End of the stream when the page was made.
   std::string reason_;
