Log and count entries of the workers' list that are passed over

An entry that named no worker was logged each time that the list was loaded again, and not counted, so that on-call could not tell one odd entry from many. worker.entry_ignored tells key, offset, size and reason, once for each version of an entry; laburnumledge_worker_entries_ignored_total counts them at the leader. The reason is cut at 200 bytes, since it may quote the entry.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "laburnumledge/core/event.hpp"
@@ -30,6 +31,9 @@
  * again. The platform takes about two seconds, which leaves a worker a second heartbeat. */
 constexpr core::Milliseconds kWorkerEntryReturnTime{2000};
 
+/** Longest reason in a log line about an entry; a reason may quote the entry. */
+constexpr std::size_t kMaxReasonBytes = 200;
+
 ledger::WallTime WallNow() {
   return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
 }
@@ -58,6 +62,9 @@
   loop::Handle timer_{};
   std::map<std::string, core::TimePoint>
       missing_since_;  ///< Workers without an entry, not removed yet.
+  std::map<std::string, std::uint64_t>
+      ignored_entries_;  ///< Offsets of the newest entries that name no worker, by key.
+  std::uint64_t ignored_count_{};
 
   Implementation(const LeadershipContext& context, std::uint64_t term,
                  core::TimePoint earlier_leases_end, std::function<void()> superseded);
@@ -69,6 +76,7 @@
   void LoadTaskRecords(const std::vector<platform::StoredRecord>& records);
   void ApplyWorkerRecords(const std::vector<platform::StoredRecord>& records, bool reloaded);
   void ApplyWorkerRecord(const platform::StoredRecord& record);
+  void IgnoreEntry(const platform::StoredRecord& record, std::string_view reason);
   void RemoveMissingWorkers();
   void StartDispatcherWhenLoaded();
   void RunDispatcher();
@@ -194,19 +202,36 @@
   }
 }
 
+/** Notes an entry that names no worker to use, once for each version of it. */
+void Leadership::Implementation::IgnoreEntry(const platform::StoredRecord& record,
+                                             std::string_view reason) {
+  const auto [entry, added] = ignored_entries_.try_emplace(record.record_.key_, record.offset_);
+  if (!added && entry->second == record.offset_) {
+    return;
+  }
+  entry->second = record.offset_;
+  ++ignored_count_;
+  core::LogEvent(Level::kWarning, EventPriority::kLow, "worker.entry_ignored",
+                 {{"key", record.record_.key_},
+                  {"offset", record.offset_},
+                  {"bytes", record.record_.value_->size()},
+                  {"reason", reason.substr(0, kMaxReasonBytes)}});
+}
+
 void Leadership::Implementation::ApplyWorkerRecord(const platform::StoredRecord& record) {
   const std::string& id = record.record_.key_;
   if (!record.record_.value_.has_value()) {
     missing_since_.try_emplace(id, context_.loop_.Now());
+    ignored_entries_.erase(id);
     return;
   }
   std::optional<site::WorkerEntry> entry = platform::ParseWorkerEntry(id, *record.record_.value_);
   if (!entry.has_value()) {
-    core::LogEvent(Level::kWarning, EventPriority::kLow, "worker.entry_unreadable",
-                   {{"key", id}, {"reason", core::LastReason()}});
+    IgnoreEntry(record, core::LastReason());
     return;
   }
   missing_since_.erase(id);
+  ignored_entries_.erase(id);
   if (dispatcher_ != nullptr) {
     dispatcher_->OnWorker(*entry, context_.loop_.Now());
   } else {
@@ -431,6 +456,10 @@
 
 bool Leadership::IsActive() const noexcept { return implementation_->dispatcher_ != nullptr; }
 
+std::uint64_t Leadership::IgnoredEntries() const noexcept {
+  return implementation_->ignored_count_;
+}
+
 const dispatch::Dispatcher* Leadership::ActiveDispatcher() const noexcept {
   return implementation_->dispatcher_.get();
 }
--- a/src/laburnumledge/control/leadership.hpp
+++ b/src/laburnumledge/control/leadership.hpp
@@ -58,6 +58,9 @@
   /** @brief Whether the takeover is complete. */
   [[nodiscard]] bool IsActive() const noexcept;
 
+  /** @brief Versions of entries in the workers' list that named no worker to use, in this term. */
+  [[nodiscard]] std::uint64_t IgnoredEntries() const noexcept;
+
   /** @brief The dispatcher, or null until the takeover is complete. */
   [[nodiscard]] const dispatch::Dispatcher* ActiveDispatcher() const noexcept;
 
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -118,6 +118,9 @@
             MakeCounter(registry, "laburnumledge_interference_avoided_total",
                         "Placements in this term that avoided a worker because of a known pair.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
+        ignored_entries_(MakeCounter(registry, "laburnumledge_worker_entries_ignored_total",
+                                     "Versions of entries in the workers' list that name no worker "
+                                     "to use, as the leader has read them.")),
         term_(MakeGauge(registry, "laburnumledge_term", "Number of the newest term seen.")),
         holds_term_(
             MakeGauge(registry, "laburnumledge_holds_term", "1 while this node is the leader.")),
@@ -144,6 +147,7 @@
   Family<Gauge>& interference_pairs_;
   Family<Counter>& interference_avoided_;
   Family<Gauge>& workers_;
+  Family<Counter>& ignored_entries_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
   Family<Counter>& log_lines_dropped_;
@@ -354,6 +358,10 @@
   }
 }
 
+void NodeMetrics::UpdateIgnoredEntries(std::uint64_t total) {
+  IncreaseTo(families_->ignored_entries_.Add({}), total);
+}
+
 void NodeMetrics::UpdateTerm(std::uint64_t number, bool holds) {
   families_->term_.Add({}).Set(static_cast<double>(number));
   families_->holds_term_.Add({}).Set(holds ? 1.0 : 0.0);
--- a/src/laburnumledge/control/metrics.hpp
+++ b/src/laburnumledge/control/metrics.hpp
@@ -51,6 +51,9 @@
   /** @brief Updates the metrics of jobs, runs and workers from the leader's dispatcher. */
   void Update(const dispatch::Dispatcher& dispatcher);
 
+  /** @brief Updates the counter of entries that name no worker to use, from the leader's total. */
+  void UpdateIgnoredEntries(std::uint64_t total);
+
   /** @brief Updates the metrics of the term, and the counter of dropped log lines. */
   void UpdateTerm(std::uint64_t number, bool holds);
 
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -229,6 +229,7 @@
   metrics_.UpdateTerm(term_.newest_.has_value() ? term_.newest_->number_ : 0, term_.is_leader_);
   if (leadership_ != nullptr && leadership_->ActiveDispatcher() != nullptr) {
     metrics_.Update(*leadership_->ActiveDispatcher());
+    metrics_.UpdateIgnoredEntries(leadership_->IgnoredEntries());
   }
   return {.status_ = kOk,
           .headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
