Let another writer copy and overwrite entries in the randomised world

The randomised world had none, and its calls did not go to an address.

A worker is given up because of an entry, its room is given to other tasks while its runs are at work: one cause for both rules.

--- a/test/randomised/dispatch/runs.cpp
+++ b/test/randomised/dispatch/runs.cpp
@@ -74,4 +74,20 @@
                     .cancel_ = 5});
 }
 
+// Guards against runs that are ended, and rooms that are freed, on what an entry of another writer
+// says (review case 1, TWICE; LIMIT when other tasks get the room).
+TEST_CASE("rules hold while another writer copies and overwrites workers' entries") {
+  SimulateAllSeeds({.lost_answer_ = 10, .foreign_entry_ = 500});
+}
+
+TEST_CASE("rules hold while entries are overwritten, leaders crash and workers are replaced") {
+  SimulateAllSeeds({.lost_answer_ = 20,
+                    .failing_run_ = 50,
+                    .worker_crash_ = 20,
+                    .worker_cut_ = 20,
+                    .leader_crash_ = 150,
+                    .outage_ = 30,
+                    .foreign_entry_ = 400});
+}
+
 }  // namespace laburnumledge::randomised
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -99,15 +99,24 @@
 
 /** Carries a call out soon, or seconds later without an answer; then answers it or lets it time
  * out at its deadline. */
-void World::Deliver(std::uint64_t term, const std::string& id, core::TimePoint deadline,
-                    const Execute& execute) {
+void World::Deliver(std::uint64_t term, const platform::WorkerAddress& called,
+                    core::TimePoint deadline, const Execute& execute) {
+  const std::string& id = called.id_;
+  const auto named = fake_workers_.workers_.find(id);
+  if (named == fake_workers_.workers_.end() || named->second.address_ != called.address_) {
+    DeliverToOther(term, called.address_, deadline, execute);
+    return;
+  }
   const bool late = Chance(faults_.late_call_);
   const bool lost = late || Chance(faults_.lost_answer_);
   const core::TimePoint arrives = now_ + (late ? RandomDuration(1000, 8000) : RandomDuration(1, 4));
   const site::Incarnation incarnation = fake_workers_.workers_.at(id).incarnation_;
-  Schedule(arrives, [this, term, id, deadline, execute, late, lost, incarnation] {
+  const bool carried_out_after_crash = faults_.late_call_after_crash_;
+  Schedule(arrives, [this, term, id, deadline, execute, late, lost, incarnation,
+                     carried_out_after_crash] {
     FakeWorker& worker = fake_workers_.workers_.at(id);
-    const bool executed = Reachable(id, term) && (!late || worker.incarnation_ == incarnation);
+    const bool executed = Reachable(id, term) &&
+                          (!late || carried_out_after_crash || worker.incarnation_ == incarnation);
     std::function<void()> answer;
     bool answers = executed && !lost;
     if (executed) {
@@ -128,6 +137,20 @@
   }
 }
 
+/** A call to an address where the worker that it names isn't: whoever is there says so. */
+void World::DeliverToOther(std::uint64_t term, const config::Address& address,
+                           core::TimePoint deadline, const Execute& execute) {
+  Schedule(now_ + RandomDuration(1, 4), [this, term, address, deadline, execute] {
+    const bool answers = std::any_of(
+        fake_workers_.workers_.begin(), fake_workers_.workers_.end(), [&](const auto& entry) {
+          return entry.second.address_ == address && Reachable(entry.first, term);
+        });
+    const auto outcome = answers ? CommandOutcome::kOtherIncarnation : CommandOutcome::kUnknown;
+    Schedule(answers ? now_ + RandomDuration(1, 4) : std::max(now_, deadline),
+             execute(nullptr, outcome));
+  });
+}
+
 void World::StoreBatch(const LeaderPointer& leader, const dispatch::RecordBatch& batch) {
   const core::TimePoint lands =
       std::max(leader->last_batch_, std::max(now_, outage_until_) + RandomDuration(2, 8));
@@ -180,7 +203,7 @@
     StoreStatus(leader, change);
   }
   for (const dispatch::StartAction& start : actions.starts_) {
-    Deliver(leader->term_, start.worker_.id_, start.deadline_,
+    Deliver(leader->term_, start.worker_, start.deadline_,
             [this, leader, start, active](FakeWorker* worker, CommandOutcome otherwise) {
               const platform::CommandResult result =
                   worker == nullptr ? platform::CommandResult{.outcome_ = otherwise}
@@ -197,7 +220,7 @@
             });
   }
   for (const dispatch::StopAction& stop : actions.stops_) {
-    Deliver(leader->term_, stop.worker_.id_, stop.deadline_,
+    Deliver(leader->term_, stop.worker_, stop.deadline_,
             [this, leader, stop, active](FakeWorker* worker, CommandOutcome otherwise) {
               const platform::CommandResult result =
                   worker == nullptr ? platform::CommandResult{.outcome_ = otherwise}
@@ -211,7 +234,7 @@
             });
   }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
-    Deliver(leader->term_, lease.worker_.id_, lease.call_.deadline_,
+    Deliver(leader->term_, lease.worker_, lease.call_.deadline_,
             [this, leader, lease, active](FakeWorker* worker, CommandOutcome otherwise) {
               const platform::LeaseResult result =
                   worker == nullptr ? platform::LeaseResult{.outcome_ = otherwise}
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -30,6 +30,8 @@
   std::uint32_t quota_change_{};  ///< Per second: other quotas; 0: there are no organisations.
   std::uint32_t deadly_job_{};    ///< Per job: its tasks crash every worker that starts them.
   std::uint32_t outage_{};        ///< Per second: 30% to 40% of the workers crash together.
+  std::uint32_t foreign_entry_{};  ///< Per second: another writer copies or overwrites an entry.
+  bool late_call_after_crash_{};   ///< Late calls reach a later incarnation of their worker too.
 };
 
 /** @brief Size of a simulated deployment. */
@@ -103,6 +105,9 @@
   void CrashLeader();
   void CrashTogether();
   void CrashAndReplace(FakeWorker& worker, core::TimePoint back);
+  void WriteForeignEntry();
+  void CopyEntry(const FakeWorker& worker);
+  void OverwriteEntry(const FakeWorker& worker, const FakeWorker& other);
   void ListWorker(const std::string& id, const site::WorkerEntry& entry);
   void UnlistWorker(const std::string& id);
   void ReadWorkerList();
@@ -125,8 +130,10 @@
    * function that handles the result. */
   using Execute =
       std::function<std::function<void()>(FakeWorker*, platform::CommandOutcome otherwise)>;
-  void Deliver(std::uint64_t term, const std::string& worker, core::TimePoint deadline,
+  void Deliver(std::uint64_t term, const platform::WorkerAddress& called, core::TimePoint deadline,
                const Execute& execute);
+  void DeliverToOther(std::uint64_t term, const config::Address& address, core::TimePoint deadline,
+                      const Execute& execute);
 
   core::Random random_;
   Faults faults_;
@@ -136,7 +143,9 @@
   ledger::Jobs jobs_;
   FakeWorkers fake_workers_;
   std::map<std::string, Reachability> reachability_;
-  std::map<std::string, site::WorkerEntry> worker_list_;  ///< The platform's list of workers.
+  std::map<std::string, site::WorkerEntry> worker_list_;      ///< The platform's list of workers.
+  std::map<std::string, core::TimePoint> overwritten_until_;  ///< Entries, by worker.
+  int copies_{};                                              ///< Entries of another writer.
   std::uint32_t deadly_job_{};    ///< Faults::deadly_job_; jobs stay deadly after the last fault.
   core::TimePoint faults_end_{};  ///< No new fault begins from then on.
   core::TimePoint last_take_over_{};
--- a/test/support/world_faults.cpp
+++ b/test/support/world_faults.cpp
@@ -109,6 +109,9 @@
   if (faults_.outage_ > 0 && Chance(faults_.outage_)) {
     CrashTogether();
   }
+  if (faults_.foreign_entry_ > 0 && Chance(faults_.foreign_entry_)) {
+    WriteForeignEntry();
+  }
   if (leader_ != nullptr && Chance(faults_.leader_crash_)) {
     CrashLeader();
   } else if (leader_ != nullptr && now_ >= outage_until_ && Chance(faults_.leader_cut_)) {
--- a/test/support/world_list.cpp
+++ b/test/support/world_list.cpp
@@ -1,3 +1,5 @@
+#include <fmt/core.h>
+
 #include <algorithm>
 
 #include "laburnumledge/dispatch/fixture.hpp"
@@ -31,11 +33,48 @@
   }
 }
 
+/** Another writer repeats the entry of a worker under a key of its own, for some seconds. */
+void World::CopyEntry(const FakeWorker& worker) {
+  constexpr int kOtherStartMs = 60000;
+  site::WorkerEntry copy = EntryOf(worker, now_);
+  copy.id_ = fmt::format("copy{}", ++copies_);
+  copy.incarnation_ += static_cast<int>(random_(3)) * kOtherStartMs - kOtherStartMs;
+  ListWorker(copy.id_, copy);
+  Schedule(now_ + RandomDuration(1000, 8000), [this, id = copy.id_] { UnlistWorker(id); });
+}
+
+/** Another writer gives a worker's entry the address of another worker, until the worker writes. */
+void World::OverwriteEntry(const FakeWorker& worker, const FakeWorker& other) {
+  site::WorkerEntry entry = EntryOf(worker, now_);
+  entry.address_ = other.address_;
+  overwritten_until_[worker.id_] = now_ + RandomDuration(500, 4000);
+  ListWorker(worker.id_, entry);
+}
+
+void World::WriteForeignEntry() {
+  std::vector<const FakeWorker*> up;
+  for (const auto& [id, worker] : fake_workers_.workers_) {
+    if (now_ >= worker.down_until_) {
+      up.push_back(&worker);
+    }
+  }
+  if (up.empty()) {
+    return;
+  }
+  const FakeWorker& worker = *up[random_(static_cast<std::uint32_t>(up.size()))];
+  const FakeWorker& other = *up[random_(static_cast<std::uint32_t>(up.size()))];
+  if (Chance(500)) {
+    CopyEntry(worker);
+  } else {
+    OverwriteEntry(worker, other);
+  }
+}
+
 /** Workers that are up write their entries, and the leader reads those of workers on its side. */
 void World::ReadWorkerList() {
   for (auto& [id, worker] : fake_workers_.workers_) {
     Advance(fake_workers_, worker, now_);
-    if (now_ >= worker.down_until_) {
+    if (now_ >= worker.down_until_ && now_ >= overwritten_until_[id]) {
       worker_list_[id] = EntryOf(worker, now_);
     }
     if (leader_ != nullptr && Reachable(id, term_)) {
