Call workers with a higher token while commands to them are in doubt

Cause: a new process has seen no fencing token. The leader called a worker only while it had runs there, so that the first token came with the next start. A call that acknowledges results and is carried out late by a new process makes that forget results that nobody has read. A worker that left the list lost its raised token.

Change: for 15 s after such a call without an answer the worker is called at short intervals, each call with a higher token; a known worker whose entry shows another start is called once; raised tokens are kept for the term.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -75,7 +75,9 @@
   const auto [entry, added] = fleet_.workers_.try_emplace(id);
   if (added) {
     entry->second.entry_.id_ = id;
-    entry->second.fence_token_ = first_fence_token_;
+    const auto raised = fleet_.raised_tokens_.find(id);
+    entry->second.fence_token_ =
+        raised == fleet_.raised_tokens_.end() ? first_fence_token_ : raised->second;
     due_updates_.emplace(entry->second.next_update_, &entry->second);
   }
   return entry->second;
@@ -233,10 +235,14 @@
     worker.incarnation_seen_ = now;
   }
   if (changed && worker.incarnation_ != entry.incarnation_) {
+    // A process that has just started has seen no fencing token: commands to its predecessor that
+    // are carried out late would find it open. Its first call brings the newest token.
+    worker.fence_due_ = worker.incarnation_ != 0;
+    // With runs, its answer tells whether its process has ended: the entry may be of another
+    // writer.
     if (HasNothingToAsk(worker)) {
       AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
     }
-    // Otherwise its answer tells whether its process has ended: the entry may be of another writer.
     worker.next_lease_ = now;
   }
   if (changed || moved) {
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -282,7 +282,7 @@
   void ScheduleUpdate(Worker& worker, core::TimePoint time);
   void UpdateDueWorkers(core::TimePoint now);
   void UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next);
-  void RemoveGoneWorkers();
+  void RemoveGoneWorkers(core::TimePoint now);
   [[nodiscard]] bool IsStoreAnswering(core::TimePoint now) const noexcept;
   [[nodiscard]] core::Clock::duration PlanPace() const noexcept;
   [[nodiscard]] core::TimePoint EarliestPlan() const noexcept;
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -140,6 +140,9 @@
                     {"fence", action.command_.fence_token_},
                     {"reason", result.reason_}});
   }
+  if (result.outcome_ == CommandOutcome::kUnknown) {
+    worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
+  }
   const bool own_token = action.command_.fence_token_ < worker->fence_token_;
   switch (result.outcome_) {
     case CommandOutcome::kDone:
@@ -263,9 +266,10 @@
   const bool unacknowledged = worker.results_processed_ > last_seen;
   const bool responsive = worker.last_answer_ != core::TimePoint{} && worker.failed_calls_ == 0;
   const bool at_once = !responsive || unacknowledged || IsVerifiedByNextCall(worker);
-  const core::Milliseconds wait = at_once                    ? core::Milliseconds{}
-                                  : IsPacing(worker.pacing_) ? internal::kPacingLeaseCallWait
-                                                             : internal::kLeaseCallWait;
+  const core::Milliseconds wait = at_once                        ? core::Milliseconds{}
+                                  : now < worker.doubtful_until_ ? internal::kDoubtfulLeaseCallWait
+                                  : IsPacing(worker.pacing_)     ? internal::kPacingLeaseCallWait
+                                                                 : internal::kLeaseCallWait;
   worker.lease_in_flight_ = true;
   worker.lease_call_number_ = next_lease_call_++;
   worker.lease_sent_ = now;
@@ -305,6 +309,7 @@
                      {{"worker", worker->entry_.id_}, {"failed_calls", worker->failed_calls_}});
     }
     worker->failed_calls_ = 0;
+    worker->fence_due_ = false;
     worker->last_answer_ = now;
     worker->last_lease_answer_ = now;
     NoteVerified(*worker, action.worker_.address_);
@@ -345,6 +350,11 @@
   }
   ++worker->failed_calls_;
   worker->next_lease_ = now + internal::kLeaseRetryInterval;
+  if (action.call_.acknowledged_ > 0) {
+    // Carried out late by a later incarnation, it would acknowledge results that nobody has read.
+    IncrementFencingToken(*worker);
+    worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
+  }
 }
 
 void Dispatcher::UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next) {
@@ -381,8 +391,10 @@
       AcknowledgeableResults(worker) > worker.results_acknowledged_ &&
       worker.failed_calls_ < kMaxIdleLeaseFailures;
   const bool asks_for_results = !worker.expired_runs_.empty() || results_to_acknowledge;
-  needs_lease =
-      needs_lease || IsVerifiedByNextCall(worker) || (asks_for_results && !worker.replaced_);
+  // The call that is open to a worker ends with its process, so that the next one follows at once.
+  const bool fences = (worker.fence_due_ && worker.listed_) || now < worker.doubtful_until_;
+  needs_lease = needs_lease || IsVerifiedByNextCall(worker) ||
+                ((asks_for_results || fences) && !worker.replaced_);
   if (!needs_lease) {
     // The worker is no longer called; its entry in the platform's list tells whether it is alive.
     worker.failed_calls_ = 0;
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -69,13 +69,18 @@
   }
 }
 
-void Dispatcher::RemoveGoneWorkers() {
+void Dispatcher::RemoveGoneWorkers(core::TimePoint now) {
   for (auto entry = fleet_.workers_.begin(); entry != fleet_.workers_.end();) {
     Worker& worker = entry->second;
-    if (worker.listed_ || !worker.assigned_runs_.empty() || !worker.expired_runs_.empty()) {
+    if (worker.listed_ || !worker.assigned_runs_.empty() || !worker.expired_runs_.empty() ||
+        now < worker.doubtful_until_) {
       ++entry;
       continue;
     }
+    if (worker.fence_token_ > first_fence_token_) {
+      // It may come back with the process that has seen the token.
+      fleet_.raised_tokens_[entry->first] = worker.fence_token_;
+    }
     due_updates_.erase({worker.next_update_, &worker});
     entry = fleet_.workers_.erase(entry);
   }
@@ -108,7 +113,7 @@
   DecideCrashes(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupInterval;
-    RemoveGoneWorkers();
+    RemoveGoneWorkers(now);
     RetireFinishedJobs(now);
   }
   if (now >= EarliestPlan() && IsStoreAnswering(now)) {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -98,9 +98,10 @@
 /** @brief Worker with its resource accounting, lease and results. */
 struct Worker {
   site::WorkerEntry entry_;
-  bool listed_{};                       ///< The platform lists the worker.
-  bool replaced_{};                     ///< Another process has answered at the entry's address.
-  bool unverified_{};                   ///< The worker has to answer before it gets more work.
+  bool listed_{};      ///< The platform lists the worker.
+  bool replaced_{};    ///< Another process has answered at the entry's address.
+  bool unverified_{};  ///< The worker has to answer before it gets more work.
+  bool fence_due_{};   ///< The worker seems to have restarted and has not answered since.
   core::TimePoint entry_seen_{};        ///< When `entry_` was last read.
   core::TimePoint incarnation_seen_{};  ///< When this incarnation was first seen in the list.
   site::Incarnation incarnation_{};     ///< As reported by the worker; 0 before its first answer.
@@ -109,6 +110,7 @@
   std::uint64_t results_processed_{};     ///< Results up to this number are processed.
   std::uint64_t results_recorded_{};      ///< Results up to this number are stored.
   std::uint64_t results_acknowledged_{};  ///< Results up to this number are acknowledged.
+  core::TimePoint doubtful_until_{};      ///< Until then an unanswered start may be carried out.
   core::TimePoint last_lease_answer_{};   ///< When the worker last answered a lease call.
   std::uint64_t acknowledgement_limit_{
       kNoAcknowledgementLimit};  ///< Results beyond this number are never acknowledged.
@@ -133,6 +135,8 @@
 
 /** @brief All workers by identifier. */
 struct Fleet {
+  /** Fencing tokens of removed workers that were raised in this term. */
+  std::map<std::string, std::uint64_t, std::less<>> raised_tokens_;
   /** Addresses of workers that vanished from the list without having announced it, and when. */
   std::map<std::string, core::TimePoint> departed_;
   std::map<std::string, Worker, std::less<>> workers_;
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -29,6 +29,10 @@
 /** @brief Longest wait of a lease call while a worker's filling tasks are slowed, or are to be. */
 inline constexpr core::Milliseconds kPacingLeaseCallWait{500};
 
+/** @brief Longest wait of a lease call while commands may still be carried out late: if the worker
+ * restarts, its new process has to be called before it gets them. */
+inline constexpr core::Milliseconds kDoubtfulLeaseCallWait{300};
+
 /** @brief Time beyond its wait after which an unanswered lease call times out. */
 inline constexpr core::Milliseconds kLeaseAnswerMargin{700};
 
@@ -39,6 +43,10 @@
  * for further results. */
 inline constexpr core::Milliseconds kLeaseIntervalWhileRecording{1000};
 
+/** @brief Longest time after which an unanswered command is still carried out: the platform speaks
+ * of seconds. */
+inline constexpr core::Milliseconds kLateCommandTime{15000};
+
 /** @brief Address of a worker as lease calls carry it. */
 [[nodiscard]] inline platform::WorkerAddress AddressOf(const Worker& worker) {
   return {.id_ = worker.entry_.id_, .address_ = CallAddress(worker)};
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -2,6 +2,7 @@
 
 #include <fmt/core.h>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -28,6 +29,9 @@
   std::set<std::string> down_;      ///< Workers that answer nothing.
   std::set<std::string> replaced_;  ///< Workers at whose address another incarnation answers.
   std::map<std::string, core::Milliseconds> latest_wait_;  ///< Of the latest lease call.
+  std::map<std::string, std::uint64_t> latest_token_;      ///< Of the latest lease call.
+  int lease_calls_{};
+  int unanswered_starts_{};  ///< The next starts get no answer and are not carried out yet.
   std::map<std::string, config::Address> addresses_;  ///< Of workers that have come up elsewhere.
   std::map<std::string, site::WorkerEntry> foreign_;  ///< Entries of another writer, by key.
 
@@ -108,6 +112,11 @@
         dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
         continue;
       }
+      if (unanswered_starts_ > 0) {
+        --unanswered_starts_;
+        dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kUnknown}, now_);
+        continue;
+      }
       if (down_.contains(start.worker_.id_)) {
         dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kNotSent}, now_);
         continue;
@@ -118,6 +127,8 @@
     }
     for (const LeaseAction& lease : actions.leases_) {
       latest_wait_[lease.worker_.id_] = lease.call_.wait_;
+      latest_token_[lease.worker_.id_] = lease.call_.fence_token_;
+      ++lease_calls_;
       if (ReachesOtherProcess(lease.worker_)) {
         dispatcher_.OnLease(lease, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
         continue;
