--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -221,65 +221,6 @@
   plan_due_ = true;
 }
 
-void Dispatcher::OnWorker(const site::WorkerEntry& entry, core::TimePoint now) {
-  Worker& worker = FindOrAddWorker(entry.id_);
-  const bool changed = worker.entry_.incarnation_ != entry.incarnation_;
-  const bool moved = worker.entry_.address_ != entry.address_;
-  const bool moved_alive = moved && !changed && worker.entry_.address_.port_ != 0;
-  const bool was_eligible = worker.listed_ && !worker.entry_.draining_;
-  const bool was_draining = worker.entry_.draining_;
-  worker.entry_ = entry;
-  worker.listed_ = true;
-  worker.entry_seen_ = now;
-  if (changed) {
-    worker.incarnation_seen_ = now;
-  }
-  if (changed && worker.incarnation_ != entry.incarnation_) {
-    // A process that has just started has seen no fencing token: commands to its predecessor that
-    // are carried out late would find it open. Its first call brings the newest token.
-    worker.fence_due_ = worker.incarnation_ != 0;
-    // With runs, its answer tells whether its process has ended: the entry may be of another
-    // writer.
-    if (HasNothingToAsk(worker)) {
-      AdoptIncarnation(worker, entry.incarnation_, was_draining, now);
-    }
-    worker.next_lease_ = now;
-  }
-  if (changed || moved) {
-    worker.replaced_ = false;
-    worker.unverified_ = moved_alive;
-    NoteAddress(worker, now);
-  }
-  UpdateClock(worker, entry.clock_, now);
-  if (changed || moved || was_eligible == entry.draining_) {
-    ScheduleUpdate(worker, now);
-  }
-  if (was_eligible == entry.draining_) {
-    core::LogEvent(Level::kInfo, EventPriority::kHigh,
-                   entry.draining_ ? "worker.draining" : "worker.ready",
-                   {{"worker", entry.id_},
-                    {"zone", entry.zone_},
-                    {"rack", entry.rack_},
-                    {"incarnation", entry.incarnation_},
-                    {"remaining_ms", entry.drain_time_left_}});
-    plan_due_ = true;
-  }
-}
-
-void Dispatcher::OnWorkerGone(const std::string& id, core::TimePoint now) {
-  Worker* worker = FindWorker(fleet_, id);
-  if (worker == nullptr || !worker->listed_) {
-    return;
-  }
-  worker->listed_ = false;
-  if (!worker->entry_.draining_ && !worker->replaced_) {
-    fleet_.departed_[config::ToString(worker->entry_.address_)] = now;
-  }
-  VerifyWorkersAt(worker->entry_.address_, now);
-  core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.unlisted",
-                 {{"worker", id}, {"runs", worker->assigned_runs_.size()}});
-}
-
 void Dispatcher::SetState(Job& job, ledger::JobState state) {
   if (job.state_ == state) {
     return;
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -66,6 +66,14 @@
   return described;
 }
 
+/** Time since the worker's latest answer; -1 without one in this term. */
+core::Milliseconds AgeOfAnswer(const Worker& worker, core::TimePoint now) noexcept {
+  constexpr core::Milliseconds kNone{-1};
+  return worker.last_answer_ == core::TimePoint{}
+             ? kNone
+             : std::chrono::duration_cast<core::Milliseconds>(now - worker.last_answer_);
+}
+
 }  // namespace
 
 ledger::WallTime Dispatcher::WallAt(core::TimePoint now) const noexcept {
@@ -84,6 +92,28 @@
   MarkRunLost(worker, run, platform::ToString(platform::CommandOutcome::kOtherIncarnation), now);
 }
 
+void Dispatcher::MarkRunLost(Worker& worker, const RunId& run, std::string_view reason,
+                             core::TimePoint now) {
+  // A finished gang's other members are not reported as lost: one result counts for the whole gang.
+  const Task* task = FindTask(job_table_, run.task_);
+  if (task != nullptr && task->phase_ != TaskPhase::kDone) {
+    ++counts_.runs_lost_;
+    core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.lost",
+                   {{"task", ledger::ToString(run.task_)},
+                    {"run", run.run_},
+                    {"worker", worker.entry_.id_},
+                    {"reason", reason},
+                    {"answered_ms_ago", AgeOfAnswer(worker, now)},
+                    {"lease_left_ms", std::chrono::duration_cast<core::Milliseconds>(
+                                          worker.latest_lease_end_ - now)}});
+  }
+  RecordBatch batch;
+  FinishRun(worker, run, platform::RunResult::kLeaseExpired, {}, batch, now);
+  if (!batch.tasks_.empty()) {
+    IssueBatch(std::move(batch), {}, now);
+  }
+}
+
 /** Gives up runs whose leases have expired. Results or the news of a crash may still come. */
 void Dispatcher::ExpireRuns(Worker& worker, const std::vector<RunId>& expired,
                             core::TimePoint now) {
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -24,14 +24,6 @@
 /** Pause before a step is placed again after one of its runs ended otherwise than by a stop. */
 constexpr core::Milliseconds kRetryDelay{50};
 
-/** Time since the worker's latest answer; -1 without one in this term. */
-core::Milliseconds AgeOfAnswer(const Worker& worker, core::TimePoint now) noexcept {
-  constexpr core::Milliseconds kNone{-1};
-  return worker.last_answer_ == core::TimePoint{}
-             ? kNone
-             : std::chrono::duration_cast<core::Milliseconds>(now - worker.last_answer_);
-}
-
 }  // namespace
 
 void Dispatcher::UpdateHealth(Worker& worker, bool success, core::TimePoint now) {
@@ -372,28 +364,6 @@
   plan_due_ = true;
 }
 
-void Dispatcher::MarkRunLost(Worker& worker, const RunId& run, std::string_view reason,
-                             core::TimePoint now) {
-  // A finished gang's other members are not reported as lost: one result counts for the whole gang.
-  const Task* task = FindTask(job_table_, run.task_);
-  if (task != nullptr && task->phase_ != TaskPhase::kDone) {
-    ++counts_.runs_lost_;
-    core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.lost",
-                   {{"task", ledger::ToString(run.task_)},
-                    {"run", run.run_},
-                    {"worker", worker.entry_.id_},
-                    {"reason", reason},
-                    {"answered_ms_ago", AgeOfAnswer(worker, now)},
-                    {"lease_left_ms", std::chrono::duration_cast<core::Milliseconds>(
-                                          worker.latest_lease_end_ - now)}});
-  }
-  RecordBatch batch;
-  FinishRun(worker, run, RunResult::kLeaseExpired, {}, batch, now);
-  if (!batch.tasks_.empty()) {
-    IssueBatch(std::move(batch), {}, now);
-  }
-}
-
 void Dispatcher::CheckCompletion(Job& job, std::uint32_t number) {
   Occurrence& occurrence = job.occurrences_.at(number);
   if (occurrence.complete_ || occurrence.steps_done_ < occurrence.steps_.size()) {
--- /dev/null
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -0,0 +1,177 @@
+#include <algorithm>
+#include <utility>
+
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using core::EventPriority;
+using core::Level;
+using platform::CommandOutcome;
+
+/** Consecutive failed lease calls after which results are no longer acknowledged to a worker
+ * without runs. */
+constexpr std::uint32_t kMaxIdleLeaseFailures = 5;
+
+/** Number up to which results may be acknowledged to a worker. */
+std::uint64_t AcknowledgeableResults(const Worker& worker) noexcept {
+  return std::min(worker.results_recorded_, worker.acknowledgement_limit_);
+}
+
+}  // namespace
+
+void Dispatcher::SendLease(Worker& worker, core::TimePoint now) {
+  // A worker that did not answer lately may have restarted and numbers its results from 1 again:
+  // result numbers of its earlier incarnation must not be acknowledged to it.
+  const std::uint64_t last_seen =
+      internal::IsAnswering(worker, now) ? AcknowledgeableResults(worker) : 0;
+  const bool unacknowledged = worker.results_processed_ > last_seen;
+  const bool responsive = worker.last_answer_ != core::TimePoint{} && worker.failed_calls_ == 0;
+  const bool at_once = !responsive || unacknowledged || IsVerifiedByNextCall(worker);
+  const core::Milliseconds wait = at_once                        ? core::Milliseconds{}
+                                  : now < worker.doubtful_until_ ? internal::kDoubtfulLeaseCallWait
+                                  : IsPacing(worker.pacing_)     ? internal::kPacingLeaseCallWait
+                                                                 : internal::kLeaseCallWait;
+  worker.lease_in_flight_ = true;
+  worker.lease_call_number_ = next_lease_call_++;
+  worker.lease_sent_ = now;
+  worker.next_lease_ = unacknowledged ? now + internal::kLeaseIntervalWhileRecording : now;
+  if (worker.failed_calls_ == 0) {
+    worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
+    worker.lease_deadline_ = EstimateClock(worker, now) + bounds_.longest_lease_;
+  }
+  platform::WorkerAddress called = internal::AddressOf(worker);
+  if (worker.failed_calls_ % 2 == 1 && worker.listed_ && !worker.replaced_) {
+    // It may have restarted under its identifier at the address that its entry names.
+    called.address_ = worker.entry_.address_;
+  }
+  // An unanswered call may still have reached the worker, so each extension counts. If calls to a
+  // worker that does not answer extended its lease, its runs would never expire.
+  actions_.leases_.push_back({.worker_ = std::move(called),
+                              .call_ = {.fence_token_ = worker.fence_token_,
+                                        .acknowledged_ = last_seen,
+                                        .lease_deadline_ = worker.lease_deadline_,
+                                        .wait_ = wait,
+                                        .deadline_ = now + wait + internal::kLeaseAnswerMargin},
+                              .number_ = worker.lease_call_number_});
+}
+
+void Dispatcher::OnLease(const LeaseAction& action, const platform::LeaseResult& result,
+                         core::TimePoint now) {
+  Worker* worker = FindWorker(fleet_, action.worker_.id_);
+  if (worker == nullptr || !worker->lease_in_flight_ ||
+      worker->lease_call_number_ != action.number_) {
+    return;
+  }
+  worker->lease_in_flight_ = false;
+  ScheduleUpdate(*worker, now);
+  if (result.outcome_ == CommandOutcome::kDone) {
+    if (worker->failed_calls_ > 0) {
+      core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.reached_again",
+                     {{"worker", worker->entry_.id_}, {"failed_calls", worker->failed_calls_}});
+    }
+    worker->failed_calls_ = 0;
+    worker->fence_due_ = false;
+    worker->last_answer_ = now;
+    worker->last_lease_answer_ = now;
+    NoteVerified(*worker, action.worker_.address_);
+    NoteListedRuns(*worker, result);
+    if (worker->incarnation_ == result.incarnation_) {
+      worker->results_acknowledged_ =
+          std::max(worker->results_acknowledged_, action.call_.acknowledged_);
+    }
+    if (worker->incarnation_ != result.incarnation_) {
+      AdoptIncarnation(*worker, result.incarnation_, worker->entry_.draining_, now);
+    }
+    if (result.clock_.has_value()) {
+      UpdateClock(*worker, *result.clock_, now);
+    }
+    ProcessResults(*worker, result.finished_, now);
+    ProcessRunningRuns(*worker, result.running_, worker->lease_sent_, now);
+    return;
+  }
+  if (result.outcome_ == CommandOutcome::kFenced) {
+    if (action.call_.fence_token_ >= worker->fence_token_) {
+      actions_.superseded_ = true;
+      worker->next_lease_ = now + internal::kLeaseRetryInterval;
+    }
+    return;
+  }
+  if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
+    worker->next_lease_ = now + internal::kLeaseRetryInterval;
+    OnOtherIncarnation(*worker, action.worker_.address_, now);
+    return;
+  }
+  if (worker->failed_calls_ == 0) {
+    worker->unreachable_since_ = now;
+    core::LogEvent(Level::kWarning, EventPriority::kHigh, "worker.unreachable",
+                   {{"worker", worker->entry_.id_},
+                    {"outcome", platform::ToString(result.outcome_)},
+                    {"runs", worker->assigned_runs_.size()},
+                    {"reason", result.reason_}});
+  }
+  ++worker->failed_calls_;
+  worker->next_lease_ = now + internal::kLeaseRetryInterval;
+  if (action.call_.acknowledged_ > 0) {
+    // Carried out late by a later incarnation, it would acknowledge results that nobody has read.
+    IncrementFencingToken(*worker);
+    worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
+  }
+}
+
+void Dispatcher::UpdateWorker(Worker& worker, core::TimePoint now, core::TimePoint& next) {
+  ++counts_.worker_updates_;
+  std::vector<RunId> expired;
+  bool needs_lease = false;
+  for (auto& [run, assigned] : worker.assigned_runs_) {
+    if (!internal::MayBeOnWorker(assigned)) {
+      continue;
+    }
+    if (now > worker.latest_lease_end_) {
+      expired.push_back(run);
+      continue;
+    }
+    needs_lease = true;
+    if (assigned.phase_ == RunPhase::kStopping && !assigned.command_in_flight_) {
+      if (assigned.next_stop_ <= now) {
+        SendStop(worker, run, assigned, now);
+      } else {
+        next = std::min(next, assigned.next_stop_);
+      }
+    }
+  }
+  ExpireRuns(worker, expired, now);
+  if (IsPacing(worker.pacing_)) {
+    SendPaces(worker, now);
+  }
+  if (worker.listed_ && worker.entry_.draining_) {
+    MoveRunsOffDrainingWorker(worker, now);
+  }
+  std::erase_if(worker.expired_runs_,
+                [now](const auto& entry) { return entry.second.asked_until_ < now; });
+  const bool results_to_acknowledge =
+      AcknowledgeableResults(worker) > worker.results_acknowledged_ &&
+      worker.failed_calls_ < kMaxIdleLeaseFailures;
+  const bool asks_for_results = !worker.expired_runs_.empty() || results_to_acknowledge;
+  // The call that is open to a worker ends with its process, so that the next one follows at once.
+  const bool fences = (worker.fence_due_ && worker.listed_) || now < worker.doubtful_until_;
+  needs_lease = needs_lease || IsVerifiedByNextCall(worker) ||
+                ((asks_for_results || fences) && !worker.replaced_);
+  if (!needs_lease) {
+    // The worker is no longer called; its entry in the platform's list tells whether it is alive.
+    worker.failed_calls_ = 0;
+  }
+  const bool has_address = CallAddress(worker).port_ != 0;
+  if (needs_lease && has_address && !worker.lease_in_flight_) {
+    if (worker.next_lease_ <= now) {
+      SendLease(worker, now);
+    } else {
+      next = std::min(next, worker.next_lease_);
+    }
+  }
+}
+
+}  // namespace laburnumledge::dispatch
