Read the clock of a worker that has answered from its answers only

What callers could see: TWICE. A clock in the list that is too far ahead moves the deadlines of leases without bound; a lease call that is carried out late then extends a lease beyond the time after which the leader gives the run up.

Cause: the estimate took any later reading, from the list as from answers, and never went back. Change: readings of the list count until the first answer, which replaces them.

--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -75,8 +75,6 @@
     }
     worker->failed_calls_ = 0;
     worker->fence_due_ = false;
-    worker->last_answer_ = now;
-    worker->last_lease_answer_ = now;
     NoteVerified(*worker, action.worker_.address_);
     NoteListedRuns(*worker, result);
     if (worker->incarnation_ == result.incarnation_) {
@@ -87,8 +85,10 @@
       AdoptIncarnation(*worker, result.incarnation_, worker->entry_.draining_, now);
     }
     if (result.clock_.has_value()) {
-      UpdateClock(*worker, *result.clock_, now);
+      ReadClock(*worker, *result.clock_, now);
     }
+    worker->last_answer_ = now;
+    worker->last_lease_answer_ = now;
     ProcessResults(*worker, result.finished_, now);
     ProcessRunningRuns(*worker, result.running_, worker->lease_sent_, now);
     return;
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -107,7 +107,7 @@
   }
   ScheduleUpdate(*worker, now);
   if (result.clock_.has_value()) {
-    UpdateClock(*worker, *result.clock_, now);
+    ReadClock(*worker, *result.clock_, now);
     worker->last_answer_ = now;
   }
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
--- a/src/laburnumledge/dispatch/dispatcher_workers.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_workers.cpp
@@ -47,7 +47,9 @@
     worker.unverified_ = moved_alive;
     NoteAddress(worker, now);
   }
-  UpdateClock(worker, entry.clock_, now);
+  if (worker.last_answer_ == core::TimePoint{}) {
+    UpdateClock(worker, entry.clock_, now);
+  }
   if (changed || moved || was_eligible == entry.draining_) {
     ScheduleUpdate(worker, now);
   }
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -71,6 +71,13 @@
   }
 }
 
+void ReadClock(Worker& worker, core::WorkerTime clock, core::TimePoint received) noexcept {
+  if (worker.last_answer_ == core::TimePoint{}) {
+    worker.clock_.reset();
+  }
+  UpdateClock(worker, clock, received);
+}
+
 AssignedRun& AddAssignedRun(Worker& worker, RunId run, AssignedRun assigned) {
   worker.used_ += assigned.needs_;
   return worker.assigned_runs_.insert_or_assign(std::move(run), std::move(assigned)).first->second;
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -179,6 +179,15 @@
  */
 void UpdateClock(Worker& worker, core::WorkerTime clock, core::TimePoint received) noexcept;
 
+/**
+ * @brief Updates the estimate of a worker's clock by an answer of the worker. The first one
+ * replaces what the list said.
+ * @param worker The worker; `last_answer_` must still be that of its earlier answer.
+ * @param clock The reading.
+ * @param received Local time at which the answer arrived.
+ */
+void ReadClock(Worker& worker, core::WorkerTime clock, core::TimePoint received) noexcept;
+
 /** @brief Adds a run to a worker and counts its resources as used. */
 AssignedRun& AddAssignedRun(Worker& worker, RunId run, AssignedRun assigned);
 
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -28,8 +28,9 @@
   std::map<std::string, site::Incarnation> incarnations_;
   std::set<std::string> down_;      ///< Workers that answer nothing.
   std::set<std::string> replaced_;  ///< Workers at whose address another incarnation answers.
-  std::map<std::string, core::Milliseconds> latest_wait_;  ///< Of the latest lease call.
-  std::map<std::string, std::uint64_t> latest_token_;      ///< Of the latest lease call.
+  std::map<std::string, core::Milliseconds> latest_wait_;    ///< Of the latest lease call.
+  std::map<std::string, std::uint64_t> latest_token_;        ///< Of the latest lease call.
+  std::map<std::string, core::WorkerTime> latest_deadline_;  ///< Of the latest lease call.
   int lease_calls_{};
   int unanswered_starts_{};  ///< The next starts get no answer and are not carried out yet.
   std::map<std::string, config::Address> addresses_;  ///< Of workers that have come up elsewhere.
@@ -91,6 +92,11 @@
     }
   }
 
+  /** @brief Reading of the workers' clocks, which run alike. */
+  [[nodiscard]] core::WorkerTime WorkerClock() const {
+    return MakeEntry("w").clock_ + std::chrono::duration_cast<core::Milliseconds>(now_ - kNow);
+  }
+
   /** @brief Whether a call finds another process than the one that it names. */
   [[nodiscard]] bool ReachesOtherProcess(const platform::WorkerAddress& called) const {
     return replaced_.contains(called.id_) || !incarnations_.contains(called.id_) ||
@@ -128,6 +134,8 @@
     for (const LeaseAction& lease : actions.leases_) {
       latest_wait_[lease.worker_.id_] = lease.call_.wait_;
       latest_token_[lease.worker_.id_] = lease.call_.fence_token_;
+      latest_deadline_[lease.worker_.id_] =
+          lease.call_.lease_deadline_.value_or(core::WorkerTime{});
       ++lease_calls_;
       if (ReachesOtherProcess(lease.worker_)) {
         dispatcher_.OnLease(lease, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
@@ -138,6 +146,7 @@
         continue;
       }
       platform::LeaseResult result{.outcome_ = CommandOutcome::kDone,
+                                   .clock_ = WorkerClock(),
                                    .incarnation_ = incarnations_.at(lease.worker_.id_)};
       for (const StartAction& start : running_[lease.worker_.id_]) {
         result.running_.push_back({.task_ = start.command_.task_, .run_ = start.command_.run_});
--- a/test/laburnumledge/dispatch/foreign_entries.cpp
+++ b/test/laburnumledge/dispatch/foreign_entries.cpp
@@ -117,6 +117,17 @@
   CHECK(harness.latest_wait_[harness.busy_] > core::Milliseconds(1000));
 }
 
+// Guards against leases without an end that the leader can tell: a call that is carried out late
+// would extend them beyond the time after which the run is given up (TWICE).
+TEST_CASE("a clock in the list doesn't move the leases of a worker that has answered") {
+  ForeignEntryHarness harness;
+  harness.foreign_[harness.busy_] = harness.EntryOf(harness.busy_);
+  harness.foreign_[harness.busy_].clock_ += std::chrono::hours(1);
+  harness.Advance(std::chrono::seconds(3));
+  CHECK(harness.latest_deadline_[harness.busy_] <=
+        harness.WorkerClock() + MakeBounds().longest_lease_);
+}
+
 // Guards against idle workers that get no work since entries of another writer repeat their
 // addresses, and against starts at such entries.
 TEST_CASE("workers whose addresses other entries repeat keep getting work") {
