Check in the randomised world that runs start where they belong

The fake workers now check service, label and limit at each start that they carry out. A restarted worker can come back as another kind, with less room, and configurations can move the queue.

--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -85,6 +85,35 @@
   }
 }
 
+/** A run belongs on a worker of a service of its queue, with the label that its step asks for, and
+ * beside fewer runs of its step than the step's limit. */
+void CheckRoute(FakeWorkers& field, const FakeWorker& worker, const platform::StartCommand& order,
+                core::TimePoint now) {
+  const ledger::Submission& submission = *field.jobs_->entries_.at(order.task_.job_).submission_;
+  const ledger::Step& step = submission.steps_[order.task_.step_];
+  const std::string where = fmt::format("{} on {}, incarnation {}", ledger::ToString(order.task_),
+                                        worker.id_, worker.incarnation_);
+  const auto routed = field.services_by_route_.find(submission.route_);
+  const bool is_routed = routed == field.services_by_route_.end()
+                             ? worker.service_ == submission.scheduling_.service_
+                             : routed->second.contains(worker.service_);
+  if (!is_routed) {
+    Break(field, now, "ROUTE service " + worker.service_ + ": " + where);
+  }
+  if (!step.constraint_.empty() && step.constraint_ != worker.label_) {
+    Break(field, now, "ROUTE label " + worker.label_ + ": " + where);
+  }
+  const auto present =
+      std::count_if(worker.runs_.begin(), worker.runs_.end(), [&order](const auto& entry) {
+        const ledger::TaskId& task = entry.first;
+        return task.job_ == order.task_.job_ && task.occurrence_ == order.task_.occurrence_ &&
+               task.step_ == order.task_.step_;
+      });
+  if (step.anti_affinity_ > 0 && present >= step.anti_affinity_) {
+    Break(field, now, "ROUTE limit of tasks of a step: " + where);
+  }
+}
+
 void CheckStart(FakeWorkers& field, FakeWorker& worker, const platform::StartCommand& order,
                 core::TimePoint now) {
   const std::string name = ledger::ToString(order.task_);
@@ -117,10 +146,11 @@
   for (const auto& [task, run] : worker.runs_) {
     used += run.gpus_;
   }
-  if (used > fixture::kWorkerCapacity.gpus_) {
+  if (used > worker.gpus_) {
     Break(field, now, "LIMIT at " + worker.id_);
   }
   CheckQuota(field, order, now);
+  CheckRoute(field, worker, order, now);
 }
 
 }  // namespace
@@ -131,6 +161,10 @@
   worker.address_ = {.ip_ = fmt::format("10.0.0.{}", field.workers_.size()), .port_ = 8000};
   worker.incarnation_ = StartedAt(started);
   worker.started_ = started;
+  const site::WorkerEntry entry = fixture::MakeEntry(id);
+  worker.service_ = entry.service_;
+  worker.label_ = entry.labels_.front();
+  worker.gpus_ = entry.capacity_.gpus_;
   return worker;
 }
 
@@ -142,6 +176,9 @@
 site::WorkerEntry EntryOf(const FakeWorker& worker, core::TimePoint now) {
   site::WorkerEntry entry = fixture::MakeEntry(worker.id_);
   entry.address_ = worker.address_;
+  entry.service_ = worker.service_;
+  entry.labels_ = {worker.label_, entry.rack_};
+  entry.capacity_.gpus_ = worker.gpus_;
   entry.incarnation_ = worker.incarnation_;
   entry.clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now));
   return entry;
@@ -191,6 +228,9 @@
   worker = FakeWorker{.id_ = worker.id_,
                       .address_ = worker.address_,
                       .successor_ = worker.successor_,
+                      .service_ = worker.service_,
+                      .label_ = worker.label_,
+                      .gpus_ = worker.gpus_,
                       .incarnation_ = StartedAt(back),
                       .started_ = back,
                       .down_until_ = back};
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -30,6 +30,9 @@
   std::string id_;
   config::Address address_;  ///< Kept across restarts.
   std::string successor_;    ///< Worker that took the address after a crash; empty for none.
+  std::string service_;      ///< May change with each incarnation, like the label.
+  std::string label_;
+  std::int64_t gpus_{};
   site::Incarnation incarnation_{1};
   core::TimePoint started_{};
   core::TimePoint down_until_{};
@@ -69,6 +72,9 @@
    * quotas. */
   std::function<site::Resources(const std::string&)> quota_;
   bool quota_without_overshoot_{};  ///< Allows no more than the quota, as the dispatcher does.
+  /** Services to which any configuration has sent a route; a route that is missing here is sent to
+   * the service of its submissions. */
+  std::map<std::string, std::set<std::string>> services_by_route_;
   std::vector<std::string> broken_;
 };
 
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -24,7 +24,9 @@
 World::World(std::uint64_t seed, const Faults& faults, const WorldSize& size)
     : random_(core::MakeRandom(seed, "dispatch")),
       faults_(faults),
-      deadly_job_(faults.deadly_job_) {
+      size_(size),
+      deadly_job_(faults.deadly_job_),
+      has_kinds_(faults.other_kind_ > 0 || faults.route_change_ > 0) {
   fake_workers_.bounds_ = fixture::MakeBounds();
   fake_workers_.bounds_.longest_lease_ = size.longest_lease_;
   fake_workers_.is_deadly_ = [this](const ledger::TaskId& task) { return IsDeadly(task.job_); };
@@ -35,6 +37,9 @@
     worker_list_[id] = EntryOf(Add(fake_workers_, id, now_ - std::chrono::seconds(number)), now_);
     reachability_[id] = {};
   }
+  if (has_kinds_) {
+    ChooseKinds();
+  }
   for (int number = 1; number <= kJobs; ++number) {
     Schedule(now_ + RandomDuration(0, 15000), [this, number] { SubmitJob(number); });
   }
@@ -76,6 +81,10 @@
   ledger::Step first = fixture::MakeStep(1 + random_(4), static_cast<std::int64_t>(1 + random_(4)));
   first.gang_ = random_(2) == 0;
   first.anti_affinity_ = !first.gang_ && random_(3) == 0 ? 1 : 0;
+  if (has_kinds_) {
+    first.constraint_ = random_(3) == 0 ? "" : random_(2) == 0 ? "a" : "b";
+    first.anti_affinity_ = first.gang_ ? random_(2) * 2 : first.anti_affinity_;
+  }
   steps.push_back(first);
   if (random_(2) == 0) {
     ledger::Step second = fixture::MakeStep(1 + random_(3), 1);
@@ -308,6 +317,9 @@
     PublishQuotas(false);
     rules_.configuration_.organisations_ = quotas_.front().organisations_;
   }
+  if (has_kinds_) {
+    PublishRoute("grinding");
+  }
   TakeOver({});
   const core::TimePoint calm = now_ + std::chrono::seconds(seconds);
   const core::TimePoint end = calm + std::chrono::seconds(120);
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -32,6 +32,9 @@
   std::uint32_t outage_{};        ///< Per second: 30% to 40% of the workers crash together.
   std::uint32_t foreign_entry_{};  ///< Per second: another writer copies or overwrites an entry.
   bool late_call_after_crash_{};   ///< Late calls reach a later incarnation of their worker too.
+  std::uint32_t other_kind_{};  ///< Per restart: the worker comes back with another service, label
+                                ///< and capacity; 0: all workers are alike.
+  std::uint32_t route_change_{};  ///< Per second: the queue is sent to another service.
 };
 
 /** @brief Size of a simulated deployment. */
@@ -104,6 +107,11 @@
   void InjectFaults();
   void CrashLeader();
   void CrashTogether();
+  void CrashWorker(FakeWorker& worker, core::TimePoint back);
+  void ChooseKinds();
+  void ChangeKind(FakeWorker& worker);
+  void ChangeRoute();
+  void PublishRoute(const std::string& service);
   void CrashAndReplace(FakeWorker& worker, core::TimePoint back);
   void WriteForeignEntry();
   void CopyEntry(const FakeWorker& worker);
@@ -112,7 +120,8 @@
   void UnlistWorker(const std::string& id);
   void ReadWorkerList();
   [[nodiscard]] core::TimePoint LastFaultEnds() const;
-  [[nodiscard]] bool HasUndoneTask(const ledger::JobId& job) const;
+  [[nodiscard]] const ledger::Step* FindUndoneStep(const ledger::JobId& job) const;
+  [[nodiscard]] bool HasRoom(const ledger::Step& step) const;
   void CheckIdleJobs();
   void PublishQuotas(bool calm);
   [[nodiscard]] site::Resources HighestQuota(const std::string& organisation) const;
@@ -137,6 +146,7 @@
 
   core::Random random_;
   Faults faults_;
+  WorldSize size_;
   site::Rules rules_;
   core::TimePoint now_{std::chrono::hours(1)};
   std::multimap<core::TimePoint, std::function<void()>> events_;
@@ -147,6 +157,7 @@
   std::map<std::string, core::TimePoint> overwritten_until_;  ///< Entries, by worker.
   int copies_{};                                              ///< Entries of another writer.
   std::uint32_t deadly_job_{};    ///< Faults::deadly_job_; jobs stay deadly after the last fault.
+  bool has_kinds_{};              ///< Workers differ in service and label.
   core::TimePoint faults_end_{};  ///< No new fault begins from then on.
   core::TimePoint last_take_over_{};
   std::map<ledger::JobId, core::TimePoint> idle_since_;  ///< See CheckIdleJobs.
--- a/test/support/world_faults.cpp
+++ b/test/support/world_faults.cpp
@@ -21,7 +21,7 @@
     FakeWorker& worker = fake_workers_.workers_.at(id);
     const auto run = worker.runs_.find(order.task_);
     if (run != worker.runs_.end() && run->second.number_ == order.run_) {
-      Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
+      CrashWorker(worker, now_ + RandomDuration(500, 4000));
     }
   });
 }
@@ -60,7 +60,7 @@
     if (Chance(500)) {
       CrashAndReplace(*up[number], worker_back);
     } else {
-      Crash(fake_workers_, *up[number], worker_back);
+      CrashWorker(*up[number], worker_back);
     }
   }
 }
@@ -74,6 +74,7 @@
       fmt::format("{}.{}", old.substr(0, old.find('.')), fake_workers_.workers_.size());
   reachability_[id] = {};
   Replace(fake_workers_, worker, id, back);
+  ChangeKind(fake_workers_.workers_.at(id));
   const auto listed = worker_list_.find(old);
   if (listed == worker_list_.end()) {
     return;
@@ -94,7 +95,7 @@
     }
     Advance(fake_workers_, worker, now_);
     if (Chance(faults_.worker_crash_)) {
-      Crash(fake_workers_, worker, now_ + RandomDuration(500, 4000));
+      CrashWorker(worker, now_ + RandomDuration(500, 4000));
       reachability_[id] = {};
     } else if (Chance(faults_.worker_cut_)) {
       reachability_[id].cut_until_ = now_ + RandomDuration(500, 9000);
@@ -103,6 +104,9 @@
   if (faults_.quota_change_ > 0 && Chance(faults_.quota_change_)) {
     PublishQuotas(false);
   }
+  if (faults_.route_change_ > 0 && Chance(faults_.route_change_)) {
+    ChangeRoute();
+  }
   if (Chance(faults_.store_outage_)) {
     outage_until_ = now_ + RandomDuration(500, 5000);
   }
--- a/test/support/world_list.cpp
+++ b/test/support/world_list.cpp
@@ -86,16 +86,17 @@
   }
 }
 
-bool World::HasUndoneTask(const ledger::JobId& job) const {
+/** The first step of a job with a task that isn't done, or null. */
+const ledger::Step* World::FindUndoneStep(const ledger::JobId& job) const {
   const ledger::Submission& submission = *jobs_.entries_.at(job).submission_;
   for (std::uint32_t step = 0; step < submission.steps_.size(); ++step) {
     for (std::uint32_t index = 0; index < submission.steps_[step].count_; ++index) {
       if (!fake_workers_.done_at_.contains({.job_ = job, .step_ = step, .index_ = index})) {
-        return true;
+        return &submission.steps_[step];
       }
     }
   }
-  return false;
+  return nullptr;
 }
 
 /** From 14 s after the last fault on, a job that isn't finished must not be without a run for 3 s
@@ -116,11 +117,13 @@
     }
   }
   const core::TimePoint begin = LastFaultEnds() + kFinishTime;
-  const bool has_room = 2 * used_gpus <= gpus;
   for (const auto& [id, entry] : jobs_.entries_) {
     core::TimePoint& since = idle_since_[id];
+    const ledger::Step* undone = FindUndoneStep(id);
+    const bool has_room =
+        undone != nullptr && (has_kinds_ ? HasRoom(*undone) : 2 * used_gpus <= gpus);
     const bool is_idle = now_ >= begin && has_room && !ledger::IsFinal(entry.state_) &&
-                         !entry.cancelled_ && !running.contains(id) && HasUndoneTask(id);
+                         !entry.cancelled_ && !running.contains(id);
     since = is_idle ? std::max({since, begin, fake_workers_.active_at_[id]}) : now_;
     if (is_idle && now_ - since >= kLongestIdle) {
       Break(fake_workers_, now_, "LOST nothing runs while there is room: " + id);
