Log what a placement rests on

When a task ran where it doesn't belong, the log could not tell whether the leader decided by an old entry, knew better when it sent, or had no newer entry: task.started named only task and worker.

task.placed has the service and label asked for, the version of the configuration, the incarnation of the entry and of the worker's latest answer, and the age of both. task.started has the incarnation that the list shows by then, the attempt and the time since the decision.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -265,6 +265,7 @@
   [[nodiscard]] bool PacesRuns() const noexcept;
   void PaceRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows, core::TimePoint now);
   void SendPaces(Worker& worker, core::TimePoint now);
+  void LogPlaced(const Worker& worker, const RunId& run, const Job& job, core::TimePoint now) const;
   void LogStarted(const StartAction& action, const RunId& run, const AssignedRun& assigned,
                   core::TimePoint now);
   void BeginProgressMeasurement(const RunId& run, AssignedRun& assigned, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -66,14 +66,6 @@
   return described;
 }
 
-/** Time since the worker's latest answer; -1 without one in this term. */
-core::Milliseconds AgeOfAnswer(const Worker& worker, core::TimePoint now) noexcept {
-  constexpr core::Milliseconds kNone{-1};
-  return worker.last_answer_ == core::TimePoint{}
-             ? kNone
-             : std::chrono::duration_cast<core::Milliseconds>(now - worker.last_answer_);
-}
-
 }  // namespace
 
 ledger::WallTime Dispatcher::WallAt(core::TimePoint now) const noexcept {
@@ -103,7 +95,7 @@
                     {"run", run.run_},
                     {"worker", worker.entry_.id_},
                     {"reason", reason},
-                    {"answered_ms_ago", AgeOfAnswer(worker, now)},
+                    {"answered_ms_ago", internal::AgeOf(worker.last_answer_, now)},
                     {"lease_left_ms", std::chrono::duration_cast<core::Milliseconds>(
                                           worker.latest_lease_end_ - now)}});
   }
--- a/src/laburnumledge/dispatch/dispatcher_interference.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_interference.cpp
@@ -90,6 +90,23 @@
   UpdateKindsBeside(worker, now);
 }
 
+/** Logs what a placement rests on, so that a start where it does not belong can be told from one
+ * whose worker has changed since. */
+void Dispatcher::LogPlaced(const Worker& worker, const RunId& run, const Job& job,
+                           core::TimePoint now) const {
+  core::LogEvent(Level::kInfo, EventPriority::kLow, "task.placed",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"worker", worker.entry_.id_},
+                  {"service", job.treatment_.service_},
+                  {"label", job.submission_->steps_[run.task_.step_].constraint_},
+                  {"version", rules_.configuration_.version_},
+                  {"incarnation", worker.entry_.incarnation_},
+                  {"answered_incarnation", worker.incarnation_},
+                  {"entry_age_ms", internal::AgeOf(worker.entry_seen_, now)},
+                  {"answer_age_ms", internal::AgeOf(worker.last_answer_, now)}});
+}
+
 void Dispatcher::LogStarted(const StartAction& action, const RunId& run,
                             const AssignedRun& assigned, core::TimePoint now) {
   Worker& worker = *FindWorker(fleet_, action.worker_.id_);
@@ -97,11 +114,15 @@
   const KindIndex kind = assigned.exposure_.kind_;
   const KindIndex worst = WorstNeighbour(interference_, kind, assigned.exposure_.beside_, now);
   const bool resumed = !action.command_.checkpoint_.empty();
+  const core::Milliseconds decided = internal::AgeOf(assigned.decided_at_, now);
   if (worst == kNoKind) {
     core::LogEvent(Level::kInfo, EventPriority::kLow, "task.started",
                    {{"task", ledger::ToString(run.task_)},
                     {"run", run.run_},
                     {"worker", action.worker_.id_},
+                    {"incarnation", worker.entry_.incarnation_},
+                    {"attempt", assigned.command_attempts_},
+                    {"decided_ms", decided},
                     {"resumed", resumed}});
     return;
   }
@@ -110,6 +131,9 @@
                  {{"task", ledger::ToString(run.task_)},
                   {"run", run.run_},
                   {"worker", action.worker_.id_},
+                  {"incarnation", worker.entry_.incarnation_},
+                  {"attempt", assigned.command_attempts_},
+                  {"decided_ms", decided},
                   {"resumed", resumed},
                   {"expected_slowdown", slowdown.factor_},
                   {"beside", interference_.kinds_[worst].name_},
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -302,6 +302,7 @@
          .on_trial_ = IsOnTrial(task.crashes_),
          .incarnation_ = worker.incarnation_,
          .address_ = address,
+         .decided_at_ = now,
          .resumed_ = !task.checkpoint_.empty(),
          .gang_size_ = spec.gang_ ? spec.count_ : 1,
          .preemptions_ = task.preemptions_,
@@ -323,6 +324,7 @@
                                                .crashes_ = task.crashes_,
                                            });
     pending.starts_.emplace_back(worker.entry_.id_, run);
+    LogPlaced(worker, run, job, now);
   }
 }
 
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -50,12 +50,13 @@
   bool on_trial_{};                  ///< See IsOnTrial.
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
   config::Address address_;          ///< Where all commands for the run are sent.
-  bool resumed_{};                   ///< Started from a checkpoint.
-  std::uint32_t gang_size_{1};       ///< Tasks that fail together with this run.
-  std::uint32_t preemptions_{};      ///< Earlier runs of the task that were preempted.
-  core::TimePoint settled_at_{};     ///< Lease calls sent from then on show whether the run exists.
-  core::TimePoint started_{};        ///< When the start was confirmed.
-  core::TimePoint expected_end_{};   ///< By the predicted duration and progress; zero if unknown.
+  core::TimePoint decided_at_{};    ///< When this leader placed the run; zero for earlier leaders'.
+  bool resumed_{};                  ///< Started from a checkpoint.
+  std::uint32_t gang_size_{1};      ///< Tasks that fail together with this run.
+  std::uint32_t preemptions_{};     ///< Earlier runs of the task that were preempted.
+  core::TimePoint settled_at_{};    ///< Lease calls sent from then on show whether the run exists.
+  core::TimePoint started_{};       ///< When the start was confirmed.
+  core::TimePoint expected_end_{};  ///< By the predicted duration and progress; zero if unknown.
   core::WorkerTime lease_deadline_{};  ///< In the start command, on the worker's clock.
   core::TimePoint next_stop_{};        ///< When an unanswered stop command is resent.
   ProgressRate progress_rate_;
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -47,6 +47,13 @@
  * of seconds. */
 inline constexpr core::Milliseconds kLateCommandTime{15000};
 
+/** @brief Time since something was seen, for log events; -1 if it was not seen in this term. */
+[[nodiscard]] inline core::Milliseconds AgeOf(core::TimePoint seen, core::TimePoint now) noexcept {
+  constexpr core::Milliseconds kNone{-1};
+  return seen == core::TimePoint{} ? kNone
+                                   : std::chrono::duration_cast<core::Milliseconds>(now - seen);
+}
+
 /** @brief Address of a worker as lease calls carry it. */
 [[nodiscard]] inline platform::WorkerAddress AddressOf(const Worker& worker) {
   return {.id_ = worker.entry_.id_, .address_ = CallAddress(worker)};
