Check again where a start belongs before it is sent

Callers' tasks ran on workers of a service to which their queue is not sent, or without their label (ROUTE), and beyond a worker's room (LIMIT), after a worker had come back as another kind.

A start is decided on a worker's entry, recorded, sent, and sent again without an answer. OnRecorded looked only at listing, draining, zone and capacity; a resend looked at nothing. With a slow store that is a window of seconds. A worker that had answered as another incarnation than the list shows got work by the service, labels and capacity of its earlier one.

FindStartObstacle (hosting) asks the same questions as the plan: listing, draining, zone, who is at the address, incarnation of entry and answer, service, label, size, room, limit of tasks of the step. OnRecorded asks it for each start of a batch and withdraws gangs as a whole; a resend asks it too. A worker whose entry is of another incarnation than its answers gets no work until the list shows it.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -318,29 +318,7 @@
       ScheduleUpdate(*worker, now);
     }
   }
-  WithdrawStartsOverQuota(pending, now);
-  for (const auto& [id, run] : pending.starts_) {
-    Worker* worker = FindWorker(fleet_, id);
-    const auto assigned = worker == nullptr ? decltype(worker->assigned_runs_.end()){}
-                                            : worker->assigned_runs_.find(run);
-    if (worker == nullptr || assigned == worker->assigned_runs_.end() ||
-        internal::MayBeOnWorker(assigned->second)) {
-      continue;
-    }
-    const bool usable = worker->listed_ && !worker->entry_.draining_ &&
-                        !rules_.zones_out_.contains(worker->entry_.zone_);
-    if (assigned->second.phase_ == RunPhase::kRecording && !usable) {
-      WithdrawStart(*worker, run, "the worker no longer takes work");
-    } else if (assigned->second.phase_ == RunPhase::kRecording &&
-               !Fits(worker->used_, worker->entry_.capacity_)) {
-      WithdrawStart(*worker, run, "the worker's capacity has shrunk");
-    }
-    if (assigned->second.phase_ == RunPhase::kRecording) {
-      SendStart(*worker, run, assigned->second, now);
-    } else {
-      RemoveUnsentStart(*worker, run, now);
-    }
-  }
+  SendRecordedStarts(pending, now);
 }
 
 Actions Dispatcher::TakeActions() { return std::exchange(actions_, {}); }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -196,6 +196,11 @@
 
   void StartUnit(const PlannedGroup& unit, RecordBatch& batch, PendingBatch& pending,
                  core::TimePoint now);
+  [[nodiscard]] AssignedRun* FindUnsentStart(const std::string& worker, const RunId& run);
+  [[nodiscard]] std::string_view FindObstacle(const Worker& worker, const RunId& run,
+                                              const AssignedRun& assigned) const;
+  void WithdrawMisplacedStarts(const PendingBatch& batch, core::TimePoint now);
+  void SendRecordedStarts(const PendingBatch& batch, core::TimePoint now);
   void SendStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void SendStop(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void StopRun(Worker& worker, const RunId& run, std::string_view reason, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -197,7 +197,8 @@
 
 void Dispatcher::RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned,
                             core::TimePoint now) {
-  if (assigned.command_attempts_ < internal::kMaxStartAttempts && QuotaAllowsRetry(assigned)) {
+  if (assigned.command_attempts_ < internal::kMaxStartAttempts && QuotaAllowsRetry(assigned) &&
+      FindObstacle(worker, run, assigned).empty()) {
     SendStart(worker, run, assigned, now);
   } else {
     AwaitRunList(worker, run, assigned, now);
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -328,30 +328,4 @@
   }
 }
 
-void Dispatcher::WithdrawStart(Worker& worker, const RunId& run, std::string_view reason) {
-  // The run keeps its resources until OnRecorded removes it: its record is on its way to the store,
-  // and the task can't have two records in flight.
-  worker.assigned_runs_.at(run).phase_ = RunPhase::kWithdrawn;
-  ++counts_.starts_withdrawn_;
-  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.start_withdrawn",
-                 {{"task", ledger::ToString(run.task_)},
-                  {"run", run.run_},
-                  {"worker", worker.entry_.id_},
-                  {"reason", reason}});
-  StepState* step = FindStep(job_table_, run.task_);
-  Task* task = FindTask(job_table_, run.task_);
-  if (task != nullptr && task->run_ == run.run_ && task->phase_ == TaskPhase::kPlaced) {
-    MarkWaiting(*step, *task);
-  }
-}
-
-/** Removes a withdrawn start whose record is stored. */
-void Dispatcher::RemoveUnsentStart(Worker& worker, const RunId& run, core::TimePoint now) {
-  RecordBatch batch;
-  FinishRun(worker, run, platform::RunResult::kStopped, {}, batch, now);
-  if (!batch.tasks_.empty()) {
-    IssueBatch(std::move(batch), {}, now);
-  }
-}
-
 }  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/explanation_workers.cpp
+++ b/src/laburnumledge/dispatch/explanation_workers.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "laburnumledge/dispatch/hosting.hpp"
+
 namespace laburnumledge::dispatch::internal {
 
 namespace {
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/advance_reservation.hpp"
+#include "laburnumledge/dispatch/hosting.hpp"
 #include "laburnumledge/dispatch/planner.hpp"
 #include "laburnumledge/dispatch/preemption.hpp"
 #include "laburnumledge/dispatch/quota.hpp"
@@ -154,9 +155,8 @@
 }  // namespace
 
 bool IsEligible(const Worker& worker, const site::Rules& rules, core::TimePoint now) noexcept {
-  return worker.listed_ && !worker.replaced_ && !worker.unverified_ && !worker.entry_.draining_ &&
-         worker.failed_calls_ == 0 && worker.health_.suspected_until_ <= now &&
-         !rules.zones_out_.contains(worker.entry_.zone_);
+  return FindWorkerObstacle(worker, rules).empty() && worker.failed_calls_ == 0 &&
+         worker.health_.suspected_until_ <= now;
 }
 
 ledger::WallTime CompletionObjective(const Job& job, std::uint32_t occurrence,
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "laburnumledge/dispatch/crash_evidence.hpp"
+#include "laburnumledge/dispatch/hosting.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 #include "laburnumledge/dispatch/share.hpp"
 
@@ -153,16 +154,6 @@
   steps.push_back(std::move(step));
 }
 
-/** Number of runs on a worker that belong to tasks of the same step and occurrence. */
-std::uint32_t CountStepTasks(const Worker& worker, const ReadyStep& step) noexcept {
-  return static_cast<std::uint32_t>(std::count_if(
-      worker.assigned_runs_.begin(), worker.assigned_runs_.end(), [&](const auto& entry) {
-        const ledger::TaskId& task = entry.first.task_;
-        return task.job_ == step.job_->id_ && task.occurrence_ == step.occurrence_ &&
-               task.step_ == step.index_;
-      }));
-}
-
 }  // namespace
 
 std::vector<ReadyStep> CollectReadySteps(const JobTable& table, const PlanContext& context) {
@@ -285,11 +276,6 @@
          planner.context_.time_.now_ < step.ready_since_ + step.duration_;
 }
 
-bool HasLabel(const Worker& worker, const std::string& label) noexcept {
-  return label.empty() || std::find(worker.entry_.labels_.begin(), worker.entry_.labels_.end(),
-                                    label) != worker.entry_.labels_.end();
-}
-
 namespace {
 
 /** Whether a task on trial, of this or another job, would have company there. The crash of its
@@ -328,9 +314,7 @@
          !DisturbsTrial(planner, candidate, step) &&
          (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
-         candidate.worker_->entry_.service_ == step.job_->treatment_.service_ &&
-         HasLabel(*candidate.worker_, step.spec_->constraint_) &&
-         Fits(step.spec_->task_resources_, candidate.worker_->entry_.capacity_);
+         FindStepObstacle(*candidate.worker_, *step.job_, *step.spec_).empty();
 }
 
 std::uint32_t RemainingTaskLimit(const CandidateWorker& candidate, const ReadyStep& step) noexcept {
@@ -342,8 +326,10 @@
   if (limit == 0) {
     return candidate.probe_only_ ? probe_limit : kNoLimit;
   }
-  const std::uint32_t present =
-      CountStepTasks(*candidate.worker_, step) + candidate.assigned_tasks_;
+  const std::uint32_t present = CountStepRuns(*candidate.worker_, {.job_ = step.job_->id_,
+                                                                   .occurrence_ = step.occurrence_,
+                                                                   .step_ = step.index_}) +
+                                candidate.assigned_tasks_;
   const std::uint32_t left = present >= limit ? 0 : limit - present;
   return candidate.probe_only_ ? std::min(left, probe_limit) : left;
 }
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -120,9 +120,6 @@
  * elsewhere. */
 [[nodiscard]] bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept;
 
-/** @brief Whether a worker has a label; every worker has the empty one. */
-[[nodiscard]] bool HasLabel(const Worker& worker, const std::string& label) noexcept;
-
 /** @brief Whether a worker may run a step's tasks, regardless of the resources in use there. */
 [[nodiscard]] bool CanHost(const Planner& planner, const CandidateWorker& candidate,
                            const ReadyStep& step) noexcept;
