Ask a worker who it is before starts are sent to it

Callers' tasks ran on workers of a service, or with a label, other than those asked for (ROUTE) while the list still showed what the worker had been before it restarted: at the same identifier and address "a new lifetime may be of a different kind". The leader calls a worker only while it has runs there, so of an idle one it knows what the list says.

A start commits; a check only asks. When a run is placed on a worker that has not answered in the last 300 ms, the leader sends it a call without a lease beside the record, and sends the start when the incarnation that the list shows has answered. Otherwise the start is withdrawn and the task goes elsewhere; the members of a gang wait for each other's workers. An unanswered start is sent again only after a check, too. The check shows the new process the fencing token before it gets a start. A worker that is gone costs 400 ms now, not a start in doubt that holds its task for a lease.

The unit tests of dispatcher_starts fail without the checks: the starts go out with the record.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -414,6 +414,16 @@
                               }
                             });
   }
+  for (const dispatch::CheckAction& check : actions.checks_) {
+    context_.workers_.lease_(
+        check.worker_, check.call_, [weak, check](const platform::LeaseResult& result) {
+          const auto self = weak.lock();
+          if (self != nullptr && !self->ended_) {
+            self->dispatcher_->OnChecked(check, result, self->context_.loop_.Now());
+            self->ScheduleDispatcher();
+          }
+        });
+  }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     context_.workers_.lease_(
         lease.worker_, lease.call_, [weak, lease](const platform::LeaseResult& result) {
--- a/src/laburnumledge/dispatch/actions.hpp
+++ b/src/laburnumledge/dispatch/actions.hpp
@@ -53,6 +53,14 @@
   std::uint64_t number_{};
 };
 
+/** @brief Call that asks a worker who it is before starts are sent to it; Dispatcher::OnChecked
+ * takes the answer. It grants no lease and acknowledges no result. */
+struct CheckAction {
+  platform::WorkerAddress worker_;
+  platform::LeaseCall call_;
+  std::uint64_t number_{};
+};
+
 /** @brief Work that the dispatcher requests. The lists may be carried out in any order relative to
  * each other. */
 struct Actions {
@@ -62,6 +70,7 @@
   std::vector<StopAction> stops_;
   std::vector<PaceAction> paces_;
   std::vector<LeaseAction> leases_;
+  std::vector<CheckAction> checks_;
   bool superseded_{};  ///< A worker has seen a fencing token of a later term.
 };
 
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -318,7 +318,8 @@
       ScheduleUpdate(*worker, now);
     }
   }
-  SendRecordedStarts(pending, now);
+  recorded_starts_.insert(recorded_starts_.end(), pending.starts_.begin(), pending.starts_.end());
+  SendRecordedStarts(now);
 }
 
 Actions Dispatcher::TakeActions() { return std::exchange(actions_, {}); }
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -37,6 +37,8 @@
   std::uint64_t runs_lost_{};
   std::uint64_t plans_{};                 ///< Planning passes.
   std::uint64_t paces_{};                 ///< Pace commands.
+  std::uint64_t checks_{};                ///< Calls that ask a worker who it is.
+  std::uint64_t checks_failed_{};         ///< Those after which nothing was sent to the worker.
   std::uint64_t interference_avoided_{};  ///< Placements that differ because of a known pair.
   std::uint64_t worker_updates_{};        ///< Checks of one worker's lease, stops and runs.
 };
@@ -109,6 +111,10 @@
   /** @brief Handles the answer to a lease call; only the worker's newest call counts. */
   void OnLease(const LeaseAction& action, const platform::LeaseResult& result, core::TimePoint now);
 
+  /** @brief Handles the answer to a check; only the worker's newest check counts. */
+  void OnChecked(const CheckAction& action, const platform::LeaseResult& result,
+                 core::TimePoint now);
+
   /**
    * @brief Plans placements, checks timeouts and queues actions.
    * @return Latest time of the next call.
@@ -152,9 +158,12 @@
   [[nodiscard]] const InterferenceTable& Interference() const noexcept { return interference_; }
 
  private:
+  /** Starts with their workers. */
+  using Starts = std::vector<std::pair<std::string, RunId>>;
+
   /** Work that waits until a batch of records is stored. */
   struct PendingBatch {
-    std::vector<std::pair<std::string, RunId>> starts_;
+    Starts starts_;
     struct ProcessedResults {
       std::string worker_;
       site::Incarnation incarnation_{};
@@ -199,8 +208,12 @@
   [[nodiscard]] AssignedRun* FindUnsentStart(const std::string& worker, const RunId& run);
   [[nodiscard]] std::string_view FindObstacle(const Worker& worker, const RunId& run,
                                               const AssignedRun& assigned) const;
-  void WithdrawMisplacedStarts(const PendingBatch& batch, core::TimePoint now);
-  void SendRecordedStarts(const PendingBatch& batch, core::TimePoint now);
+  void WithdrawMisplacedStarts(core::TimePoint now);
+  void WithdrawUnsentStarts(Worker& worker, std::string_view reason, core::TimePoint now);
+  void SendRecordedStarts(core::TimePoint now);
+  void SendCheck(Worker& worker, core::TimePoint now);
+  void OnCheckFailed(Worker& worker, std::string_view reason, core::TimePoint now);
+  void ResendStarts(Worker& worker, bool present, core::TimePoint now);
   void SendStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void SendStop(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
   void StopRun(Worker& worker, const RunId& run, std::string_view reason, core::TimePoint now);
@@ -298,7 +311,7 @@
   void LogWaitingSteps(core::TimePoint now);
   [[nodiscard]] Plan MakeFairPlan(PlanTime time,
                                   const std::vector<OrganisationUse>& organisation_use);
-  void WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now);
+  void WithdrawStartsOverQuota(const Starts& starts, core::TimePoint now);
   [[nodiscard]] bool QuotaAllowsRetry(const AssignedRun& assigned) const;
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void CountPreemption(const ledger::TaskId& task, bool gang);
@@ -320,6 +333,8 @@
   std::map<std::uint64_t, PendingBatch> pending_batches_;
   std::uint64_t next_batch_{1};
   std::uint64_t next_lease_call_{1};
+  std::uint64_t next_check_{1};
+  Starts recorded_starts_;  ///< Recorded, and not sent yet: their workers have to answer first.
   std::vector<UndecidedCrash> undecided_crashes_;
   core::TimePoint calm_since_{};          ///< The maximum while the fleet is not calm.
   PlanTime latest_run_;                   ///< Time of the latest call of Run.
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -91,6 +91,7 @@
     worker->last_lease_answer_ = now;
     ProcessResults(*worker, result.finished_, now);
     ProcessRunningRuns(*worker, result.running_, worker->lease_sent_, now);
+    SendRecordedStarts(now);
     return;
   }
   if (result.outcome_ == CommandOutcome::kFenced) {
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -12,9 +12,6 @@
 using core::Level;
 using platform::CommandOutcome;
 
-/** How long a worker gets no work after a start that got no answer or could not be sent. */
-constexpr core::Milliseconds kUnansweredStartPause{1000};
-
 /** How long a worker gets no work after it refused a start, for instance as unhealthy or without
  * free resources. */
 constexpr core::Milliseconds kRefusedStartPause{500};
@@ -173,7 +170,7 @@
         return;
       }
       worker->health_.suspected_until_ =
-          now + (result.outcome_ == CommandOutcome::kNotSent ? kUnansweredStartPause
+          now + (result.outcome_ == CommandOutcome::kNotSent ? internal::kUnansweredStartPause
                                                              : kRefusedStartPause);
       break;
   }
@@ -197,9 +194,13 @@
 
 void Dispatcher::RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned,
                             core::TimePoint now) {
-  if (assigned.command_attempts_ < internal::kMaxStartAttempts && QuotaAllowsRetry(assigned) &&
-      FindObstacle(worker, run, assigned).empty()) {
+  const bool allowed = assigned.command_attempts_ < internal::kMaxStartAttempts &&
+                       QuotaAllowsRetry(assigned) && FindObstacle(worker, run, assigned).empty();
+  if (allowed && internal::IsPresent(worker, now)) {
     SendStart(worker, run, assigned, now);
+  } else if (allowed) {
+    assigned.resend_due_ = true;
+    SendCheck(worker, now);
   } else {
     AwaitRunList(worker, run, assigned, now);
   }
@@ -212,7 +213,7 @@
   IncrementFencingToken(worker);
   assigned.settled_at_ = now;
   worker.next_lease_ = std::min(worker.next_lease_, now);
-  worker.health_.suspected_until_ = now + kUnansweredStartPause;
+  worker.health_.suspected_until_ = now + internal::kUnansweredStartPause;
   if (assigned.gang_) {
     StopGang(run, "a member of the gang could not be started", now);
   }
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -21,12 +21,12 @@
 /** Withdraws starts that an organisation's quota no longer allows, the least urgent first: a
  * configuration with a lower quota has come into force, or unknown runs were found, while the
  * starts were being recorded. */
-void Dispatcher::WithdrawStartsOverQuota(const PendingBatch& batch, core::TimePoint now) {
-  if (!organisations_.has_quotas_ || batch.starts_.empty()) {
+void Dispatcher::WithdrawStartsOverQuota(const Starts& starts, core::TimePoint now) {
+  if (!organisations_.has_quotas_ || starts.empty()) {
     return;
   }
   std::vector<OrganisationUse> use = MeasureOrganisationUse(organisations_, fleet_);
-  for (auto start = batch.starts_.rbegin(); start != batch.starts_.rend(); ++start) {
+  for (auto start = starts.rbegin(); start != starts.rend(); ++start) {
     const RunId& run = start->second;
     Worker* worker = FindWorker(fleet_, start->first);
     if (worker == nullptr) {
--- a/src/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/hosting.hpp"
@@ -12,6 +15,7 @@
 
 using core::EventPriority;
 using core::Level;
+using platform::CommandOutcome;
 
 }  // namespace
 
@@ -61,10 +65,10 @@
   return FindStartObstacle(worker, run, assigned, job_table_.jobs_.at(run.task_.job_), rules_);
 }
 
-/** Withdraws starts that don't belong where they were placed any more: their worker, the list or
- * the configuration has changed while they were being recorded. A gang is withdrawn as a whole. */
-void Dispatcher::WithdrawMisplacedStarts(const PendingBatch& batch, core::TimePoint now) {
-  for (const auto& [id, run] : batch.starts_) {
+/** Withdraws recorded starts that don't belong where they were placed any more: their worker, the
+ * list or the configuration has changed since. A gang is withdrawn as a whole. */
+void Dispatcher::WithdrawMisplacedStarts(core::TimePoint now) {
+  for (const auto& [id, run] : recorded_starts_) {
     const AssignedRun* start = FindUnsentStart(id, run);
     if (start == nullptr || start->phase_ != RunPhase::kRecording) {
       continue;
@@ -84,20 +88,142 @@
   }
 }
 
-/** Sends the starts of a batch that is stored, and removes those that were withdrawn. */
-void Dispatcher::SendRecordedStarts(const PendingBatch& batch, core::TimePoint now) {
-  WithdrawStartsOverQuota(batch, now);
-  WithdrawMisplacedStarts(batch, now);
-  for (const auto& [id, run] : batch.starts_) {
+/** Withdraws all starts on a worker whose commands were not sent yet, with their gangs. */
+void Dispatcher::WithdrawUnsentStarts(Worker& worker, std::string_view reason,
+                                      core::TimePoint now) {
+  for (auto& [run, assigned] : worker.assigned_runs_) {
+    if (assigned.phase_ != RunPhase::kRecording) {
+      continue;
+    }
+    if (assigned.gang_) {
+      StopGang(run, reason, now);
+    } else {
+      WithdrawStart(worker, run, reason);
+    }
+  }
+}
+
+/** Sends the recorded starts whose workers are known to be there, those of a gang together, and
+ * removes those that were withdrawn. Other workers are asked who they are. */
+void Dispatcher::SendRecordedStarts(core::TimePoint now) {
+  WithdrawStartsOverQuota(recorded_starts_, now);
+  WithdrawMisplacedStarts(now);
+  std::set<RunId> waiting_gangs;
+  const auto gang_of = [](RunId run) {
+    run.task_.index_ = 0;
+    return run;
+  };
+  for (const auto& [id, run] : recorded_starts_) {
+    const AssignedRun* start = FindUnsentStart(id, run);
+    Worker* worker = FindWorker(fleet_, id);
+    if (start == nullptr || start->phase_ != RunPhase::kRecording ||
+        internal::IsPresent(*worker, now)) {
+      continue;
+    }
+    SendCheck(*worker, now);
+    if (start->gang_) {
+      waiting_gangs.insert(gang_of(run));
+    }
+  }
+  for (const auto& [id, run] : std::exchange(recorded_starts_, {})) {
     AssignedRun* start = FindUnsentStart(id, run);
     if (start == nullptr) {
       continue;
     }
     Worker& worker = *FindWorker(fleet_, id);
-    if (start->phase_ == RunPhase::kRecording) {
+    if (start->phase_ == RunPhase::kWithdrawn) {
+      RemoveUnsentStart(worker, run, now);
+    } else if (internal::IsPresent(worker, now) && !waiting_gangs.contains(gang_of(run))) {
       SendStart(worker, run, *start, now);
     } else {
-      RemoveUnsentStart(worker, run, now);
+      recorded_starts_.emplace_back(id, run);
+    }
+  }
+}
+
+/** Asks a worker who it is, unless it was just asked. The call shows it the fencing token before it
+ * gets a start: commands to an earlier incarnation that arrive late are refused from then on. */
+void Dispatcher::SendCheck(Worker& worker, core::TimePoint now) {
+  if (worker.check_number_ != 0) {
+    return;
+  }
+  worker.check_number_ = next_check_++;
+  ++counts_.checks_;
+  actions_.checks_.push_back({.worker_ = internal::AddressOf(worker),
+                              .call_ = {.fence_token_ = worker.fence_token_,
+                                        .lease_deadline_ = std::nullopt,
+                                        .deadline_ = now + internal::kCommandTimeout},
+                              .number_ = worker.check_number_});
+}
+
+void Dispatcher::OnChecked(const CheckAction& action, const platform::LeaseResult& result,
+                           core::TimePoint now) {
+  Worker* worker = FindWorker(fleet_, action.worker_.id_);
+  if (worker == nullptr || worker->check_number_ != action.number_) {
+    return;
+  }
+  worker->check_number_ = 0;
+  ScheduleUpdate(*worker, now);
+  if (result.outcome_ == CommandOutcome::kFenced) {
+    // With an older token than the present one the call tells nothing.
+    actions_.superseded_ =
+        actions_.superseded_ || action.call_.fence_token_ >= worker->fence_token_;
+  } else if (result.outcome_ != CommandOutcome::kDone) {
+    OnCheckFailed(*worker, platform::ToString(result.outcome_), now);
+    if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
+      OnOtherIncarnation(*worker, action.worker_.address_, now);
+    }
+  } else if (result.incarnation_ != 0 && result.incarnation_ != worker->entry_.incarnation_) {
+    // A lease call tells which runs the new incarnation has, and takes note of it.
+    worker->fence_due_ = true;
+    worker->next_lease_ = now;
+    OnCheckFailed(*worker, "the worker has restarted", now);
+  } else {
+    if (result.clock_.has_value()) {
+      ReadClock(*worker, *result.clock_, now);
+    }
+    worker->last_answer_ = now;
+    worker->checked_at_ = now;
+    NoteVerified(*worker, action.worker_.address_);
+    ResendStarts(*worker, true, now);
+  }
+  SendRecordedStarts(now);
+}
+
+void Dispatcher::OnCheckFailed(Worker& worker, std::string_view reason, core::TimePoint now) {
+  ++counts_.checks_failed_;
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.check_failed",
+                 {{"worker", worker.entry_.id_},
+                  {"reason", reason},
+                  {"incarnation", worker.entry_.incarnation_},
+                  {"entry_age_ms", internal::AgeOf(worker.entry_seen_, now)},
+                  {"answer_age_ms", internal::AgeOf(worker.last_answer_, now)}});
+  worker.health_.suspected_until_ =
+      std::max(worker.health_.suspected_until_, now + internal::kUnansweredStartPause);
+  WithdrawUnsentStarts(worker, reason, now);
+  ResendStarts(worker, false, now);
+}
+
+/** Sends unanswered starts again, or, if the worker doesn't answer either, waits for its list of
+ * runs. */
+void Dispatcher::ResendStarts(Worker& worker, bool present, core::TimePoint now) {
+  std::vector<RunId> due;
+  for (auto& [run, assigned] : worker.assigned_runs_) {
+    const bool unconfirmed =
+        assigned.phase_ == RunPhase::kStartSent && !assigned.command_in_flight_;
+    if (std::exchange(assigned.resend_due_, false) && unconfirmed) {
+      due.push_back(run);
+    }
+  }
+  for (const RunId& run : due) {
+    AssignedRun& assigned = worker.assigned_runs_.at(run);
+    if (internal::IsBeingStopped(assigned)) {
+      continue;  // With another member of its gang.
+    }
+    if (present) {
+      RetryStart(worker, run, assigned, now);
+    } else {
+      AwaitRunList(worker, run, assigned, now);
     }
   }
 }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -30,7 +30,7 @@
 
 /** @brief State of an assigned run as the dispatcher knows it. */
 enum class RunPhase : unsigned char {
-  kRecording,  ///< The start is being recorded; no command was sent yet.
+  kRecording,  ///< Being recorded, or waiting for the worker to answer; no command was sent yet.
   kWithdrawn,  ///< Given up while it was being recorded; removed once the record is stored.
   kStartSent,  ///< The start command was sent and is not confirmed.
   kRunning,
@@ -45,6 +45,7 @@
   std::uint32_t priority_{};
   std::uint32_t command_attempts_{};  ///< Commands sent in the present phase.
   bool command_in_flight_{};
+  bool resend_due_{};  ///< The start is sent again once the worker has answered a check.
   bool gang_{};
   bool crash_suspect_{};             ///< A worker has crashed under an earlier run of the task.
   bool on_trial_{};                  ///< See IsOnTrial.
@@ -118,6 +119,8 @@
   std::map<RunId, ExpiredRun> expired_runs_;
   bool lease_in_flight_{};
   std::uint64_t lease_call_number_{};  ///< Number of the lease call in flight.
+  std::uint64_t check_number_{};       ///< Number of the check in flight; 0 for none.
+  core::TimePoint checked_at_{};       ///< When the incarnation of the entry answered a check.
   core::TimePoint lease_sent_{};
   core::TimePoint next_lease_{};         ///< When the next lease call is due.
   core::TimePoint latest_lease_end_{};   ///< No run can exist on the worker after this time.
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,10 @@
  * arrives late is rejected by its fencing token. */
 inline constexpr core::Milliseconds kCommandTimeout{400};
 
+/** @brief How long a worker gets no work after a start, or a check, that got no answer or could not
+ * be sent. */
+inline constexpr core::Milliseconds kUnansweredStartPause{1000};
+
 /** @brief Start commands sent for one run before it is given up. Their timeouts add up to less than
  * the time that members of a gang wait for each other. */
 inline constexpr std::uint32_t kMaxStartAttempts = 4;
@@ -85,6 +90,16 @@
          now <= worker.last_lease_answer_ + kLeaseCallWait + kLeaseAnswerMargin;
 }
 
+/** @brief Time for which an answer tells who is at a worker's address. A process takes longer to
+ * end and to start again. */
+inline constexpr core::Milliseconds kAnswerValidity{300};
+
+/** @brief Whether a worker has answered so recently that it can't have restarted since. */
+[[nodiscard]] inline bool IsPresent(const Worker& worker, core::TimePoint now) noexcept {
+  const core::TimePoint answered = std::max(worker.last_lease_answer_, worker.checked_at_);
+  return answered != core::TimePoint{} && now <= answered + kAnswerValidity;
+}
+
 /** @brief Whether the run is to leave its worker without having ended by itself. */
 [[nodiscard]] inline bool IsBeingStopped(const AssignedRun& assigned) noexcept {
   return assigned.phase_ == RunPhase::kStopping || assigned.phase_ == RunPhase::kWithdrawn;
--- a/test/exhaustive/takeover/search.cpp
+++ b/test/exhaustive/takeover/search.cpp
@@ -47,12 +47,13 @@
 }
 
 /** Tries schedules with few faults first, as one fault is enough to reveal most defects. */
-void CheckDefectFound(Defect defect, const std::string& rule) {
+void CheckDefectFound(Defect defect, const std::string& rule, bool answers_checks_at_once = false) {
   Finding finding;
   for (std::size_t faults = 0; faults <= kDefectFaults && finding.rule_.empty(); ++faults) {
     finding = SearchSchedules(faults, defect,
                               {.cancels_ = defect == Defect::kCancellationsLost,
-                               .quota_ = defect == Defect::kRestoredRunsUncounted},
+                               .quota_ = defect == Defect::kRestoredRunsUncounted,
+                               .answers_checks_at_once_ = answers_checks_at_once},
                               rule);
   }
   CAPTURE(finding.schedule_);
@@ -83,12 +84,20 @@
   CheckNoViolation({.quota_ = true});
 }
 
+// Leases and fencing tokens have to hold by themselves: a check before each start makes most faults
+// harmless that would show that one of them is missing.
+TEST_CASE("no schedule of faults violates a rule while checks are answered at once") {
+  CheckNoViolation({.answers_checks_at_once_ = true});
+  CheckNoViolation({.cancels_ = true, .answers_checks_at_once_ = true});
+  CheckNoViolation({.quota_ = true, .answers_checks_at_once_ = true});
+}
+
 TEST_CASE("the search finds a new leader that does not wait for the leases of earlier terms") {
-  CheckDefectFound(Defect::kEarlierLeasesIgnored, "TWICE");
+  CheckDefectFound(Defect::kEarlierLeasesIgnored, "TWICE", true);
 }
 
 TEST_CASE("the search finds a term whose fencing token is not raised") {
-  CheckDefectFound(Defect::kFencingTokenNotRaised, "LIMIT");
+  CheckDefectFound(Defect::kFencingTokenNotRaised, "LIMIT", true);
 }
 
 TEST_CASE("the search finds results that are acknowledged before they are stored") {
--- a/test/exhaustive/takeover/simulation.cpp
+++ b/test/exhaustive/takeover/simulation.cpp
@@ -44,6 +44,7 @@
 Simulation::Simulation(Schedule& schedule, Defect defect, Course course)
     : schedule_(schedule),
       defect_(defect),
+      course_(course),
       bounds_(fixture::MakeBounds()),
       now_(fixture::kNow),
       faults_end_(now_ + kFaultWindow) {
--- a/test/exhaustive/takeover/simulation.hpp
+++ b/test/exhaustive/takeover/simulation.hpp
@@ -40,8 +40,9 @@
  public:
   /** @brief What happens besides the faults. */
   struct Course {
-    bool cancels_{};  ///< The first job is cancelled while it runs.
-    bool quota_{};    ///< The organisation's quota holds one run at a time.
+    bool cancels_{};                 ///< The first job is cancelled while it runs.
+    bool quota_{};                   ///< The organisation's quota holds one run at a time.
+    bool answers_checks_at_once_{};  ///< Checks before starts cost no time and never fail.
   };
 
   Simulation(Schedule& schedule, Defect defect, Course course);
@@ -112,6 +113,7 @@
 
   Schedule& schedule_;
   Defect defect_;
+  Course course_;
   site::Bounds bounds_;
   site::Rules rules_;
   core::TimePoint now_;
--- a/test/exhaustive/takeover/simulation_workers.cpp
+++ b/test/exhaustive/takeover/simulation_workers.cpp
@@ -24,7 +24,12 @@
   }
   const core::TimePoint next =
       node->dispatcher_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
-  const dispatch::Actions actions = node->dispatcher_->TakeActions();
+  dispatch::Actions actions = node->dispatcher_->TakeActions();
+  if (course_.answers_checks_at_once_) {
+    fixture::AnswerChecks(*node->dispatcher_, actions, now_);
+    actions.checks_.clear();
+    fixture::Append(actions, node->dispatcher_->TakeActions());
+  }
   ExecuteActions(node, actions);
   if (actions.superseded_ && node->alive_) {
     control::AbandonTerm(node->term_);
@@ -156,6 +161,21 @@
                  });
                });
   }
+  for (const dispatch::CheckAction& check : actions.checks_) {
+    CallWorker(node, check.worker_.id_, check.call_.deadline_, {},
+               [this, node, check](support::FakeWorker* fake_worker) {
+                 const platform::LeaseResult result =
+                     fake_worker == nullptr
+                         ? platform::LeaseResult{.outcome_ = CommandOutcome::kUnknown}
+                         : support::DoCheck(fake_workers_, *fake_worker, check.call_, now_);
+                 return std::function<void()>([this, node, check, result] {
+                   if (node->dispatcher_ != nullptr) {
+                     node->dispatcher_->OnChecked(check, result, now_);
+                     RunDispatcher(node);
+                   }
+                 });
+               });
+  }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     CallWorker(node, lease.worker_.id_, lease.call_.deadline_, lease.call_.wait_,
                [this, node, lease](support::FakeWorker* fake_worker) {
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -131,6 +131,19 @@
       ++starts_[start.command_.task_];
       dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kDone}, now_);
     }
+    for (const CheckAction& check : actions.checks_) {
+      if (ReachesOtherProcess(check.worker_)) {
+        dispatcher_.OnChecked(check, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
+      } else if (down_.contains(check.worker_.id_)) {
+        dispatcher_.OnChecked(check, {.outcome_ = CommandOutcome::kNotSent}, now_);
+      } else {
+        dispatcher_.OnChecked(check,
+                              {.outcome_ = CommandOutcome::kDone,
+                               .clock_ = WorkerClock(),
+                               .incarnation_ = incarnations_.at(check.worker_.id_)},
+                              now_);
+      }
+    }
     for (const LeaseAction& lease : actions.leases_) {
       latest_wait_[lease.worker_.id_] = lease.call_.wait_;
       latest_token_[lease.worker_.id_] = lease.call_.fence_token_;
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -39,10 +39,10 @@
   /** @brief Runs the dispatcher some time later and collects its actions. */
   Actions& Run(core::Milliseconds later = {}) {
     now_ += later;
-    (void)dispatcher_.Run(
+    actions_ = RunAndAnswerChecks(
+        dispatcher_,
         {.now_ = now_,
          .wall_ = kWall + std::chrono::duration_cast<core::Milliseconds>(now_ - kNow)});
-    actions_ = dispatcher_.TakeActions();
     for (const LeaseAction& lease : actions_.leases_) {
       open_leases_[lease.worker_.id_] = lease;
     }
--- a/test/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -45,8 +45,7 @@
 
   Actions Run(core::Milliseconds later = core::Milliseconds(20)) {
     now_ += later;
-    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
-    return dispatcher_.TakeActions();
+    return RunAndAnswerChecks(dispatcher_, {.now_ = now_, .wall_ = kWall});
   }
 };
 
--- /dev/null
+++ b/test/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -0,0 +1,169 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/fixture.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+using namespace fixture;  // NOLINT
+using platform::CommandOutcome;
+
+/** @brief Dispatcher with idle workers; the test answers its checks itself. */
+struct Harness {
+  Dispatcher dispatcher_{MakeBounds(), 1};
+  core::TimePoint now_ = kNow;
+
+  explicit Harness(int workers) {
+    dispatcher_.SetRules({});
+    for (int number = 1; number <= workers; ++number) {
+      dispatcher_.OnWorker(MakeEntry(fmt::format("w{}", number)), now_);
+    }
+    dispatcher_.Begin(now_, now_);
+  }
+
+  Actions Run(core::Milliseconds later = core::Milliseconds(20)) {
+    now_ += later;
+    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
+    return dispatcher_.TakeActions();
+  }
+
+  /** @brief Submits a job and returns the actions that place its tasks, with their records stored.
+   */
+  Actions Place(const ledger::Step& step) {
+    const ledger::JobEntry entry{.submission_ = MakeSubmission({step})};
+    dispatcher_.OnJob(JobId(1), &entry, now_);
+    const Actions placed = Run();
+    for (const RecordBatch& batch : placed.records_) {
+      dispatcher_.OnRecorded(batch.number_, now_);
+    }
+    return placed;
+  }
+
+  void Answer(const CheckAction& check, CommandOutcome outcome,
+              site::Incarnation incarnation = MakeEntry("").incarnation_) {
+    dispatcher_.OnChecked(check, {.outcome_ = outcome, .incarnation_ = incarnation}, now_);
+  }
+};
+
+}  // namespace
+
+// Guards against starts on a worker that has come back as another kind before the list shows it
+// (ROUTE), and against starts in doubt on a worker that is gone.
+TEST_CASE("a start is sent once its worker has said that it is what the list shows") {
+  Harness harness(1);
+  const Actions placed = harness.Place(MakeStep(1, 1));
+  REQUIRE(placed.checks_.size() == 1);
+  CHECK(placed.checks_[0].worker_.id_ == "w1");
+  CHECK(!placed.checks_[0].call_.lease_deadline_.has_value());
+  CHECK(placed.checks_[0].call_.acknowledged_ == 0);
+  CHECK(harness.Run().starts_.empty());
+  SUBCASE("it is") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kDone);
+    CHECK(harness.Run().starts_.size() == 1);
+  }
+  SUBCASE("it has restarted") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kDone, 2000);
+    const Actions after = harness.Run();
+    CHECK(after.starts_.empty());
+    CHECK(harness.dispatcher_.Counts().starts_withdrawn_ == 1);
+    // A lease call asks what the new process has.
+    REQUIRE(after.leases_.size() == 1);
+    CHECK(after.leases_[0].worker_.id_ == "w1");
+  }
+  SUBCASE("another worker answers") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kOtherIncarnation);
+    CHECK(harness.Run().starts_.empty());
+    CHECK(harness.dispatcher_.Workers().workers_.at("w1").replaced_);
+  }
+  SUBCASE("nobody answers") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kUnknown);
+    CHECK(harness.Run().starts_.empty());
+    CHECK(harness.dispatcher_.Counts().checks_failed_ == 1);
+  }
+  SUBCASE("a later leader has called it") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kFenced);
+    const Actions after = harness.Run();
+    CHECK(after.superseded_);
+    CHECK(after.starts_.empty());
+  }
+}
+
+TEST_CASE("a task whose worker does not answer is placed on another worker at once") {
+  Harness harness(2);
+  const Actions placed = harness.Place(MakeStep(1, 1));
+  REQUIRE(placed.checks_.size() == 1);
+  harness.Answer(placed.checks_[0], CommandOutcome::kNotSent);
+  Actions next = harness.Run();
+  for (int round = 0; next.checks_.empty() && round < 5; ++round) {
+    for (const RecordBatch& batch : next.records_) {
+      harness.dispatcher_.OnRecorded(batch.number_, harness.now_);
+    }
+    next = harness.Run();
+  }
+  REQUIRE(next.checks_.size() == 1);
+  CHECK(next.checks_[0].worker_.id_ != placed.checks_[0].worker_.id_);
+}
+
+TEST_CASE("the starts of a gang wait until all its workers have answered") {
+  ledger::Step gang = MakeStep(2, 8);
+  gang.gang_ = true;
+  Harness harness(2);
+  const Actions placed = harness.Place(gang);
+  REQUIRE(placed.checks_.size() == 2);
+  harness.Answer(placed.checks_[0], CommandOutcome::kDone);
+  CHECK(harness.Run().starts_.empty());
+  SUBCASE("and are sent together") {
+    harness.Answer(placed.checks_[1], CommandOutcome::kDone);
+    CHECK(harness.Run().starts_.size() == 2);
+  }
+  SUBCASE("and are withdrawn together") {
+    harness.Answer(placed.checks_[1], CommandOutcome::kNotSent);
+    CHECK(harness.Run().starts_.empty());
+    CHECK(harness.dispatcher_.Counts().starts_withdrawn_ == 2);
+  }
+}
+
+TEST_CASE("a start whose record takes long is sent only after another check") {
+  Harness harness(1);
+  const ledger::JobEntry entry{.submission_ = MakeSubmission({MakeStep(1, 1)})};
+  harness.dispatcher_.OnJob(JobId(1), &entry, harness.now_);
+  const Actions placed = harness.Run();
+  REQUIRE(placed.checks_.size() == 1);
+  harness.Answer(placed.checks_[0], CommandOutcome::kDone);
+  harness.now_ += std::chrono::seconds(2);
+  harness.dispatcher_.OnRecorded(placed.records_.at(0).number_, harness.now_);
+  const Actions recorded = harness.Run();
+  CHECK(recorded.starts_.empty());
+  REQUIRE(recorded.checks_.size() == 1);
+  harness.Answer(recorded.checks_[0], CommandOutcome::kDone);
+  CHECK(harness.Run().starts_.size() == 1);
+}
+
+TEST_CASE("an unanswered start is sent again only to the worker that it was sent to") {
+  Harness harness(1);
+  harness.Answer(harness.Place(MakeStep(1, 1)).checks_.at(0), CommandOutcome::kDone);
+  const Actions sent = harness.Run();
+  REQUIRE(sent.starts_.size() == 1);
+  harness.now_ += core::Milliseconds(400);
+  harness.dispatcher_.OnStarted(sent.starts_[0], {.outcome_ = CommandOutcome::kUnknown},
+                                harness.now_);
+  const Actions asked = harness.Run();
+  CHECK(asked.starts_.empty());
+  REQUIRE(asked.checks_.size() == 1);
+  SUBCASE("it is still there") {
+    harness.Answer(asked.checks_[0], CommandOutcome::kDone);
+    const std::vector<StartAction> again = harness.Run().starts_;
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].command_.fence_token_ > sent.starts_[0].command_.fence_token_);
+  }
+  SUBCASE("it has restarted") {
+    harness.Answer(asked.checks_[0], CommandOutcome::kDone, 2000);
+    CHECK(harness.Run().starts_.empty());
+  }
+}
+
+}  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/dispatch/explanation.cpp
+++ b/test/laburnumledge/dispatch/explanation.cpp
@@ -36,8 +36,9 @@
 
   /** Plans, and confirms and starts what the plan starts. */
   std::vector<StartAction> Start(core::TimePoint now) {
-    (void)dispatcher_.Run({.now_ = now, .wall_ = kWall + Later(now)});
-    for (const RecordBatch& batch : dispatcher_.TakeActions().records_) {
+    const Actions planned =
+        RunAndAnswerChecks(dispatcher_, {.now_ = now, .wall_ = kWall + Later(now)});
+    for (const RecordBatch& batch : planned.records_) {
       dispatcher_.OnRecorded(batch.number_, now);
     }
     std::vector<StartAction> starts = dispatcher_.TakeActions().starts_;
--- a/test/laburnumledge/dispatch/fixture.hpp
+++ b/test/laburnumledge/dispatch/fixture.hpp
@@ -2,11 +2,13 @@
 
 #include <fmt/core.h>
 
+#include <iterator>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
@@ -85,6 +87,46 @@
   return job;
 }
 
+/** @brief Appends actions to others. */
+inline void Append(dispatch::Actions& actions, dispatch::Actions more) {
+  const auto append = [](auto& to, auto& from) {
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+  };
+  append(actions.records_, more.records_);
+  append(actions.statuses_, more.statuses_);
+  append(actions.starts_, more.starts_);
+  append(actions.stops_, more.stops_);
+  append(actions.paces_, more.paces_);
+  append(actions.leases_, more.leases_);
+  append(actions.checks_, more.checks_);
+  actions.superseded_ = actions.superseded_ || more.superseded_;
+}
+
+/** @brief Answers checks as workers do that are what the list shows. */
+inline void AnswerChecks(dispatch::Dispatcher& dispatcher, const dispatch::Actions& actions,
+                         core::TimePoint now) {
+  for (const dispatch::CheckAction& check : actions.checks_) {
+    const dispatch::Worker& worker = dispatcher.Workers().workers_.at(check.worker_.id_);
+    dispatcher.OnChecked(
+        check,
+        {.outcome_ = platform::CommandOutcome::kDone, .incarnation_ = worker.entry_.incarnation_},
+        now);
+  }
+}
+
+/** @brief Runs a dispatcher, answers its checks and returns its actions, also those that follow. */
+inline dispatch::Actions RunAndAnswerChecks(dispatch::Dispatcher& dispatcher,
+                                            dispatch::PlanTime time) {
+  (void)dispatcher.Run(time);
+  dispatch::Actions actions = dispatcher.TakeActions();
+  if (!actions.checks_.empty()) {
+    AnswerChecks(dispatcher, actions, time.now_);
+    (void)dispatcher.Run(time);
+    Append(actions, dispatcher.TakeActions());
+  }
+  return actions;
+}
+
 /** @brief Adds a worker that the platform lists. */
 inline dispatch::Worker& AddWorker(dispatch::Fleet& fleet, site::WorkerEntry entry) {
   dispatch::Worker& worker = fleet.workers_[entry.id_];
--- a/test/laburnumledge/dispatch/hosting.cpp
+++ b/test/laburnumledge/dispatch/hosting.cpp
@@ -55,10 +55,7 @@
     REQUIRE(placed_.records_.size() == 1);
   }
 
-  Actions Run() {
-    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
-    return dispatcher_.TakeActions();
-  }
+  Actions Run() { return RunAndAnswerChecks(dispatcher_, {.now_ = now_, .wall_ = kWall}); }
 
   Actions Record() {
     dispatcher_.OnRecorded(placed_.records_[0].number_, now_);
--- a/test/laburnumledge/dispatch/interference.cpp
+++ b/test/laburnumledge/dispatch/interference.cpp
@@ -149,8 +149,7 @@
 
   void RunDispatcher() {
     const auto since = std::chrono::duration_cast<core::Milliseconds>(now_ - kNow);
-    (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall + since});
-    const Actions actions = dispatcher_.TakeActions();
+    const Actions actions = RunAndAnswerChecks(dispatcher_, {.now_ = now_, .wall_ = kWall + since});
     for (const LeaseAction& lease : actions.leases_) {
       ModelWorker& worker = workers_.at(lease.worker_.id_);
       worker.lease_ = lease;
--- a/test/laburnumledge/dispatch/pacing.cpp
+++ b/test/laburnumledge/dispatch/pacing.cpp
@@ -111,8 +111,7 @@
       if (lease_.has_value() && now_ >= answer_at_) {
         Answer();
       }
-      (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
-      Perform(dispatcher_.TakeActions());
+      Perform(RunAndAnswerChecks(dispatcher_, {.now_ = now_, .wall_ = kWall}));
     }
   }
 };
--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -281,6 +281,15 @@
       RunDispatcher();
     });
   }
+  for (const dispatch::CheckAction& check : actions.checks_) {
+    Schedule(now_ + kAnswerTime, [this, check] {
+      Timed("checked", [&] {
+        dispatcher_.OnChecked(check, {.outcome_ = CommandOutcome::kDone, .clock_ = ClockAt(now_)},
+                              now_);
+      });
+      RunDispatcher();
+    });
+  }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     HoldLease(lease);
   }
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -325,6 +325,20 @@
   return {.outcome_ = CommandOutcome::kDone};
 }
 
+platform::LeaseResult DoCheck(FakeWorkers& field, FakeWorker& worker,
+                              const platform::LeaseCall& call, core::TimePoint now) {
+  if (call.lease_deadline_.has_value() || call.acknowledged_ > 0) {
+    Break(field, now, "UNASKED a check grants a lease or acknowledges at " + worker.id_);
+  }
+  if (call.fence_token_ < worker.fence_) {
+    return {.outcome_ = CommandOutcome::kFenced};
+  }
+  worker.fence_ = call.fence_token_;
+  return {.outcome_ = CommandOutcome::kDone,
+          .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now)),
+          .incarnation_ = worker.incarnation_};
+}
+
 platform::LeaseResult DoLease(FakeWorkers& field, FakeWorker& worker,
                               const platform::LeaseCall& call, core::TimePoint now) {
   if (call.fence_token_ < worker.fence_) {
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -117,6 +117,10 @@
 platform::CommandResult DoStop(FakeWorkers& field, FakeWorker& worker,
                                const platform::StopCommand& order, core::TimePoint now);
 
+/** @brief Carries out a call that only asks who the worker is. Its lists don't count as read. */
+platform::LeaseResult DoCheck(FakeWorkers& field, FakeWorker& worker,
+                              const platform::LeaseCall& call, core::TimePoint now);
+
 /** @brief Carries out a lease call. */
 platform::LeaseResult DoLease(FakeWorkers& field, FakeWorker& worker,
                               const platform::LeaseCall& call, core::TimePoint now);
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -242,6 +242,20 @@
               });
             });
   }
+  for (const dispatch::CheckAction& check : actions.checks_) {
+    Deliver(leader->term_, check.worker_, check.call_.deadline_,
+            [this, leader, check, active](FakeWorker* worker, CommandOutcome otherwise) {
+              const platform::LeaseResult result =
+                  worker == nullptr ? platform::LeaseResult{.outcome_ = otherwise}
+                                    : DoCheck(fake_workers_, *worker, check.call_, now_);
+              return std::function<void()>([this, leader, check, active, result] {
+                if (active()) {
+                  leader->dispatcher_->OnChecked(check, result, now_);
+                  Pump(leader);
+                }
+              });
+            });
+  }
   for (const dispatch::LeaseAction& lease : actions.leases_) {
     Deliver(leader->term_, lease.worker_, lease.call_.deadline_,
             [this, leader, lease, active](FakeWorker* worker, CommandOutcome otherwise) {
