Search schedules with faults close to each other first

Nearly all of it are the searches for two seeded mistakes, which find a schedule of two faults, a few points apart, after 10,913 and 48,833 others.

The order of the search is now by the distance between the latest two faults.

--- a/test/exhaustive/takeover/schedule.cpp
+++ b/test/exhaustive/takeover/schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/core.h>
 
+#include <map>
 #include <utility>
 
 namespace laburnumledge::exhaustive {
@@ -28,10 +29,11 @@
     std::size_t faults_{};
   };
   SearchCounts counts;
-  std::vector<Prefix> open{{}};
+  // Faults that follow each other closely come first: they are the likeliest to interact.
+  std::multimap<std::size_t, Prefix> open{{0, {}}};
   while (!open.empty()) {
-    const Prefix prefix = std::move(open.back());
-    open.pop_back();
+    const Prefix prefix = std::move(open.begin()->second);
+    open.erase(open.begin());
     Schedule schedule{.taken_ = prefix.taken_, .options_ = {}};
     const bool continue_search = run(schedule);
     ++counts.schedules_;
@@ -48,7 +50,8 @@
         Prefix next{.taken_ = prefix.taken_, .faults_ = prefix.faults_ + 1};
         next.taken_.resize(point);
         next.taken_.push_back(option);
-        open.push_back(std::move(next));
+        const std::size_t distance = prefix.faults_ == 0 ? 0 : point - prefix.taken_.size() + 1;
+        open.emplace(distance, std::move(next));
       }
     }
   }
