--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -118,6 +118,9 @@
             MakeCounter(registry, "laburnumledge_interference_avoided_total",
                         "Placements in this term that avoided a worker because of a known pair.")),
         workers_(MakeGauge(registry, "laburnumledge_workers", "Workers, by state.")),
+        checks_(MakeCounter(registry, "laburnumledge_worker_checks_total",
+                            "Calls in this term that ask a worker who it is before a start is "
+                            "sent, by outcome.")),
         ignored_entries_(MakeCounter(registry, "laburnumledge_worker_entries_ignored_total",
                                      "Versions of entries in the workers' list that name no worker "
                                      "to use, as the leader has read them.")),
@@ -147,6 +150,7 @@
   Family<Gauge>& interference_pairs_;
   Family<Counter>& interference_avoided_;
   Family<Gauge>& workers_;
+  Family<Counter>& checks_;
   Family<Counter>& ignored_entries_;
   Family<Gauge>& term_;
   Family<Gauge>& holds_term_;
@@ -289,6 +293,8 @@
                                       {"done", counts.runs_done_},
                                       {"failed", counts.runs_failed_},
                                       {"lost", counts.runs_lost_}});
+  IncreaseOutcomes(families_->checks_,
+                   {{"sent", counts.checks_}, {"failed", counts.checks_failed_}});
   std::map<std::uint32_t, double> jobs;
   for (const auto& [id, job] : dispatcher.Jobs().jobs_) {
     jobs[job.treatment_.priority_] += ledger::IsFinal(job.state_) ? 0.0 : 1.0;
