--- a/src/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -152,7 +152,7 @@
   actions_.checks_.push_back({.worker_ = internal::AddressOf(worker),
                               .call_ = {.fence_token_ = worker.fence_token_,
                                         .lease_deadline_ = std::nullopt,
-                                        .deadline_ = now + internal::kCommandTimeout},
+                                        .deadline_ = now + internal::kCheckTimeout},
                               .number_ = worker.check_number_});
 }
 
@@ -164,6 +164,12 @@
   }
   worker->check_number_ = 0;
   ScheduleUpdate(*worker, now);
+  if (result.outcome_ == CommandOutcome::kUnknown &&
+      ++worker->unanswered_checks_ < internal::kMaxChecks) {
+    SendCheck(*worker, now);
+    return;
+  }
+  worker->unanswered_checks_ = 0;
   if (result.outcome_ == CommandOutcome::kFenced) {
     // With an older token than the present one the call tells nothing.
     actions_.superseded_ =
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -120,6 +120,7 @@
   bool lease_in_flight_{};
   std::uint64_t lease_call_number_{};  ///< Number of the lease call in flight.
   std::uint64_t check_number_{};       ///< Number of the check in flight; 0 for none.
+  std::uint32_t unanswered_checks_{};  ///< Consecutive checks without an answer.
   core::TimePoint checked_at_{};       ///< When the incarnation of the entry answered a check.
   core::TimePoint lease_sent_{};
   core::TimePoint next_lease_{};         ///< When the next lease call is due.
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -20,6 +20,11 @@
  * be sent. */
 inline constexpr core::Milliseconds kUnansweredStartPause{1000};
 
+/** @brief Timeout of a check, and how many checks without an answer show that a worker doesn't
+ * answer. Together they take no longer than two unanswered starts. */
+inline constexpr core::Milliseconds kCheckTimeout{200};
+inline constexpr std::uint32_t kMaxChecks = 3;
+
 /** @brief Start commands sent for one run before it is given up. Their timeouts add up to less than
  * the time that members of a gang wait for each other. */
 inline constexpr std::uint32_t kMaxStartAttempts = 4;
--- a/test/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -81,9 +81,17 @@
   }
   SUBCASE("nobody answers") {
     harness.Answer(placed.checks_[0], CommandOutcome::kUnknown);
+    harness.Answer(harness.Run().checks_.at(0), CommandOutcome::kUnknown);
+    CHECK(harness.dispatcher_.Counts().checks_failed_ == 0);
+    harness.Answer(harness.Run().checks_.at(0), CommandOutcome::kUnknown);
     CHECK(harness.Run().starts_.empty());
     CHECK(harness.dispatcher_.Counts().checks_failed_ == 1);
   }
+  SUBCASE("it answers late") {
+    harness.Answer(placed.checks_[0], CommandOutcome::kUnknown);
+    harness.Answer(harness.Run().checks_.at(0), CommandOutcome::kDone);
+    CHECK(harness.Run().starts_.size() == 1);
+  }
   SUBCASE("a later leader has called it") {
     harness.Answer(placed.checks_[0], CommandOutcome::kFenced);
     const Actions after = harness.Run();
