Answer no call with success whose key the node has not found

Clients with a key that no configuration held were answered 200 for a POST or DELETE of a job whose record is stored, from a node that lost the store or had not loaded the configuration.

Cause: such a call is forwarded before its key is known. When no peer answered, or one answered 401 or 503, the refusal became a success because the store holds the record, which says nothing about the caller.

Evidence: the new case of job_calls.cpp got 200 in all six combinations of method and peer's answer.

Change: a call is admitted once its route and key are found here, and only admitted calls report a stored record as success. Others pass on 401 and 404, and get 504 in place of a 503 or 429 that may be untrue.

--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -81,6 +81,13 @@
          (writer_->IsStored(pending.key_) || IsApplied(context_.jobs_, pending.key_));
 }
 
+/** Whether a refusal with this status, which tells the client that the call had no effect, may be
+ * untrue. */
+bool JobCalls::Implementation::IsUncertain(const PendingCall& pending, unsigned status) const {
+  const bool not_run = status == kUnavailable || status == kTooManyRequests;
+  return not_run && (MayHaveRun(pending) || IsKnownStored(pending));
+}
+
 core::Milliseconds JobCalls::Implementation::RetryAfterFor(const PendingCall& pending) const {
   return writer_ != nullptr ? writer_->RetryAfter(pending.urgent_) : kRetryAfter;
 }
@@ -100,13 +107,12 @@
 
 void JobCalls::Implementation::Refuse(const PendingCallPointer& pending, unsigned status,
                                       std::string_view reason, core::Milliseconds retry_after) {
-  // 503 and 429 would tell the client that the call had no effect.
-  const bool not_run = status == kUnavailable || status == kTooManyRequests;
-  if (not_run && IsKnownStored(*pending)) {
+  const bool in_doubt = IsUncertain(*pending, status);
+  // A stored record says nothing about the key of a call that was not admitted.
+  if (in_doubt && pending->admitted_ && IsKnownStored(*pending)) {
     ReplySuccess(pending);
     return;
   }
-  const bool in_doubt = not_run && MayHaveRun(*pending);
   const unsigned reported_status = in_doubt ? kGatewayTimeout : status;
   counts_.refused_ += in_doubt ? 0 : 1;
   counts_.in_doubt_ += in_doubt ? 1 : 0;
@@ -158,7 +164,7 @@
   if (writer_ != nullptr && pending->may_have_run_ && !pending->key_.empty()) {
     writer_->NoteDoubt(pending->key_);
   }
-  if (rejected && IsKnownStored(*pending)) {
+  if (rejected && pending->admitted_ && IsKnownStored(*pending)) {
     ReplySuccess(pending);
   } else if (rejected && cause.record_.has_value() && MayHaveRun(*pending)) {
     // No answer can be "not run" any more: the record is sent until the client's time is over.
@@ -167,7 +173,8 @@
     // Without a JobWriter no Retry-After: an immediate retry may reach a node that has the store.
     Refuse(pending, cause.status_, cause.reason_,
            writer_ != nullptr ? RetryAfterFor(*pending) : core::Milliseconds{});
-  } else if (rejected && MayHaveRun(*pending)) {
+  } else if (rejected &&
+             (MayHaveRun(*pending) || IsUncertain(*pending, answer.reply_->reply_.status_))) {
     Refuse(pending, kUnavailable, cause.reason_);
   } else {
     pending->respond_(std::move(answer.reply_->reply_));
@@ -213,6 +220,7 @@
     }
     return;
   }
+  pending->admitted_ = true;
   pending->route_ = route->name_;
   pending->organisation_ = organisation == nullptr ? "" : *organisation;
   pending->job_ = call.path_.substr(route->path_prefix_.size());
--- a/src/laburnumledge/entry/job_calls_implementation.hpp
+++ b/src/laburnumledge/entry/job_calls_implementation.hpp
@@ -33,6 +33,7 @@
   core::TimePoint deadline_;
   bool forwarded_{};     ///< Came from another node; must not be forwarded again.
   bool urgent_{};        ///< The route has priority 0.
+  bool admitted_{};      ///< Its route and key are in a configuration of this node.
   bool may_have_run_{};  ///< An append or a forwarded call for it got no answer.
 };
 
@@ -87,6 +88,7 @@
   [[nodiscard]] bool StoreIsSuspected() const;
   [[nodiscard]] bool MayHaveRun(const PendingCall& pending) const;
   [[nodiscard]] bool IsKnownStored(const PendingCall& pending) const;
+  [[nodiscard]] bool IsUncertain(const PendingCall& pending, unsigned status) const;
   [[nodiscard]] core::Milliseconds RetryAfterFor(const PendingCall& pending) const;
   [[nodiscard]] core::Milliseconds PeerTimeout() const;
 };
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -105,6 +105,16 @@
     };
   }
 
+  /** Lets all reads fail, so that the node suspects the store. */
+  void FailReads() {
+    store_.read_ = [this](const platform::ReadCall&, const platform::ReadCallback& done) {
+      loop_.CallSoon([done] { done({.outcome_ = platform::ReadOutcome::kFailed}); });
+    };
+    rules_follower_->SetPolling(core::Milliseconds(1000), {});
+    REQUIRE(http::RunUntil(
+        loop_, [this] { return rules_follower_->AnsweringSince() == core::TimePoint{}; }));
+  }
+
   http::Reply Call(const std::string& method, const std::string& path, const std::string& body = {},
                    const std::string& key = "secret", http::Fields more = {}) {
     http::Request request{.method_ = method, .path_ = path, .target_ = path, .body_ = body};
@@ -329,4 +339,25 @@
   CHECK(fixture.calls_->Counts().collected_ == 2);
 }
 
+// Guards against answers with success to a caller whose key no configuration held (ROUTE): the
+// store holds the job, but that says nothing about the caller.
+TEST_CASE("adaptive appends: an unknown key gets no success for a stored job without the store") {
+  for (const unsigned status : {0U, 401U, 503U}) {
+    for (const std::string method : {"POST", "DELETE"}) {
+      CAPTURE(status);
+      CAPTURE(method);
+      loop::Loop loop;
+      http::RawServer peer(
+          loop, [status](int) { return status == 0 ? std::string() : AnswerOf(status, 7); }, true);
+      JobCallsFixture fixture(loop, {{"node-2", AddressOf(peer)}}, true);
+      const std::string path = std::string("/s/") + kJob;
+      REQUIRE(fixture.Submit().status_ == 200);
+      REQUIRE(fixture.Call("DELETE", path).status_ == 200);
+      fixture.FailReads();
+      const unsigned answer = fixture.Call(method, path, kBody, "other").status_;
+      CHECK(answer == (status == 401U ? 401U : 504U));
+    }
+  }
+}
+
 }  // namespace laburnumledge::entry
