Ignore empty API keys of a configuration

With an empty string among an organisation's keys, clients were answered with success although they sent no key, another scheme than Bearer, or Bearer with nothing behind it.

Cause: a call without a key carries the empty key, and the empty entry was taken over like any other.

Evidence: the new case of documents.cpp reads the empty entry as a key.

Change: entries that are empty are skipped, as those that are no strings are.

--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -141,7 +141,8 @@
   }
   if (const Json* keys = Member(object, "api_keys")) {
     for (const Json& key : *keys) {
-      if (key.is_string()) {
+      // An empty key would admit calls that carry none.
+      if (key.is_string() && !key.get_ref<const std::string&>().empty()) {
         organisation.keys_.push_back(key.get<std::string>());
       }
     }
--- a/test/laburnumledge/platform/documents.cpp
+++ b/test/laburnumledge/platform/documents.cpp
@@ -58,6 +58,22 @@
   CHECK(organisations[2].quota_ == site::kUnlimited);
 }
 
+TEST_CASE("an organisation's keys are its strings that are not empty") {
+  // Guards against an empty entry that admits calls without a key.
+  const auto configuration = ParseConfiguration(
+      R"({"version":3,"routes":[],"tenants":[
+          {"name":"crew","api_keys":["","k1",7,null,true,["k2"],{"key":"k3"},"k4"]},
+          {"name":"text","api_keys":"k5"},{"name":"none"},"k6",
+          {"name":"dropped","api_keys":[]}]})");
+  REQUIRE(configuration.has_value());
+  const auto& organisations = configuration->organisations_;
+  REQUIRE(organisations.size() == 5);
+  CHECK(organisations[0].keys_ == std::vector<std::string>{"k1", "k4"});
+  for (std::size_t index = 1; index < organisations.size(); ++index) {
+    CHECK(organisations[index].keys_.empty());
+  }
+}
+
 TEST_CASE(
     "appends adapt only where the settings call for it, so that other deployments keep theirs") {
   const auto adapts = [](const std::string& members) {
