Check over a socket which Authorization headers are admitted

No test showed what the HTTP server and the parser make of headers that carry no key or an odd one (ROUTE). Missing, empty and repeated headers, Bearer with nothing or blanks behind it, other schemes, parts of a key, several keys in one header, and calls that claim to be forwarded get 401; of repeated headers the first one counts.

--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -360,4 +360,40 @@
   }
 }
 
+// Guards against a header that the server or the parser turns into a key (ROUTE).
+TEST_CASE(
+    "over a socket, only the first Authorization header with exactly a known key is admitted") {
+  loop::Loop loop;
+  JobCallsFixture fixture(loop);
+  const auto server =
+      http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
+                          [&fixture](http::Request request, http::Respond respond) {
+                            fixture.calls_->Handle(std::move(request), std::move(respond));
+                          });
+  REQUIRE(server != nullptr);
+  const std::vector<std::pair<std::string, bool>> cases{
+      {"Authorization: Bearer secret\r\nAuthorization: Bearer other\r\n", true},
+      {"Authorization: Bearer other\r\nAuthorization: Bearer secret\r\n", false},
+      {"", false},
+      {"Authorization:\r\n", false},
+      {"Authorization: Bearer\r\n", false},
+      {"Authorization: Bearer    \r\n", false},
+      {"Authorization: Basic secret\r\n", false},
+      {"Authorization: secret\r\n", false},
+      {"Authorization: Bearer secre\r\n", false},
+      {"Authorization: Bearer secrets\r\n", false},
+      {"Authorization: Bearer SECRET\r\n", false},
+      {"Authorization: Bearer secret, Bearer other\r\n", false},
+      {"Forwarded: by=node-2\r\n", false},
+      {"Forwarded: by=node-2\r\nAuthorization: Bearer other\r\n", false}};
+  for (const auto& [header, admitted] : cases) {
+    CAPTURE(header);
+    const http::RawClient client(
+        loop, server->Port(),
+        "GET /s/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" + header + "\r\n");
+    REQUIRE(http::RunUntil(loop, [&client] { return client.Closed(); }));
+    CHECK(client.Received().substr(0, 12) == (admitted ? "HTTP/1.1 200" : "HTTP/1.1 401"));
+  }
+}
+
 }  // namespace laburnumledge::entry
