Read the log from the end that the first page names

A node could miss a record for good: a worker's new entry, a drop, a version of the configuration. No caller reported it.

A load reads the store's pages of newest records and then the log from the end that the first page names. The follower took the first non-empty list of records for the sign of the first page. If none of the first page's records could be read, it took the end of a later page, and what had been appended to keys of the first page in between was in no page and not read from the log either.

The new test fails without the change: the consumer never sees the second record of key "a".

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -58,7 +58,7 @@
       : loop_(loop), store_(store), options_(options), events_(std::move(events)) {}
 
   void LoadPage(const std::string& after);
-  void OnPage(platform::NewestResult result);
+  void OnPage(platform::NewestResult result, bool first);
   void FinishLoading();
   void ContinueReading();
   void ReadNow();
@@ -123,14 +123,14 @@
   loading_ = true;
   store_.newest_(
       {.stream_ = options_.stream_, .after_ = after, .deadline_ = loop_.Now() + kCallTimeout},
-      [weak = weak_from_this()](platform::NewestResult result) {
+      [weak = weak_from_this(), first = after.empty()](platform::NewestResult result) {
         if (const auto self = weak.lock()) {
-          self->OnPage(std::move(result));
+          self->OnPage(std::move(result), first);
         }
       });
 }
 
-void Follower::Implementation::OnPage(platform::NewestResult result) {
+void Follower::Implementation::OnPage(platform::NewestResult result, bool first) {
   if (!result.done_) {
     OnCallFailed(result.reason_);
     loaded_records_.clear();
@@ -139,7 +139,7 @@
     return;
   }
   OnCallAnswered();
-  if (loaded_records_.empty()) {
+  if (first) {
     load_end_ = result.end_;
   }
   const bool more = result.has_more_ && !result.last_key_.empty();
