Load a stream as its state at one offset

After a load or a reload a node could apply an older record of a key after a newer one. The leader took a worker's entry of an earlier process for a restart, then the newer entry for another one, and a worker that had been removed was listed again; a zone could be back in service and out again. A configuration never went back: its version is compared.

The follower passed the pages on as they were and then read the log from the end of the first page, so that records older than a later page's came after them.

A load now also reads the log from the end of the first page to that of the last one, keeps the newest record of each key by offset, tombstones included, and passes on the state of the stream at one offset. What follows comes in the order of the log. A load of one page needs no further call.

Of the new tests, "a record appended between two pages" and "a key dropped between two pages" failed before: offset 2 after 3, and the dropped key was listed. The third checks that a load begins again when the log between its pages has been discarded.

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "laburnumledge/control/snapshot.hpp"
 #include "laburnumledge/control/store_timeout.hpp"
 #include "laburnumledge/core/event.hpp"
 
@@ -40,8 +41,7 @@
   bool loaded_{};
   bool loading_{};
   std::uint64_t next_offset_{};
-  std::uint64_t load_end_{};
-  std::vector<platform::StoredRecord> loaded_records_;
+  Snapshot snapshot_;  ///< While loading_.
   bool long_poll_in_flight_{};
   bool read_in_flight_{};  ///< A read that is no long poll is in flight.
   bool read_again_{};      ///< Another such read follows at once.
@@ -59,6 +59,8 @@
 
   void LoadPage(const std::string& after);
   void OnPage(platform::NewestResult result, bool first);
+  void CompleteSnapshot();
+  void RetryLoading();
   void FinishLoading();
   void ContinueReading();
   void ReadNow();
@@ -133,30 +135,66 @@
 void Follower::Implementation::OnPage(platform::NewestResult result, bool first) {
   if (!result.done_) {
     OnCallFailed(result.reason_);
-    loaded_records_.clear();
-    loading_ = false;
-    ScheduleAfter(RetryDelay(), &Implementation::ContinueReading);
+    RetryLoading();
     return;
   }
   OnCallAnswered();
+  const std::string after = result.has_more_ ? result.last_key_ : std::string();
   if (first) {
-    load_end_ = result.end_;
+    snapshot_ = BeginSnapshot(std::move(result));
+  } else {
+    AddPage(snapshot_, std::move(result));
+  }
+  if (after.empty()) {
+    CompleteSnapshot();
+  } else {
+    LoadPage(after);
   }
-  const bool more = result.has_more_ && !result.last_key_.empty();
-  std::move(result.records_.begin(), result.records_.end(), std::back_inserter(loaded_records_));
-  if (more) {
-    LoadPage(result.last_key_);
+}
+
+void Follower::Implementation::CompleteSnapshot() {
+  if (IsComplete(snapshot_)) {
+    FinishLoading();
     return;
   }
-  FinishLoading();
+  store_.read_({.stream_ = options_.stream_,
+                .from_ = snapshot_.next_,
+                .wait_ = {},
+                .deadline_ = loop_.Now() + kCallTimeout},
+               [weak = weak_from_this()](const platform::ReadResult& result) {
+                 const auto self = weak.lock();
+                 if (self == nullptr) {
+                   return;
+                 }
+                 if (result.outcome_ == platform::ReadOutcome::kFailed) {
+                   self->OnCallFailed(result.reason_);
+                   self->RetryLoading();
+                   return;
+                 }
+                 self->OnCallAnswered();
+                 const bool at_end = result.next_ >= result.end_;
+                 if (result.outcome_ == platform::ReadOutcome::kExpired ||
+                     (!at_end && result.next_ <= self->snapshot_.next_)) {
+                   // The store has discarded records since the pages were read.
+                   self->RetryLoading();
+                   return;
+                 }
+                 AddRead(self->snapshot_, result);
+                 self->CompleteSnapshot();
+               });
+}
+
+void Follower::Implementation::RetryLoading() {
+  loading_ = false;
+  ScheduleAfter(RetryDelay(), &Implementation::ContinueReading);
 }
 
 void Follower::Implementation::FinishLoading() {
   loading_ = false;
   loaded_ = true;
-  next_offset_ = load_end_;
-  events_.loaded_(std::exchange(loaded_records_, {}));
-  // The next read returns the records that were appended while the pages were loaded.
+  next_offset_ = snapshot_.next_;
+  events_.loaded_(TakeRecords(std::exchange(snapshot_, {})));
+  // The next read returns the records that were appended since.
   ReadNow();
 }
 
--- a/test/laburnumledge/control/follower.cpp
+++ b/test/laburnumledge/control/follower.cpp
@@ -190,6 +190,50 @@
 
 }  // namespace
 
+// A worker's entry of its earlier process, replayed after the newer one, makes the leader take it
+// for restarted twice.
+TEST_CASE("a record appended between two pages is not followed by an older record of its key") {
+  ScriptedStore store;
+  store.Append("a", "1");
+  store.Append("b", "1");
+  store.before_page_[2] = {{.key_ = "b", .value_ = "2"}, {.key_ = "b", .value_ = "3"}};
+  store.read_limit_ = 1;
+  const platform::Store calls = store.Make();
+  Consumer consumer;
+  Follower follower(store.loop_, calls, {.stream_ = platform::Stream::kWorkers}, consumer.Events());
+  follower.Start();
+  RunUntilCaughtUp(store, follower);
+  CHECK(consumer.returned_.empty());
+  CHECK(consumer.loads_ == 1);
+  CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
+}
+
+// A worker that has been removed would be listed again until the next read.
+TEST_CASE("a key dropped between two pages does not come back by an older record") {
+  ScriptedStore store;
+  store.Append("a", "1");
+  store.Append("c", "1");
+  store.before_page_[2] = {{.key_ = "b", .value_ = "1"}, {.key_ = "b", .value_ = std::nullopt}};
+  store.read_limit_ = 1;
+  const platform::Store calls = store.Make();
+  Consumer consumer;
+  FollowerEvents events = consumer.Events();
+  bool listed = false;
+  events.loaded_ = [&, apply = events.loaded_](const auto& records) {
+    apply(records);
+    listed = listed || consumer.state_.contains("b");
+  };
+  events.added_ = [&, apply = events.added_](const auto& records) {
+    apply(records);
+    listed = listed || consumer.state_.contains("b");
+  };
+  Follower follower(store.loop_, calls, {.stream_ = platform::Stream::kWorkers}, events);
+  follower.Start();
+  RunUntilCaughtUp(store, follower);
+  CHECK_FALSE(listed);
+  CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
+}
+
 // A newer record of a key whose page came first would never be read.
 TEST_CASE("a first page without readable records does not move the start of the log") {
   ScriptedStore store;
@@ -205,6 +249,23 @@
   CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
 }
 
+// A load that waited for discarded records would never end.
+TEST_CASE("a load begins again when the log between its pages has been discarded") {
+  ScriptedStore store;
+  store.Append("a", "1");
+  store.Append("b", "1");
+  store.before_page_[2] = {{.key_ = "a", .value_ = "2"}};
+  store.first_ = 3;
+  const platform::Store calls = store.Make();
+  Consumer consumer;
+  Follower follower(store.loop_, calls, {.stream_ = platform::Stream::kWorkers}, consumer.Events());
+  follower.Start();
+  RunUntilCaughtUp(store, follower);
+  CHECK(store.pages_ == 4);
+  CHECK(consumer.loads_ == 1);
+  CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
+}
+
 TEST_CASE(
     "after a failed long poll the follower sends plain reads with alternating timeouts until one "
     "is "
