Pass over reads that are answered during a reload

A node could go back to older records of a key after newer ones, such as a job's earlier state, until the next read. No caller reported it.

A leader has a long poll and a plain read of the jobs in flight at once. The store's answer to the long poll can be that its offset has been discarded, which begins a reload, while the plain read from a later offset is still out. It was passed on when it came, although it may be newer than the pages that were still to come; those then replaced it.

Answers to reads that were sent before a reload now count as signs of life only: the read after the reload returns their records again.

The new test fails without the change: offset 1 is passed on after offset 2.

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -220,6 +220,10 @@
     return false;
   }
   OnCallAnswered();
+  if (!loaded_) {
+    // Sent before the reload began: its records may be newer than the pages that are still to come.
+    return true;
+  }
   if (result.outcome_ == platform::ReadOutcome::kExpired || result.end_ < from) {
     core::LogEvent(Level::kWarning, EventPriority::kHigh, "store.reload",
                    {{"stream", platform::ToString(options_.stream_)},
@@ -289,6 +293,8 @@
         const bool ok = self->OnRead(result, from, sent);
         if (!ok) {
           self->ScheduleAfter(self->RetryDelay(), &Implementation::ContinueReading);
+        } else if (!self->loaded_) {
+          self->ContinueReading();
         } else if (self->read_again_ || !self->refreshes_.empty()) {
           self->ReadNow();
         } else if (self->options_.wait_.count() > 0) {
--- a/test/laburnumledge/control/follower.cpp
+++ b/test/laburnumledge/control/follower.cpp
@@ -266,6 +266,47 @@
   CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
 }
 
+// A job's state would go back to what it was when the reload began.
+TEST_CASE("a read that is answered during a reload does not get ahead of the pages") {
+  ScriptedStore store;
+  store.Append("a", "1");
+  const platform::Store calls = store.Make();
+  Consumer consumer;
+  Follower follower(store.loop_, calls, {.stream_ = platform::Stream::kJobs, .wait_ = kWait},
+                    consumer.Events());
+  const auto at = [&store, begin = store.loop_.Now()](int milliseconds,
+                                                      std::function<void()> step) {
+    store.loop_.CallAt(begin + core::Milliseconds(milliseconds), std::move(step));
+  };
+  const auto refresh = [&store, &follower] {
+    follower.Refresh(store.loop_.Now() + kWait, [](bool /*reached*/) {});
+  };
+  follower.Start();
+  at(50, [&] {
+    store.Append("a", "2");
+    refresh();
+  });
+  at(100, [&] {
+    // The second read has passed the offset of the long poll, which the store has discarded since.
+    REQUIRE(follower.Next() == 2);
+    REQUIRE(store.reads_ == 2);
+    store.first_ = 1;
+    store.read_delays_[3] = core::Milliseconds(250);
+    store.page_delays_[2] = core::Milliseconds(400);
+    refresh();
+    store.long_poll_({.outcome_ = platform::ReadOutcome::kExpired, .first_ = 1});
+  });
+  at(320, [&] {
+    REQUIRE(store.pages_ == 2);
+    store.Append("a", "3");
+  });
+  at(1000, [&] { store.loop_.Stop(); });
+  store.loop_.Run();
+  CHECK(consumer.returned_.empty());
+  CHECK(consumer.loads_ == 2);
+  CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
+}
+
 TEST_CASE(
     "after a failed long poll the follower sends plain reads with alternating timeouts until one "
     "is "
