Check in process tests and the soak that runs start where they belong

The stand-in for the platform's workers checked TWICE and LIMIT, but not ROUTE: it knew neither configurations nor submissions, and no test that uses it submitted a label or a limit of tasks of a step per worker.

Tests now note each submission in the stand-in's store before they send it. Each start is compared with it: no submission (UNASKED), a service to which no configuration sent the route, a worker without the label, or one start beyond the limit of its step.

--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -63,8 +63,14 @@
   pids+=("${node_pid[$1]}")
 }
 
+# note_submission ID BODY: tells the workers what a client is about to submit, for their checks.
+note_submission() {
+  put standin.submitted "$1" "{\"route\":\"survey\",\"job\":$2}"
+}
+
 # job METHOD NODE ID [BODY]: calls a node for a job and prints status and body.
 job() {
+  [ -z "${4:-}" ] || note_submission "$3" "$4"
   curl -s -m 5 -w '%{http_code} ' -X "$1" -H 'Host: a.example' -H 'Authorization: Bearer secret' \
     ${4:+-d "$4"} "http://127.0.0.1:${caller_port[$2]}/survey/$3" || true
 }
--- a/test/standin/keyed_store.cpp
+++ b/test/standin/keyed_store.cpp
@@ -80,6 +80,20 @@
   Wake(topic);
 }
 
+std::vector<std::string> KeyedStore::Values(const std::string& topic,
+                                            const std::string& key) const {
+  std::vector<std::string> values;
+  const auto held = topics_.find(topic);
+  if (held != topics_.end()) {
+    for (const Record& record : held->second.records_) {
+      if (record.key_ == key && !record.value_.empty()) {
+        values.push_back(record.value_);
+      }
+    }
+  }
+  return values;
+}
+
 http::Reply KeyedStore::Append(const http::Request& request) {
   const std::string name = Argument(request, "topic");
   Topic& topic = topics_[name];
--- a/test/standin/keyed_store.hpp
+++ b/test/standin/keyed_store.hpp
@@ -31,6 +31,10 @@
   /** @brief Adds a record as the platform itself; empty drops the key. */
   void Put(const std::string& topic, const std::string& key, const std::string& value);
 
+  /** @brief Every value that a key has had, in order. */
+  [[nodiscard]] std::vector<std::string> Values(const std::string& topic,
+                                                const std::string& key) const;
+
  private:
   struct Record {
     std::string key_;
--- a/test/standin/task_worker.cpp
+++ b/test/standin/task_worker.cpp
@@ -1,5 +1,7 @@
 #include "task_worker.hpp"
 
+#include <absl/strings/str_split.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -13,6 +15,17 @@
 constexpr core::Milliseconds kTick{10};
 constexpr std::int64_t kLongestLeaseMs = 6000;
 
+/** Whether some configuration sent a route's jobs to a service. */
+bool WasRouted(const std::vector<std::string>& configurations, const std::string& route,
+               const std::string& service) {
+  return std::any_of(configurations.begin(), configurations.end(), [&](const std::string& text) {
+    const Json routes = Json::parse(text).at("routes");
+    return std::any_of(routes.begin(), routes.end(), [&](const Json& candidate) {
+      return candidate.at("name") == route && candidate.at("service") == service;
+    });
+  });
+}
+
 }  // namespace
 
 TaskWorker::TaskWorker(loop::Loop& loop, KeyedStore& store, RunBook& book, std::string id,
@@ -40,7 +53,7 @@
 }
 
 void TaskWorker::Beat() {
-  const Json entry = {{"service", "grinding"},
+  const Json entry = {{"service", service_},
                       {"address", address_},
                       {"zone", zone_},
                       {"version", "v1"},
@@ -50,7 +63,7 @@
                       {"seq", ++beats_},
                       {"born", born_},
                       {"clock_ms", Clock()},
-                      {"labels", {"a", rack_}},
+                      {"labels", {label_, rack_}},
                       {"capacity", {{"cpu", 128000}, {"mem_mb", 262144}, {"gpus", 8}}}};
   store_.Put("keyed.servers", id_, entry.dump());
 }
@@ -107,6 +120,35 @@
           .dump());
 }
 
+/** Compares a start with the submission that the test's client has noted in the store. */
+void TaskWorker::CheckRoute(const std::string& task) {
+  const std::vector<std::string> parts = absl::StrSplit(task, '.');
+  const std::vector<std::string> noted = store_.Values("standin.submitted", parts.front());
+  const Json submitted = noted.empty() ? Json() : Json::parse(noted.front(), nullptr, false);
+  const Json::json_pointer path("/job/steps/" + (parts.size() == 4 ? parts[2] : "none"));
+  if (!submitted.is_object() || parts.size() != 4 || !submitted.contains(path)) {
+    book_.broken_.push_back("UNASKED " + task);
+    return;
+  }
+  const Json& step = submitted.at(path);
+  const std::string where = task + " on " + id_;
+  if (!WasRouted(store_.Values("keyed.op", "config"), submitted.at("route"), service_)) {
+    book_.broken_.push_back("ROUTE service " + service_ + ": " + where);
+  }
+  const std::string constraint = step.value("constraints", "");
+  if (!constraint.empty() && constraint != label_ && constraint != rack_) {
+    book_.broken_.push_back("ROUTE label " + constraint + ": " + where);
+  }
+  const std::string prefix = task.substr(0, task.rfind('.') + 1);
+  const auto present = std::count_if(runs_.begin(), runs_.end(), [&prefix](const auto& entry) {
+    return entry.first.starts_with(prefix);
+  });
+  const int limit = step.value("anti_affinity", 0);
+  if (limit > 0 && present >= limit) {
+    book_.broken_.push_back("ROUTE limit of tasks of a step: " + where);
+  }
+}
+
 http::Reply TaskWorker::Start(const Json& body) {
   const std::string task = body.at("task");
   const std::uint64_t run = body.at("run");
@@ -136,6 +178,7 @@
   if (runs_.size() >= 8) {
     book_.broken_.push_back("LIMIT at " + id_);
   }
+  CheckRoute(task);
   lease_deadline_ = std::max(lease_deadline_, std::min(deadline, Clock() + kLongestLeaseMs));
   highest_[task] = run;
   ++book_.running_[task];
--- a/test/standin/task_worker.hpp
+++ b/test/standin/task_worker.hpp
@@ -47,6 +47,7 @@
   };
 
   void Beat();
+  void CheckRoute(const std::string& task);
   void Advance();
   void End(const std::string& task, const char* how);
   void Forget(std::uint64_t last_seen);
@@ -64,6 +65,8 @@
   std::string address_;
   std::string zone_;
   std::string rack_;
+  std::string service_{"grinding"};
+  std::string label_{"a"};
   core::Milliseconds run_time_;
   core::TimePoint started_;
   std::int64_t born_{};
