--- a/test/standin/task_worker.cpp
+++ b/test/standin/task_worker.cpp
@@ -15,6 +15,11 @@
 constexpr core::Milliseconds kTick{10};
 constexpr std::int64_t kLongestLeaseMs = 6000;
 
+std::int64_t BornNow() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<core::Milliseconds>(now).count();
+}
+
 /** Whether some configuration sent a route's jobs to a service. */
 bool WasRouted(const std::vector<std::string>& configurations, const std::string& route,
                const std::string& service) {
@@ -40,9 +45,7 @@
       rack_(std::move(rack)),
       run_time_(run_time),
       started_(loop.Now()),
-      born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now().time_since_epoch())
-                .count()) {
+      born_(BornNow()) {
   Beat();
   loop_.CallEvery(kBeatInterval, [this] { Beat(); });
   loop_.CallEvery(kTick, [this] { Advance(); });
@@ -68,6 +71,28 @@
   store_.Put("keyed.servers", id_, entry.dump());
 }
 
+/** Starts again under the same id, perhaps as another kind; nothing of before is known. */
+void TaskWorker::Restart(const Json& kind) {
+  for (const auto& [task, run] : runs_) {
+    --book_.running_[task];
+  }
+  runs_.clear();
+  highest_.clear();
+  finished_.clear();
+  for (auto& [number, waiter] : std::exchange(waiters_, {})) {
+    waiter.respond_(http::JsonReply(503, "{}"));
+  }
+  ends_ = 0;
+  beats_ = 0;
+  fence_ = 0;
+  lease_deadline_ = 0;
+  service_ = kind.value("service", service_);
+  label_ = kind.value("label", label_);
+  started_ = loop_.Now();
+  born_ = BornNow();
+  Beat();
+}
+
 void TaskWorker::Advance() {
   if (Clock() > lease_deadline_) {
     while (!runs_.empty()) {
@@ -250,6 +275,11 @@
     respond(http::JsonReply(400, "{}"));
     return;
   }
+  if (request.path_ == "/standin/restart") {
+    Restart(body);
+    respond(http::JsonReply(200, "{}"));
+    return;
+  }
   const std::uint64_t fence = body.value("fencing_token", std::uint64_t{0});
   if (fence < fence_) {
     respond(http::JsonReply(409, Json{{"clock_ms", Clock()}, {"reason", "fence"}}.dump()));
--- a/test/standin/task_worker.hpp
+++ b/test/standin/task_worker.hpp
@@ -47,6 +47,7 @@
   };
 
   void Beat();
+  void Restart(const nlohmann::json& kind);
   void CheckRoute(const std::string& task);
   void Advance();
   void End(const std::string& task, const char* how);
