Show that a start is sent again to a worker that has restarted

libcurl sends a call again, on a new connection, when a reused connection closes before the answer. A start decided for the earlier incarnation of a worker so reaches the new one, which may be of another kind: nothing that the leader checks before it sends can prevent that.

The new process test delays the link, restarts the worker and resets the link.

--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -1,14 +1,15 @@
 # Functions for the process tests of nodes on the platform. Sourced after library.sh.
 
-# start_platform WORKERS RUN_MS: starts the store and workers, and puts a configuration in force.
+# start_platform WORKERS RUN_MS [LINKS]: starts the store and workers, and puts a configuration in force.
+# The list shows ports LINKS above those of the workers, which are left to links.
 start_platform() {
   local ports
-  mapfile -t ports < <(free_ports $(($1 + 1)))
+  mapfile -t ports < <(free_ports $(($1 + 1 + ${3:-0})))
   store=${ports[0]}
   for ((i = 0; i <= $1; ++i)); do
     [ "${ports[i]}" -eq $((store + i)) ] || fail "no row of free ports"
   done
-  "$LABURNUMLEDGE_STANDIN" platform "127.0.0.1:$store" "$1" "$2" 2> "$work/platform.log" &
+  "$LABURNUMLEDGE_STANDIN" platform "127.0.0.1:$store" "$1" "$2" "${3:-0}" 2> "$work/platform.log" &
   pids+=("$!")
   wait_until 10 curl -sf -o /dev/null "http://127.0.0.1:$store/-/log-newest?topic=keyed.op"
   put keyed.op config '{"version":3,"routes":[
