Send a start once, whatever becomes of its connection

libcurl sends a call again by itself when a reused connection closes before an answer. The start then reached the process that had taken the place of the one that it was sent to, with a token that this process had no reason to refuse.

--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -34,6 +34,7 @@
   bool too_large_{};
   bool headers_ended_{};
   bool sent_{};
+  bool once_{};  ///< See Call::once_.
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
@@ -73,8 +74,9 @@
 
 int OnPrerequest(void* context, char* /*ip*/, char* /*local_ip*/, int /*port*/,
                  int /*local_port*/) {
-  static_cast<Transfer*>(context)->sent_ = true;
-  return CURL_PREREQFUNC_OK;
+  auto* transfer = static_cast<Transfer*>(context);
+  const bool again = std::exchange(transfer->sent_, true);
+  return again && transfer->once_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 /** Sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays unacknowledged. */
@@ -231,6 +233,7 @@
                                           fmt::format("{}: {}", field.name_, field.value_).c_str());
   }
   transfer.headers_ = curl_slist_append(transfer.headers_, "Expect:");
+  transfer.once_ = call.once_;
   curl_easy_setopt(easy, CURLOPT_URL, call.url_.c_str());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/laburnumledge/http/client.hpp
+++ b/src/laburnumledge/http/client.hpp
@@ -29,7 +29,7 @@
  * @brief HTTP client on libcurl's multi interface, driven by the loop.
  *
  * Follows no redirects and leaves retries to its user. libcurl itself resends a call when a reused
- * connection closes; set Call::fresh_connection_ to rule that out.
+ * connection closes; Call::once_ rules that out, and so does Call::fresh_connection_.
  * Not thread safe: use it on the loop's thread only.
  */
 class Client {
