Resend a start only after a check, and resolve every check

A review of the checks showed, each by a failing test: a start in doubt that nobody sent again or resolved, when a later command had overtaken its check (LOST); a task that went from one silent idle worker to the next for ever, since each was first in rank again after its pause (LOST); a worker that got nothing for ever after a late answer of its earlier process; a gang that never started while answers took longer than they were valid.

A check now vouches for its worker from when it was sent, for 100 ms before the record is stored, and not after a call without an answer; answers to lease calls don't. A resend always asks first. An overtaken check is repeated. Workers that were silent when last asked are used last, the longest silent first. A listed worker whose entry and answers differ is called until they agree.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -318,7 +318,12 @@
       ScheduleUpdate(*worker, now);
     }
   }
-  recorded_starts_.insert(recorded_starts_.end(), pending.starts_.begin(), pending.starts_.end());
+  for (const auto& [id, run] : pending.starts_) {
+    if (AssignedRun* start = FindUnsentStart(id, run)) {
+      start->recorded_at_ = now;
+      recorded_starts_.emplace_back(id, run);
+    }
+  }
   SendRecordedStarts(now);
 }
 
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -224,7 +224,8 @@
   void IncrementFencingToken(Worker& worker);
   void OnStartConfirmed(const StartAction& action, const RunId& run, AssignedRun& assigned,
                         core::TimePoint now);
-  void RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
+  void RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned, bool checked,
+                  core::TimePoint now);
   void AwaitRunList(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
 
   void AdoptIncarnation(Worker& worker, site::Incarnation incarnation, bool was_draining,
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/hosting.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -94,7 +95,6 @@
     worker->last_lease_answer_ = now;
     ProcessResults(*worker, result.finished_, now);
     ProcessRunningRuns(*worker, result.running_, worker->lease_sent_, now);
-    SendRecordedStarts(now);
     return;
   }
   if (result.outcome_ == CommandOutcome::kFenced) {
@@ -118,6 +118,7 @@
                     {"reason", result.reason_}});
   }
   ++worker->failed_calls_;
+  worker->checked_at_ = {};
   worker->next_lease_ = now + (now < worker->doubtful_until_ ? internal::kDoubtfulLeaseRetryInterval
                                                              : internal::kLeaseRetryInterval);
   if (action.call_.acknowledged_ > 0) {
@@ -162,7 +163,8 @@
       worker.failed_calls_ < kMaxIdleLeaseFailures;
   const bool asks_for_results = !worker.expired_runs_.empty() || results_to_acknowledge;
   // The call that is open to a worker ends with its process, so that the next one follows at once.
-  const bool fences = (worker.fence_due_ && worker.listed_) || now < worker.doubtful_until_;
+  const bool unclear = worker.fence_due_ || HasOutdatedEntry(worker);
+  const bool fences = (unclear && worker.listed_) || now < worker.doubtful_until_;
   needs_lease = needs_lease || IsVerifiedByNextCall(worker) ||
                 ((asks_for_results || fences) && !worker.replaced_);
   if (!needs_lease) {
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -128,6 +128,9 @@
                     {"fence", action.command_.fence_token_},
                     {"reason", result.reason_}});
   }
+  if (result.outcome_ == CommandOutcome::kUnknown || result.outcome_ == CommandOutcome::kNotSent) {
+    worker->checked_at_ = {};
+  }
   if (result.outcome_ == CommandOutcome::kUnknown) {
     worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
   }
@@ -153,7 +156,7 @@
       worker->latest_lease_end_ = std::max(worker->latest_lease_end_, now + LongestLease(bounds_));
       [[fallthrough]];
     case CommandOutcome::kUnknown:
-      RetryStart(*worker, run, assigned, now);
+      RetryStart(*worker, run, assigned, false, now);
       return;
     case CommandOutcome::kOtherIncarnation:
       EndRunOfReplacedWorker(*worker, run, now);
@@ -192,13 +195,15 @@
   }
 }
 
-void Dispatcher::RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned,
+/** Sends a start again, after a check of the worker. */
+void Dispatcher::RetryStart(Worker& worker, const RunId& run, AssignedRun& assigned, bool checked,
                             core::TimePoint now) {
   const bool allowed = assigned.command_attempts_ < internal::kMaxStartAttempts &&
                        QuotaAllowsRetry(assigned) && FindObstacle(worker, run, assigned).empty();
-  if (allowed && internal::IsPresent(worker, now)) {
+  if (allowed && checked) {
     SendStart(worker, run, assigned, now);
   } else if (allowed) {
+    // The worker may have restarted since the start was sent.
     assigned.resend_due_ = true;
     SendCheck(worker, now);
   } else {
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -324,7 +324,7 @@
                                                .crashes_ = task.crashes_,
                                            });
     pending.starts_.emplace_back(worker.entry_.id_, run);
-    if (!internal::IsPresent(worker, now)) {
+    if (!internal::IsVouchedFor(worker, now)) {
       SendCheck(worker, now);
     }
     LogPlaced(worker, run, job, now);
--- a/src/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -117,7 +117,7 @@
     const AssignedRun* start = FindUnsentStart(id, run);
     Worker* worker = FindWorker(fleet_, id);
     if (start == nullptr || start->phase_ != RunPhase::kRecording ||
-        internal::IsPresent(*worker, now)) {
+        internal::IsVouchedFor(*worker, start->recorded_at_)) {
       continue;
     }
     SendCheck(*worker, now);
@@ -133,7 +133,8 @@
     Worker& worker = *FindWorker(fleet_, id);
     if (start->phase_ == RunPhase::kWithdrawn) {
       RemoveUnsentStart(worker, run, now);
-    } else if (internal::IsPresent(worker, now) && !waiting_gangs.contains(gang_of(run))) {
+    } else if (internal::IsVouchedFor(worker, start->recorded_at_) &&
+               !waiting_gangs.contains(gang_of(run))) {
       SendStart(worker, run, *start, now);
     } else {
       recorded_starts_.emplace_back(id, run);
@@ -148,6 +149,7 @@
     return;
   }
   worker.check_number_ = next_check_++;
+  worker.check_sent_ = now;
   ++counts_.checks_;
   actions_.checks_.push_back({.worker_ = internal::AddressOf(worker),
                               .call_ = {.fence_token_ = worker.fence_token_,
@@ -171,9 +173,12 @@
   }
   worker->unanswered_checks_ = 0;
   if (result.outcome_ == CommandOutcome::kFenced) {
-    // With an older token than the present one the call tells nothing.
-    actions_.superseded_ =
-        actions_.superseded_ || action.call_.fence_token_ >= worker->fence_token_;
+    if (action.call_.fence_token_ >= worker->fence_token_) {
+      actions_.superseded_ = true;
+    } else {
+      // A command with the present token has overtaken the check.
+      SendCheck(*worker, now);
+    }
   } else if (result.outcome_ != CommandOutcome::kDone) {
     OnCheckFailed(*worker, platform::ToString(result.outcome_), now);
     if (result.outcome_ == CommandOutcome::kOtherIncarnation) {
@@ -189,7 +194,8 @@
       ReadClock(*worker, *result.clock_, now);
     }
     worker->last_answer_ = now;
-    worker->checked_at_ = now;
+    worker->checked_at_ = worker->check_sent_;
+    worker->silent_at_ = {};
     NoteVerified(*worker, action.worker_.address_);
     ResendStarts(*worker, true, now);
   }
@@ -204,6 +210,8 @@
                   {"incarnation", worker.entry_.incarnation_},
                   {"entry_age_ms", internal::AgeOf(worker.entry_seen_, now)},
                   {"answer_age_ms", internal::AgeOf(worker.last_answer_, now)}});
+  worker.checked_at_ = {};
+  worker.silent_at_ = now;
   worker.health_.suspected_until_ =
       std::max(worker.health_.suspected_until_, now + internal::kUnansweredStartPause);
   WithdrawUnsentStarts(worker, reason, now);
@@ -227,7 +235,7 @@
       continue;  // With another member of its gang.
     }
     if (present) {
-      RetryStart(worker, run, assigned, now);
+      RetryStart(worker, run, assigned, true, now);
     } else {
       AwaitRunList(worker, run, assigned, now);
     }
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -52,6 +52,7 @@
   site::Incarnation incarnation_{};  ///< Of the worker when the run was assigned to it.
   config::Address address_;          ///< Where all commands for the run are sent.
   core::TimePoint decided_at_{};    ///< When this leader placed the run; zero for earlier leaders'.
+  core::TimePoint recorded_at_{};   ///< When the record of the start was stored.
   bool resumed_{};                  ///< Started from a checkpoint.
   std::uint32_t gang_size_{1};      ///< Tasks that fail together with this run.
   std::uint32_t preemptions_{};     ///< Earlier runs of the task that were preempted.
@@ -121,7 +122,10 @@
   std::uint64_t lease_call_number_{};  ///< Number of the lease call in flight.
   std::uint64_t check_number_{};       ///< Number of the check in flight; 0 for none.
   std::uint32_t unanswered_checks_{};  ///< Consecutive checks without an answer.
-  core::TimePoint checked_at_{};       ///< When the incarnation of the entry answered a check.
+  core::TimePoint check_sent_{};       ///< When the check in flight was sent.
+  core::TimePoint checked_at_{};  ///< When the latest check was sent that the incarnation of the
+                                  ///< entry has answered; zero after a call without an answer.
+  core::TimePoint silent_at_{};   ///< When checks had no answer; zero once one has.
   core::TimePoint lease_sent_{};
   core::TimePoint next_lease_{};         ///< When the next lease call is due.
   core::TimePoint latest_lease_end_{};   ///< No run can exist on the worker after this time.
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -102,14 +101,13 @@
          now <= worker.last_lease_answer_ + kLeaseCallWait + kLeaseAnswerMargin;
 }
 
-/** @brief Time for which an answer tells who is at a worker's address. A process takes longer to
- * end and to start again. */
-inline constexpr core::Milliseconds kAnswerValidity{300};
+/** @brief How long before a start's record is stored a check may have been sent that vouches for
+ * its worker. Short, since a process may end and start again in less than a second. */
+inline constexpr core::Milliseconds kCheckValidity{100};
 
-/** @brief Whether a worker has answered so recently that it can't have restarted since. */
-[[nodiscard]] inline bool IsPresent(const Worker& worker, core::TimePoint now) noexcept {
-  const core::TimePoint answered = std::max(worker.last_lease_answer_, worker.checked_at_);
-  return answered != core::TimePoint{} && now <= answered + kAnswerValidity;
+/** @brief Whether the latest check that a worker has answered vouches for it at a time. */
+[[nodiscard]] inline bool IsVouchedFor(const Worker& worker, core::TimePoint at) noexcept {
+  return worker.checked_at_ != core::TimePoint{} && at <= worker.checked_at_ + kCheckValidity;
 }
 
 /** @brief Whether the run is to leave its worker without having ended by itself. */
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -52,16 +52,18 @@
                                                   offer.candidate_->kinds_);
 }
 
-/** Sort key of offers: workers without a recent failure first, then urgent headroom (for steps that
- * may use it), then the least interference, then best fit: the fewest GPUs, then processors, left
- * free by the tasks. */
-std::tuple<bool, bool, double, std::int64_t, std::int64_t> OfferRank(const Offer& offer,
-                                                                     const ReadyStep& step,
-                                                                     std::uint32_t wanted,
-                                                                     double cost) noexcept {
+/** Sort key of offers: workers without a recent failure first, then those that were not silent when
+ * last asked, or were so longest ago, then urgent headroom (for steps that may use it), then the
+ * least interference, then best fit: the fewest GPUs, then processors, left free by the tasks. */
+std::tuple<bool, core::TimePoint, bool, double, std::int64_t, std::int64_t> OfferRank(
+    const Offer& offer, const ReadyStep& step, std::uint32_t wanted, double cost) noexcept {
   const site::Resources left =
       offer.candidate_->free_ - step.spec_->task_resources_ * std::min(offer.count_, wanted);
-  return {offer.candidate_->recently_failed_, !offer.candidate_->urgent_headroom_, cost, left.gpus_,
+  return {offer.candidate_->recently_failed_,
+          offer.candidate_->worker_->silent_at_,
+          !offer.candidate_->urgent_headroom_,
+          cost,
+          left.gpus_,
           left.cpu_millis_};
 }
 
--- a/test/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -207,4 +207,81 @@
   CHECK(harness.now_ - called <= core::Milliseconds(600));
 }
 
+// Guards against a start in doubt that nobody sends again or resolves (LOST).
+TEST_CASE("a check that a later command has overtaken is repeated") {
+  Harness harness(1);
+  harness.Answer(harness.Place(MakeStep(1, 1)).checks_.at(0), CommandOutcome::kDone);
+  const Actions sent = harness.Run();
+  REQUIRE(sent.starts_.size() == 1);
+  harness.dispatcher_.OnStarted(sent.starts_[0], {.outcome_ = CommandOutcome::kUnknown},
+                                harness.now_);
+  const Actions asked = harness.Run();
+  REQUIRE(asked.checks_.size() == 1);
+  // An unanswered call that acknowledges results, or another start, raises the worker's token.
+  CheckAction overtaken = asked.checks_[0];
+  --overtaken.call_.fence_token_;
+  harness.Answer(overtaken, CommandOutcome::kFenced);
+  const Actions again = harness.Run();
+  CHECK(!again.superseded_);
+  REQUIRE(again.checks_.size() == 1);
+  harness.Answer(again.checks_[0], CommandOutcome::kDone);
+  CHECK(harness.Run().starts_.size() == 1);
+}
+
+// Guards against a task that goes from one silent worker to the next for ever (LOST).
+TEST_CASE("a task finds the only worker that answers among those that the list shows") {
+  constexpr int kWorkers = 12;
+  Harness harness(kWorkers);
+  const std::string answering = fmt::format("w{}", kWorkers - 3);
+  Actions actions = harness.Place(MakeStep(1, 1));
+  for (int round = 0; actions.starts_.empty() && round < 1000; ++round) {
+    for (const CheckAction& check : actions.checks_) {
+      const bool answers = check.worker_.id_ == answering;
+      harness.now_ = answers ? harness.now_ : check.call_.deadline_;
+      harness.Answer(check, answers ? CommandOutcome::kDone : CommandOutcome::kUnknown);
+    }
+    actions = harness.Run();
+    for (const RecordBatch& batch : actions.records_) {
+      harness.dispatcher_.OnRecorded(batch.number_, harness.now_);
+    }
+  }
+  REQUIRE(actions.starts_.size() == 1);
+  CHECK(actions.starts_[0].worker_.id_ == answering);
+  CHECK(harness.now_ <= kNow + std::chrono::seconds(10));
+}
+
+// Guards against a gang whose workers have to answer again before the last of them has (LOST).
+TEST_CASE("a gang starts however far apart its workers answer") {
+  ledger::Step gang = MakeStep(2, 8);
+  gang.gang_ = true;
+  Harness harness(2);
+  const Actions placed = harness.Place(gang);
+  REQUIRE(placed.checks_.size() == 2);
+  harness.Answer(placed.checks_[0], CommandOutcome::kDone);
+  harness.now_ += core::Milliseconds(190);
+  harness.Answer(placed.checks_[1], CommandOutcome::kDone);
+  CHECK(harness.Run().starts_.size() == 2);
+}
+
+// Guards against a worker that gets nothing for ever after a late answer of its earlier process.
+TEST_CASE("a worker whose answer and entry differ is asked until they agree") {
+  Harness harness(1);
+  const Actions placed = harness.Place(MakeStep(1, 1));
+  harness.Answer(placed.checks_.at(0), CommandOutcome::kDone);
+  Actions actions = harness.Run();
+  REQUIRE(actions.leases_.size() == 1);
+  harness.dispatcher_.OnLease(
+      actions.leases_[0], {.outcome_ = CommandOutcome::kDone, .incarnation_ = 500}, harness.now_);
+  site::Incarnation answered = 500;
+  for (int round = 0; round < 20; ++round) {
+    actions = harness.Run(core::Milliseconds(100));
+    for (const LeaseAction& lease : actions.leases_) {
+      answered = MakeEntry("").incarnation_;
+      harness.dispatcher_.OnLease(
+          lease, {.outcome_ = CommandOutcome::kDone, .incarnation_ = answered}, harness.now_);
+    }
+  }
+  CHECK(harness.dispatcher_.Workers().workers_.at("w1").incarnation_ == MakeEntry("").incarnation_);
+}
+
 }  // namespace laburnumledge::dispatch
