Mend what the linter finds in the new tests

An automatic move that a const result prevents, an unused using declaration, and a structured binding in a capture. unit_entry and unit_dispatch pass.

--- a/test/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -36,7 +36,7 @@
   Actions Place(const ledger::Step& step) {
     const ledger::JobEntry entry{.submission_ = MakeSubmission({step})};
     dispatcher_.OnJob(JobId(1), &entry, now_);
-    const Actions placed = Run();
+    Actions placed = Run();
     for (const RecordBatch& batch : placed.records_) {
       dispatcher_.OnRecorded(batch.number_, now_);
     }
--- a/test/laburnumledge/dispatch/hosting.cpp
+++ b/test/laburnumledge/dispatch/hosting.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using namespace fixture;  // NOLINT
-using platform::CommandOutcome;
 
 /** @brief One worker with a run that is about to be started there. */
 struct Placement {
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -386,13 +386,14 @@
       {"Authorization: Bearer secret, Bearer other\r\n", false},
       {"Forwarded: by=node-2\r\n", false},
       {"Forwarded: by=node-2\r\nAuthorization: Bearer other\r\n", false}};
-  for (const auto& [header, admitted] : cases) {
+  for (const auto& entry : cases) {
+    const std::string& header = entry.first;
     CAPTURE(header);
     const http::RawClient client(
         loop, server->Port(),
         "GET /s/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" + header + "\r\n");
     REQUIRE(http::RunUntil(loop, [&client] { return client.Closed(); }));
-    CHECK(client.Received().substr(0, 12) == (admitted ? "HTTP/1.1 200" : "HTTP/1.1 401"));
+    CHECK(client.Received().substr(0, 12) == (entry.second ? "HTTP/1.1 200" : "HTTP/1.1 401"));
   }
 }
 
