Let late calls outlast cuts, restarts and leaders in randomised worlds

Late calls were late by 8 s at most and each case had one or two kinds of faults; a stopped run left its room at once; an end could be noted after its task had been started again without breaking a rule.

--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/dispatch/fixture.hpp"
 
 namespace laburnumledge::support {
@@ -19,6 +20,7 @@
   field.active_at_[id.job_] = now;
   if (end == RunResult::kDone) {
     field.done_at_.try_emplace(run.key(), now);
+    field.run_done_at_.try_emplace({run.key(), run.mapped().number_}, now);
   }
   worker.finished_.push_back({.sequence_number_ = ++worker.ends_,
                               .task_ = run.key(),
@@ -26,6 +28,23 @@
                               .result_ = end});
 }
 
+/** Ends a run as stopped, at once or some time within the platform's limit. */
+void StopRun(FakeWorkers& field, FakeWorker& worker,
+             std::map<ledger::TaskId, FakeRun>::iterator run, core::TimePoint now) {
+  if (!field.slow_stop_) {
+    EndRun(field, worker, run->first, RunResult::kStopped, now);
+    return;
+  }
+  const auto grace = static_cast<std::uint64_t>(field.bounds_.stop_grace_.count());
+  const std::uint64_t taken =
+      core::Hash(fmt::format("{} {}", ledger::ToString(run->first), run->second.number_)) % grace;
+  const core::TimePoint ends = now + core::Milliseconds(static_cast<std::int64_t>(taken));
+  if (ends < run->second.ends_) {
+    run->second.ends_ = ends;
+    run->second.stopping_ = true;
+  }
+}
+
 std::int64_t PercentOf(const FakeRun& run, core::TimePoint now) {
   constexpr std::int64_t kDone = 100;
   return run.ends_ <= run.began_
@@ -168,6 +187,15 @@
   return worker;
 }
 
+/** An end that was noted after its task had been started again is an end before that start. */
+void CheckNotedEnd(FakeWorkers& field, const platform::FinishedRun& row, core::TimePoint now) {
+  const auto done = field.run_done_at_.find({row.task_, row.run_});
+  if (row.result_ == RunResult::kDone && done != field.run_done_at_.end() &&
+      field.started_at_[row.task_] > done->second) {
+    Break(field, now, "TWICE an end is noted after a later start " + ledger::ToString(row.task_));
+  }
+}
+
 std::int64_t ClockOf(const FakeWorker& worker, core::TimePoint now) {
   const auto elapsed = std::chrono::duration_cast<core::Milliseconds>(now - worker.started_);
   return static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kWorkerClock) + 1;
@@ -209,8 +237,10 @@
     if (next == worker.runs_.end()) {
       break;
     }
-    EndRun(field, worker, next->first, next->second.fails_ ? RunResult::kFailed : RunResult::kDone,
-           now);
+    const RunResult end = next->second.stopping_ ? RunResult::kStopped
+                          : next->second.fails_  ? RunResult::kFailed
+                                                 : RunResult::kDone;
+    EndRun(field, worker, next->first, end, now);
   }
   if (ClockOf(worker, now) > worker.lease_deadline_) {
     while (!worker.runs_.empty()) {
@@ -296,6 +326,7 @@
     return answer(CommandOutcome::kStaleRun);
   }
   CheckStart(field, worker, order, now);
+  field.started_at_[order.task_] = now;
   const ledger::Submission& submission = *field.jobs_->entries_.at(order.task_.job_).submission_;
   worker.highest_[order.task_] = order.run_;
   worker.lease_deadline_ =
@@ -320,7 +351,7 @@
   worker.highest_[order.task_] = std::max(worker.highest_[order.task_], order.run_);
   const auto present = worker.runs_.find(order.task_);
   if (present != worker.runs_.end() && present->second.number_ == order.run_) {
-    EndRun(field, worker, order.task_, RunResult::kStopped, now);
+    StopRun(field, worker, present, now);
   }
   return {.outcome_ = CommandOutcome::kDone};
 }
@@ -354,6 +385,7 @@
   for (const platform::FinishedRun& row : worker.finished_) {
     if (row.sequence_number_ <= call.acknowledged_ && row.sequence_number_ > worker.forgotten_) {
       field.noted_.push_back(row);
+      CheckNotedEnd(field, row, now);
       field.noted_done_[row.task_] += row.result_ == RunResult::kDone ? 1 : 0;
       field.noted_failed_[row.task_] += row.result_ == RunResult::kFailed ? 1 : 0;
     }
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -23,6 +23,7 @@
   core::TimePoint began_{};
   core::TimePoint ends_{};
   bool fails_{};
+  bool stopping_{};  ///< Ends as stopped, with its room in use until then.
 };
 
 /** @brief Worker that keeps the platform's rules of runs, leases, fences and ends. */
@@ -61,6 +62,9 @@
   std::map<ledger::TaskId, int> noted_done_;
   std::map<ledger::TaskId, int> noted_failed_;
   std::map<ledger::TaskId, core::TimePoint> done_at_;
+  std::map<std::pair<ledger::TaskId, std::uint64_t>, core::TimePoint> run_done_at_;
+  std::map<ledger::TaskId, core::TimePoint> started_at_;  ///< Latest start of a task.
+  bool slow_stop_{};  ///< A stopped run ends within the platform's limit, not at once.
   /** Runs whose failure a worker has reported to a dispatcher. */
   std::set<std::pair<ledger::TaskId, std::uint64_t>> reported_failures_;
   std::map<ledger::JobId, core::TimePoint> active_at_;  ///< Latest start or end of a run of a job.
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -29,6 +29,7 @@
       has_kinds_(faults.other_kind_ > 0 || faults.route_change_ > 0) {
   fake_workers_.bounds_ = fixture::MakeBounds();
   fake_workers_.bounds_.longest_lease_ = size.longest_lease_;
+  fake_workers_.slow_stop_ = faults.slow_stop_;
   fake_workers_.is_deadly_ = [this](const ledger::TaskId& task) { return IsDeadly(task.job_); };
   fake_workers_.jobs_ = &jobs_;
   fake_workers_.course_ = [this](const platform::StartCommand& order) { return CourseOf(order); };
@@ -118,7 +119,9 @@
   }
   const bool late = Chance(faults_.late_call_);
   const bool lost = late || Chance(faults_.lost_answer_);
-  const core::TimePoint arrives = now_ + (late ? RandomDuration(1000, 8000) : RandomDuration(1, 4));
+  const core::TimePoint arrives =
+      now_ + (late ? RandomDuration(1000, static_cast<int>(faults_.longest_late_call_.count()))
+                   : RandomDuration(1, 4));
   const site::Incarnation incarnation = fake_workers_.workers_.at(id).incarnation_;
   const bool carried_out_after_crash = faults_.late_call_after_crash_;
   Schedule(arrives, [this, term, id, deadline, execute, late, lost, incarnation,
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -32,6 +32,8 @@
   std::uint32_t outage_{};        ///< Per second: 30% to 40% of the workers crash together.
   std::uint32_t foreign_entry_{};  ///< Per second: another writer copies or overwrites an entry.
   bool late_call_after_crash_{};   ///< Late calls reach a later incarnation of their worker too.
+  core::Milliseconds longest_late_call_{8000};  ///< Latest time at which a late call arrives.
+  bool slow_stop_{};  ///< A stopped run ends some time later and keeps its room until then.
   std::uint32_t other_kind_{};  ///< Per restart: the worker comes back with another service, label
                                 ///< and capacity; 0: all workers are alike.
   std::uint32_t route_change_{};  ///< Per second: the queue is sent to another service.
