Log what is known of the task of a stray run

task.stray told a start that was carried out late by a restarted worker from a run that was given up too early in no way. It names the process that lists the run, the newest run of its task and where that is, whether the task is done, and how long starts to the worker are in doubt.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -120,9 +120,18 @@
 
 /** Stops a run that a worker lists but that is not assigned to the worker. */
 void Dispatcher::StopOrphanedRun(Worker& worker, const RunId& run, core::TimePoint now) {
-  core::LogEvent(
-      Level::kWarning, EventPriority::kHigh, "task.stray",
-      {{"task", ledger::ToString(run.task_)}, {"run", run.run_}, {"worker", worker.entry_.id_}});
+  const Task* task = FindTask(job_table_, run.task_);
+  const core::Milliseconds doubt_left =
+      std::chrono::duration_cast<core::Milliseconds>(worker.doubtful_until_ - now);
+  core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.stray",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"newest_run", task == nullptr ? 0 : task->run_},
+                  {"newest_worker", task == nullptr ? "" : task->worker_},
+                  {"done", task != nullptr && task->phase_ == TaskPhase::kDone},
+                  {"worker", worker.entry_.id_},
+                  {"incarnation", worker.incarnation_},
+                  {"doubt_left_ms", std::max(doubt_left, core::Milliseconds{})}});
   AssignedRun orphan{
       .phase_ = RunPhase::kRunning, .address_ = CallAddress(worker), .settled_at_ = now};
   if (Job* job = FindJob(job_table_, run.task_.job_)) {
@@ -132,8 +141,8 @@
     orphan.organisation_ = job->organisation_;
     ++job->outstanding_runs_;
   }
-  if (Task* task = FindTask(job_table_, run.task_)) {
-    ++task->outstanding_runs_;
+  if (Task* known = FindTask(job_table_, run.task_)) {
+    ++known->outstanding_runs_;
   }
   AddAssignedRun(worker, run, orphan);
   StopRun(worker, run, "the run is not assigned to the worker", now);
