Bind a task to the worker on which its start is in doubt

Callers saw one task run twice at the same time. A start without an answer may be carried out up to 12 s later, also by a process that has started since under the worker's identifier and has seen no fencing token.

While a start is in doubt, for 15 s, its task starts on that worker or nowhere: if the worker restarts, the newer run ends with it, and the first list shows the late one. It waits if a worker has crashed under the task, as another crash of the same worker would tell nothing, and if the worker can't take it. Once another process answers at the address the doubt is over, since that process refuses the start.

The tests fail without the binding.

--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/hosting.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
@@ -158,6 +159,7 @@
   }
   std::erase_if(worker.expired_runs_,
                 [now](const auto& entry) { return entry.second.asked_until_ < now; });
+  DropExpiredDoubts(worker, now);
   const bool results_to_acknowledge =
       AcknowledgeableResults(worker) > worker.results_acknowledged_ &&
       worker.failed_calls_ < kMaxIdleLeaseFailures;
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -108,6 +109,9 @@
     worker->last_answer_ = now;
   }
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
+  if (result.outcome_ == CommandOutcome::kUnknown) {
+    NoteDoubtfulStart(*worker, action, now);
+  }
   const auto found = worker->assigned_runs_.find(run);
   if (found == worker->assigned_runs_.end()) {
     return;
@@ -131,9 +135,6 @@
   if (result.outcome_ == CommandOutcome::kUnknown || result.outcome_ == CommandOutcome::kNotSent) {
     worker->checked_at_ = {};
   }
-  if (result.outcome_ == CommandOutcome::kUnknown) {
-    worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
-  }
   const bool own_token = action.command_.fence_token_ < worker->fence_token_;
   switch (result.outcome_) {
     case CommandOutcome::kDone:
--- a/src/laburnumledge/dispatch/dispatcher_workers.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_workers.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 // Which process a worker's identifier and address stand for. The list is a hint: anybody can write
@@ -207,6 +208,7 @@
   }
   std::erase_if(worker.expired_runs_,
                 [&address](const auto& entry) { return entry.second.address_ == address; });
+  DropDoubtfulStarts(worker, address);
   std::vector<RunId> ended;
   for (const auto& [run, assigned] : worker.assigned_runs_) {
     if (assigned.address_ == address && internal::MayBeOnWorker(assigned) &&
--- /dev/null
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -0,0 +1,60 @@
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
+
+#include <algorithm>
+
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+bool IsSameStep(const ledger::TaskId& left, const ledger::TaskId& right) noexcept {
+  return left.job_ == right.job_ && left.occurrence_ == right.occurrence_ &&
+         left.step_ == right.step_;
+}
+
+}  // namespace
+
+void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now) {
+  const core::TimePoint until = now + internal::kLateCommandTime;
+  worker.doubtful_until_ = std::max(worker.doubtful_until_, until);
+  worker.doubtful_starts_.insert_or_assign(
+      start.command_.task_, DoubtfulStart{.address_ = start.worker_.address_, .until_ = until});
+}
+
+void DropDoubtfulStarts(Worker& worker, const config::Address& address) {
+  std::erase_if(worker.doubtful_starts_,
+                [&address](const auto& entry) { return entry.second.address_ == address; });
+}
+
+void DropExpiredDoubts(Worker& worker, core::TimePoint now) {
+  std::erase_if(worker.doubtful_starts_,
+                [now](const auto& entry) { return entry.second.until_ <= now; });
+}
+
+TaskBindings CollectBindings(const Fleet& fleet, core::TimePoint now) {
+  TaskBindings bindings;
+  for (const auto& [id, worker] : fleet.workers_) {
+    for (const auto& [task, start] : worker.doubtful_starts_) {
+      if (now < start.until_) {
+        const auto [binding, added] = bindings.try_emplace(task, &worker);
+        binding->second = added ? &worker : nullptr;
+      }
+    }
+  }
+  return bindings;
+}
+
+std::vector<TaskBinding> BindingsOfStep(const TaskBindings& bindings, ledger::TaskId step) {
+  std::vector<TaskBinding> found;
+  step.index_ = 0;
+  for (auto entry = bindings.lower_bound(step); entry != bindings.end(); ++entry) {
+    if (!IsSameStep(entry->first, step)) {
+      break;
+    }
+    found.push_back({.task_ = entry->first.index_, .worker_ = entry->second});
+  }
+  return found;
+}
+
+}  // namespace laburnumledge::dispatch
--- /dev/null
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "laburnumledge/config/reader.hpp"
+#include "laburnumledge/core/time.hpp"
+#include "laburnumledge/dispatch/actions.hpp"
+#include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/ledger/job.hpp"
+
+// Starts without an answer. A process that has seen a higher fencing token refuses them, but its
+// successor under the same identifier has seen none: until the start can't arrive any more, nothing
+// keeps it apart from a run of its task on another worker.
+
+namespace laburnumledge::dispatch {
+
+/** @brief Worker that a task is bound to while a start of the task there is in doubt. */
+struct TaskBinding {
+  std::uint32_t task_{};    ///< Index of the task in its step.
+  const Worker* worker_{};  ///< Null if starts on several workers are in doubt.
+};
+
+/** @brief Bindings of all tasks, for one plan. */
+using TaskBindings = std::map<ledger::TaskId, const Worker*>;
+
+/** @brief Notes that a start got no answer at a time. */
+void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now);
+
+/** @brief Drops the doubts about starts to an address at which another process answers: it refuses
+ * them. */
+void DropDoubtfulStarts(Worker& worker, const config::Address& address);
+
+/** @brief Drops the doubts that are over. */
+void DropExpiredDoubts(Worker& worker, core::TimePoint now);
+
+/** @brief Collects the workers that tasks are bound to at a time. */
+[[nodiscard]] TaskBindings CollectBindings(const Fleet& fleet, core::TimePoint now);
+
+/** @brief Bindings of the tasks of a step, by index; `step` names any task of it. */
+[[nodiscard]] std::vector<TaskBinding> BindingsOfStep(const TaskBindings& bindings,
+                                                      ledger::TaskId step);
+
+}  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -95,6 +95,13 @@
   bool on_trial_{};                  ///< See IsOnTrial.
 };
 
+/** @brief Start without an answer, which may be carried out yet: at its address, under its worker's
+ * identifier, by a process that has seen no higher fencing token. */
+struct DoubtfulStart {
+  config::Address address_;
+  core::TimePoint until_{};
+};
+
 /** @brief Value of Worker::acknowledgement_limit_ that allows every acknowledgement. */
 inline constexpr std::uint64_t kNoAcknowledgementLimit = std::numeric_limits<std::uint64_t>::max();
 
@@ -113,8 +120,9 @@
   std::uint64_t results_processed_{};     ///< Results up to this number are processed.
   std::uint64_t results_recorded_{};      ///< Results up to this number are stored.
   std::uint64_t results_acknowledged_{};  ///< Results up to this number are acknowledged.
-  core::TimePoint doubtful_until_{};      ///< Until then an unanswered start may be carried out.
-  core::TimePoint last_lease_answer_{};   ///< When the worker last answered a lease call.
+  core::TimePoint doubtful_until_{};      ///< Until then an unanswered command may be carried out.
+  std::map<ledger::TaskId, DoubtfulStart> doubtful_starts_;  ///< The latest of each task.
+  core::TimePoint last_lease_answer_{};  ///< When the worker last answered a lease call.
   std::uint64_t acknowledgement_limit_{
       kNoAcknowledgementLimit};  ///< Results beyond this number are never acknowledged.
   std::map<RunId, ExpiredRun> expired_runs_;
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -65,7 +65,8 @@
 void PlanStepWithinQuota(Planner& planner, const ReadyStep& step, bool holds_reservations) {
   const std::size_t missing = internal::PlaceStep(planner, step);
   CountForOrganisation(planner, step, step.tasks_.size() - missing);
-  if (missing == 0) {
+  // Nothing is preempted for tasks that are bound to a worker: they are free soon.
+  if (missing == 0 || !step.bindings_.empty()) {
     return;
   }
   planner.plan_.lacks_capacity_ = true;
@@ -137,8 +138,8 @@
   std::vector<char> holds_reservations;  // Not of bool, so that a part of it is a span.
   holds_reservations.reserve(steps.size());
   for (const ReadyStep& step : steps) {
-    const bool holds =
-        !step.state_->reservations_.empty() && internal::ApplyReservations(planner, step);
+    const bool holds = step.bindings_.empty() && !step.state_->reservations_.empty() &&
+                       internal::ApplyReservations(planner, step);
     holds_reservations.push_back(holds ? 1 : 0);
   }
   auto begin = steps.begin();
@@ -181,7 +182,8 @@
   planner.mostly_idle_ = internal::IsMostlyIdle(planner.candidates_);
   internal::CollectKinds(planner);
   internal::ReserveUrgentHeadroom(planner.candidates_, context.urgent_headroom_gpus_);
-  const std::vector<ReadyStep> steps = internal::CollectReadySteps(table, context);
+  const std::vector<ReadyStep> steps =
+      internal::CollectReadySteps(table, context, CollectBindings(fleet, context.time_.now_));
   planner.plan_.use_ = internal::MeasureCapacityUse(fleet, planner.candidates_, steps);
   // Priorities are planned one after the other, so that reservations of less urgent steps don't
   // keep resources from more urgent steps.
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 #include "laburnumledge/dispatch/crash_evidence.hpp"
 #include "laburnumledge/dispatch/hosting.hpp"
@@ -114,8 +115,36 @@
   });
 }
 
+/** Separates the tasks that are bound to a worker. They wait until the doubt is over if a worker
+ * has crashed under them, since another crash of the same worker would tell nothing. */
+void CollectBoundTasks(ReadyStep step, std::vector<ReadyStep>& steps) {
+  const auto waits = [&step](const TaskBinding& binding) {
+    return binding.worker_ == nullptr || !step.state_->tasks_[binding.task_].crashes_.empty();
+  };
+  std::erase_if(step.bindings_, [&step](const TaskBinding& binding) {
+    return !std::binary_search(step.tasks_.begin(), step.tasks_.end(), binding.task_);
+  });
+  if (step.spec_->gang_) {
+    if (std::none_of(step.bindings_.begin(), step.bindings_.end(), waits)) {
+      steps.push_back(std::move(step));
+    }
+    return;
+  }
+  for (const TaskBinding& binding : std::exchange(step.bindings_, {})) {
+    std::erase(step.tasks_, binding.task_);
+    if (!waits(binding)) {
+      steps.push_back(step);
+      steps.back().tasks_ = {binding.task_};
+      steps.back().bindings_ = {binding};
+    }
+  }
+  if (!step.tasks_.empty()) {
+    steps.push_back(std::move(step));
+  }
+}
+
 void CollectIfReady(const Job& job, std::uint32_t number, const Occurrence& occurrence,
-                    std::uint32_t index, const PlanContext& context,
+                    std::uint32_t index, const PlanContext& context, const TaskBindings& bindings,
                     std::vector<ReadyStep>& steps) {
   const PlanTime time = context.time_;
   const StepState& state = occurrence.steps_[index];
@@ -151,12 +180,21 @@
   step.crash_suspect_ =
       std::any_of(step.tasks_.begin(), step.tasks_.end(),
                   [&state](std::uint32_t task) { return !state.tasks_[task].crashes_.empty(); });
-  steps.push_back(std::move(step));
+  if (!bindings.empty()) {
+    step.bindings_ = BindingsOfStep(
+        bindings, {.job_ = job.id_, .occurrence_ = number, .step_ = index, .index_ = 0});
+  }
+  if (step.bindings_.empty()) {
+    steps.push_back(std::move(step));
+  } else {
+    CollectBoundTasks(std::move(step), steps);
+  }
 }
 
 }  // namespace
 
-std::vector<ReadyStep> CollectReadySteps(const JobTable& table, const PlanContext& context) {
+std::vector<ReadyStep> CollectReadySteps(const JobTable& table, const PlanContext& context,
+                                         const TaskBindings& bindings) {
   std::vector<ReadyStep> steps;
   for (const auto& [id, job] : table.jobs_) {
     if (job.cancelled_ || ledger::IsFinal(job.state_)) {
@@ -164,7 +202,7 @@
     }
     for (const auto& [number, occurrence] : job.occurrences_) {
       for (std::uint32_t index = 0; index < occurrence.steps_.size(); ++index) {
-        CollectIfReady(job, number, occurrence, index, context, steps);
+        CollectIfReady(job, number, occurrence, index, context, bindings, steps);
       }
     }
   }
@@ -310,7 +348,9 @@
   // tell no more than the first.
   const bool beside_suspect = step.crash_suspect_ && candidate.crash_suspect_job_ != nullptr &&
                               *candidate.crash_suspect_job_ != step.job_->id_;
-  return (!beside_suspect || ExceedsIdleWait(planner, step)) &&
+  const bool bound_elsewhere = !step.spec_->gang_ && !step.bindings_.empty() &&
+                               step.bindings_.front().worker_ != candidate.worker_;
+  return !bound_elsewhere && (!beside_suspect || ExceedsIdleWait(planner, step)) &&
          !DisturbsTrial(planner, candidate, step) &&
          (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
 
 namespace laburnumledge::dispatch::internal {
@@ -60,9 +61,10 @@
   core::TimePoint ready_since_{};
   /** One more failure ends the job: the step waits a while for a worker without recent failures. */
   bool avoids_failed_workers_{};
-  bool crash_suspect_{};  ///< A worker has crashed under one of the tasks.
-  bool on_trial_{};       ///< One of the tasks is on trial: none of another job runs beside it.
-  ShareBand band_{};      ///< The same for all steps without shares.
+  std::vector<TaskBinding> bindings_;  ///< Of its tasks; of the only task if the step is no gang.
+  bool crash_suspect_{};               ///< A worker has crashed under one of the tasks.
+  bool on_trial_{};   ///< One of the tasks is on trial: none of another job runs beside it.
+  ShareBand band_{};  ///< The same for all steps without shares.
 };
 
 /** @brief What an organisation's quota leaves in the plan under way. */
@@ -85,9 +87,13 @@
   bool mostly_idle_{};  ///< So few resources are in use that no step that fits may wait for long.
 };
 
-/** @brief Steps with tasks that can start, in the order in which the plan places them. */
+/**
+ * @brief Steps with tasks that can start, in the order in which the plan places them. Each task
+ * that is bound to a worker, and belongs to no gang, makes a step of its own.
+ */
 [[nodiscard]] std::vector<ReadyStep> CollectReadySteps(const JobTable& table,
-                                                       const PlanContext& context);
+                                                       const PlanContext& context,
+                                                       const TaskBindings& bindings);
 
 /** @brief Workers that may be given work, ordered by identifier. */
 [[nodiscard]] std::vector<CandidateWorker> CollectCandidates(Fleet& fleet, const site::Rules& rules,
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -109,6 +109,33 @@
                      .worker_ = candidate.worker_});
 }
 
+/** Whether the offers hold each task of a gang that is bound to a worker. */
+bool HoldBoundTasks(const std::vector<Offer>& offers, const ReadyStep& step) {
+  return std::all_of(step.bindings_.begin(), step.bindings_.end(), [&](const TaskBinding& wanted) {
+    const auto bound =
+        std::count_if(step.bindings_.begin(), step.bindings_.end(),
+                      [&](const TaskBinding& other) { return other.worker_ == wanted.worker_; });
+    return std::any_of(offers.begin(), offers.end(), [&](const Offer& offer) {
+      return offer.candidate_->worker_ == wanted.worker_ && offer.count_ >= bound;
+    });
+  });
+}
+
+/** Assigns the tasks of a gang that are bound to workers; returns the others. */
+std::vector<std::uint32_t> AssignBoundTasks(const ReadyStep& step, std::vector<Offer>& offers,
+                                            PlannedGroup& planned) {
+  std::vector<std::uint32_t> others = step.tasks_;
+  for (const TaskBinding& binding : step.bindings_) {
+    const auto offer = std::find_if(offers.begin(), offers.end(), [&](const Offer& candidate) {
+      return candidate.candidate_->worker_ == binding.worker_;
+    });
+    AssignTask(step, binding.task_, *offer->candidate_, planned);
+    --offer->count_;
+    std::erase(others, binding.task_);
+  }
+  return others;
+}
+
 /** Assigns all tasks of a step to the offers, in order of rank, and plans their common start. */
 void AssignAllTasks(Planner& planner, const ReadyStep& step, std::vector<Offer> offers) {
   const auto wanted = static_cast<std::uint32_t>(step.tasks_.size());
@@ -117,10 +144,11 @@
   });
   CountAvoidance(planner, offers, offers.front(), step, wanted);
   PlannedGroup planned;
+  const std::vector<std::uint32_t> tasks = AssignBoundTasks(step, offers, planned);
   std::size_t next = 0;
   for (const Offer& offer : offers) {
-    for (std::uint32_t taken = 0; taken < offer.count_ && next < step.tasks_.size(); ++taken) {
-      AssignTask(step, step.tasks_[next], *offer.candidate_, planned);
+    for (std::uint32_t taken = 0; taken < offer.count_ && next < tasks.size(); ++taken) {
+      AssignTask(step, tasks[next], *offer.candidate_, planned);
       ++next;
     }
   }
@@ -186,7 +214,7 @@
 
 bool PlaceGang(Planner& planner, const ReadyStep& step) {
   std::vector<Offer> offers = CollectOffers(planner, step);
-  if (TotalTasks(offers) < step.tasks_.size()) {
+  if (TotalTasks(offers) < step.tasks_.size() || !HoldBoundTasks(offers, step)) {
     return false;
   }
   // The failure of one task ends the whole gang, so workers with a recent failure are used only if
@@ -194,12 +222,13 @@
   std::vector<Offer> not_recently_failed = offers;
   std::erase_if(not_recently_failed,
                 [](const Offer& offer) { return offer.candidate_->recently_failed_; });
-  if (TotalTasks(not_recently_failed) >= step.tasks_.size()) {
+  if (TotalTasks(not_recently_failed) >= step.tasks_.size() &&
+      HoldBoundTasks(not_recently_failed, step)) {
     offers = std::move(not_recently_failed);
   }
   if (step.spec_->same_rack_ || !step.spec_->affinity_rack_.empty()) {
     std::optional<std::vector<Offer>> rack = ChooseRack(offers, step);
-    if (rack.has_value()) {
+    if (rack.has_value() && HoldBoundTasks(*rack, step)) {
       AssignAllTasks(planner, step, *std::move(rack));
       return true;
     }
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -1,5 +1,10 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "laburnumledge/dispatch/crash_harness.hpp"
 
 namespace laburnumledge::dispatch {
@@ -27,8 +32,76 @@
   }
 };
 
+/** Harness of two workers whose first job was started on one of them only at the second attempt. */
+struct DoubtfulRunHarness : CrashHarness {
+  std::string worker_;  ///< Where the run is, and the start in doubt was sent.
+  std::string other_;
+
+  explicit DoubtfulRunHarness(std::uint32_t tasks = 1) : CrashHarness(2) {
+    unanswered_starts_ = 1;
+    Submit(JobId(1), {MakeStep(tasks, 4)});
+    Advance(std::chrono::seconds(1));
+    REQUIRE(WorkersOf(JobId(1)).size() == 1);
+    worker_ = WorkersOf(JobId(1)).front();
+    other_ = worker_ == "w1" ? "w2" : "w1";
+  }
+
+  /** @brief The worker's answer to a lease call that lists ends, or nothing without a call. */
+  void ListEnds(const std::vector<platform::FinishedRun>& ends) {
+    for (const LeaseAction& lease : WaitForLease()) {
+      dispatcher_.OnLease(lease,
+                          {.outcome_ = CommandOutcome::kDone,
+                           .clock_ = WorkerClock(),
+                           .incarnation_ = incarnations_.at(worker_),
+                           .running_ = {},
+                           .finished_ = ends},
+                          now_);
+    }
+  }
+
+  /** @brief Lease calls to the worker, of which the first one is waited for. */
+  std::vector<LeaseAction> WaitForLease() {
+    std::vector<LeaseAction> calls;
+    for (int step = 0; step < 100 && calls.empty(); ++step) {
+      now_ += core::Milliseconds(50);
+      (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
+      Actions actions = dispatcher_.TakeActions();
+      for (const LeaseAction& lease : actions.leases_) {
+        if (lease.worker_.id_ == worker_) {
+          calls.push_back(lease);
+        }
+      }
+      actions.leases_.clear();
+      Answer(actions);
+    }
+    return calls;
+  }
+};
+
 }  // namespace
 
+// Guards against a start that a restarted worker carries out late, while its task is at work on
+// another worker (issue 50, TWICE).
+TEST_CASE("a task starts on no other worker while a start of it is in doubt") {
+  DoubtfulRunHarness harness;
+  const core::TimePoint doubtful = harness.now_;
+  harness.down_.insert(harness.worker_);
+  harness.running_[harness.worker_].clear();
+  harness.Advance(std::chrono::seconds(12));
+  CHECK(harness.WorkersOf(JobId(1)).empty());
+  harness.Advance(std::chrono::seconds(4));
+  CHECK(harness.WorkersOf(JobId(1)) == std::vector{harness.other_});
+  CHECK(harness.now_ - doubtful < std::chrono::seconds(17));
+}
+
+// Guards against a doubt that outlives its cause: another process at the address refuses the start.
+TEST_CASE("a task starts elsewhere at once when another worker has taken the address") {
+  DoubtfulRunHarness harness;
+  harness.Replace(harness.worker_, std::chrono::seconds(1));
+  harness.Advance(std::chrono::seconds(2));
+  CHECK_FALSE(harness.WorkersOf(JobId(1)).empty());
+}
+
 // Guards against a start that is carried out seconds late by a process that has started since and
 // has seen no fencing token: a completed task ran again (review case 3, TWICE).
 TEST_CASE("a worker is called with a higher token while a start to it is in doubt") {
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -62,6 +62,7 @@
   std::map<ledger::TaskId, int> noted_done_;
   std::map<ledger::TaskId, int> noted_failed_;
   std::map<ledger::TaskId, core::TimePoint> done_at_;
+  /** Latest end of each run: one that a worker has carried out again has lost its first end. */
   std::map<std::pair<ledger::TaskId, std::uint64_t>, core::TimePoint> run_done_at_;
   std::map<ledger::TaskId, core::TimePoint> started_at_;  ///< Latest start of a task.
   bool slow_stop_{};  ///< A stopped run ends within the platform's limit, not at once.
