Raise the fencing token for each call in doubt

Callers saw more runs on a worker than it has room for. The token was raised when a start was sent again or given up, but not when its run was being stopped as the answer stayed out, nor after a lease call without an answer: a process that had been called since took the late call for a present one. A late lease call extends leases that the leader takes for expired.

The token is raised as soon as a start or a lease call has no answer. The test fails without it.

--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -122,9 +122,13 @@
   worker->checked_at_ = {};
   worker->next_lease_ = now + (now < worker->doubtful_until_ ? internal::kDoubtfulLeaseRetryInterval
                                                              : internal::kLeaseRetryInterval);
-  if (action.call_.acknowledged_ > 0) {
-    // Carried out late by a later incarnation, it would acknowledge results that nobody has read.
+  if (result.outcome_ == CommandOutcome::kUnknown) {
+    // Carried out late by a later incarnation, it would extend leases that this leader takes for
+    // expired.
     IncrementFencingToken(*worker);
+  }
+  if (action.call_.acknowledged_ > 0) {
+    // It would also acknowledge results that nobody has read.
     worker->doubtful_until_ = std::max(worker->doubtful_until_, now + internal::kLateCommandTime);
   }
 }
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -17,6 +17,7 @@
 
 void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now) {
   const core::TimePoint until = now + internal::kLateCommandTime;
+  worker.fence_token_ = std::max(worker.fence_token_, start.command_.fence_token_ + 1);
   worker.doubtful_until_ = std::max(worker.doubtful_until_, until);
   worker.doubtful_starts_.insert_or_assign(
       start.command_.task_, DoubtfulStart{.address_ = start.worker_.address_, .until_ = until});
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -25,7 +25,10 @@
 /** @brief Bindings of all tasks, for one plan. */
 using TaskBindings = std::map<ledger::TaskId, const Worker*>;
 
-/** @brief Notes that a start got no answer at a time. */
+/**
+ * @brief Notes that a start got no answer at a time, and raises the worker's fencing token above
+ * that of the start: each process that has been called from then on refuses it.
+ */
 void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now);
 
 /** @brief Drops the doubts about starts to an address at which another process answers: it refuses
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -102,6 +102,28 @@
   CHECK_FALSE(harness.WorkersOf(JobId(1)).empty());
 }
 
+// Guards against a late start whose token the worker has not been shown: a run that was being
+// stopped when its start got no answer (issue 50, LIMIT).
+TEST_CASE("a start without an answer raises the token although its run is being stopped") {
+  CrashHarness harness(1);
+  harness.Submit(JobId(1), {MakeStep(1, 4)});
+  std::vector<StartAction> starts;
+  for (int step = 0; step < 40 && starts.empty(); ++step) {
+    harness.now_ += core::Milliseconds(50);
+    (void)harness.dispatcher_.Run({.now_ = harness.now_, .wall_ = kWall});
+    Actions actions = harness.dispatcher_.TakeActions();
+    starts = std::exchange(actions.starts_, {});
+    harness.Answer(actions);
+  }
+  REQUIRE(starts.size() == 1);
+  ledger::JobEntry cancelled{.submission_ = MakeSubmission({MakeStep(1, 4)}, 1)};
+  cancelled.cancelled_ = true;
+  harness.dispatcher_.OnJob(JobId(1), &cancelled, harness.now_);
+  harness.dispatcher_.OnStarted(starts[0], {.outcome_ = CommandOutcome::kUnknown}, harness.now_);
+  CHECK(harness.dispatcher_.Workers().workers_.at("w1").fence_token_ >
+        starts[0].command_.fence_token_);
+}
+
 // Guards against a start that is carried out seconds late by a process that has started since and
 // has seen no fencing token: a completed task ran again (review case 3, TWICE).
 TEST_CASE("a worker is called with a higher token while a start to it is in doubt") {
