Acknowledge an end once no start of its task is in doubt

Callers saw a completed task run again.

An end stands for good once it is acknowledged. It is recorded at once, as before, and acknowledged when no start of its task, or of another member of its gang, is in doubt any more.

The test fails without it.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -256,6 +256,7 @@
   [[nodiscard]] ledger::WallTime WallAt(core::TimePoint now) const noexcept;
   void ProcessResults(Worker& worker, const std::vector<platform::FinishedRun>& rows,
                       core::TimePoint now);
+  void HoldResult(Worker& worker, const platform::FinishedRun& row, core::TimePoint now);
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
                                        RecordBatch& batch, core::TimePoint now);
   void ProcessRunningRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -68,6 +69,7 @@
     }
     last = std::max(last, row.sequence_number_);
     const RunId run{.task_ = row.task_, .run_ = row.run_};
+    HoldResult(worker, row, now);
     if (worker.assigned_runs_.contains(run)) {
       FinishRun(worker, run, row.result_, row.checkpoint_, batch, now);
     } else if (!ProcessLateResult(worker, row, batch, now)) {
@@ -90,6 +92,20 @@
   plan_due_ = true;
 }
 
+/** Keeps a result from being acknowledged while a start of its task is in doubt: it stands for good
+ * from then on, while the start may still be carried out. Until then the worker can lose it. */
+void Dispatcher::HoldResult(Worker& worker, const platform::FinishedRun& row, core::TimePoint now) {
+  const Job* job = FindJob(job_table_, row.task_.job_);
+  if (job == nullptr || row.result_ != RunResult::kDone) {
+    return;
+  }
+  const bool gang = job->submission_->steps_[row.task_.step_].gang_;
+  const core::TimePoint until = DoubtfulUntil(fleet_, row.task_, gang);
+  if (now < until) {
+    worker.held_results_.emplace(row.sequence_number_, until);
+  }
+}
+
 bool Dispatcher::ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
                                    RecordBatch& batch, core::TimePoint now) {
   const RunId run{.task_ = row.task_, .run_ = row.run_};
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -20,7 +20,9 @@
 
 /** Number up to which results may be acknowledged to a worker. */
 std::uint64_t AcknowledgeableResults(const Worker& worker) noexcept {
-  return std::min(worker.results_recorded_, worker.acknowledgement_limit_);
+  const std::uint64_t recorded = std::min(worker.results_recorded_, worker.acknowledgement_limit_);
+  return worker.held_results_.empty() ? recorded
+                                      : std::min(recorded, worker.held_results_.begin()->first - 1);
 }
 
 }  // namespace
@@ -43,7 +45,9 @@
   worker.lease_in_flight_ = true;
   worker.lease_call_number_ = next_lease_call_++;
   worker.lease_sent_ = now;
-  worker.next_lease_ = unacknowledged ? now + internal::kLeaseIntervalWhileRecording : now;
+  worker.next_lease_ = !unacknowledged                ? now
+                       : worker.held_results_.empty() ? now + internal::kLeaseIntervalWhileRecording
+                                                      : now + internal::kDoubtfulLeaseCallWait;
   if (worker.failed_calls_ == 0) {
     worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
     worker.lease_deadline_ = EstimateClock(worker, now) + bounds_.longest_lease_;
--- a/src/laburnumledge/dispatch/dispatcher_workers.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_workers.cpp
@@ -101,6 +101,7 @@
   worker.results_recorded_ = 0;
   worker.results_acknowledged_ = 0;
   worker.acknowledgement_limit_ = kNoAcknowledgementLimit;
+  worker.held_results_.clear();
   worker.expired_runs_.clear();
   worker.clock_.reset();
   worker.speed_ = {};
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -31,6 +31,19 @@
 void DropExpiredDoubts(Worker& worker, core::TimePoint now) {
   std::erase_if(worker.doubtful_starts_,
                 [now](const auto& entry) { return entry.second.until_ <= now; });
+  std::erase_if(worker.held_results_, [now](const auto& entry) { return entry.second <= now; });
+}
+
+core::TimePoint DoubtfulUntil(const Fleet& fleet, const ledger::TaskId& task, bool gang) noexcept {
+  core::TimePoint until{};
+  for (const auto& [id, worker] : fleet.workers_) {
+    for (const auto& [other, start] : worker.doubtful_starts_) {
+      if (other == task || (gang && IsSameStep(other, task))) {
+        until = std::max(until, start.until_);
+      }
+    }
+  }
+  return until;
 }
 
 TaskBindings CollectBindings(const Fleet& fleet, core::TimePoint now) {
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -38,6 +38,13 @@
 /** @brief Drops the doubts that are over. */
 void DropExpiredDoubts(Worker& worker, core::TimePoint now);
 
+/**
+ * @brief Until when a start of a task, or of another member of its gang, is in doubt.
+ * @return The maximum of the times in question, or zero if no start is in doubt.
+ */
+[[nodiscard]] core::TimePoint DoubtfulUntil(const Fleet& fleet, const ledger::TaskId& task,
+                                            bool gang) noexcept;
+
 /** @brief Collects the workers that tasks are bound to at a time. */
 [[nodiscard]] TaskBindings CollectBindings(const Fleet& fleet, core::TimePoint now);
 
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -125,6 +125,7 @@
   core::TimePoint last_lease_answer_{};  ///< When the worker last answered a lease call.
   std::uint64_t acknowledgement_limit_{
       kNoAcknowledgementLimit};  ///< Results beyond this number are never acknowledged.
+  std::map<std::uint64_t, core::TimePoint> held_results_;  ///< Not acknowledged until then.
   std::map<RunId, ExpiredRun> expired_runs_;
   bool lease_in_flight_{};
   std::uint64_t lease_call_number_{};  ///< Number of the lease call in flight.
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -102,6 +102,36 @@
   CHECK_FALSE(harness.WorkersOf(JobId(1)).empty());
 }
 
+// Guards against a completed task that a restarted worker starts again (issue 50, TWICE after the
+// end was noted): until its end is acknowledged, a worker that restarts loses it.
+TEST_CASE("an end is acknowledged once no start of its task is in doubt") {
+  DoubtfulRunHarness harness;
+  const StartAction run = harness.running_[harness.worker_].front();
+  const std::vector<platform::FinishedRun> ends{{.sequence_number_ = 1,
+                                                 .task_ = run.command_.task_,
+                                                 .run_ = run.command_.run_,
+                                                 .result_ = platform::RunResult::kDone}};
+  harness.ListEnds(ends);
+  CHECK(harness.states_[JobId(1)] == ledger::JobState::kRunning);
+  const core::TimePoint listed = harness.now_;
+  core::TimePoint acknowledged{};
+  while (acknowledged == core::TimePoint{} && harness.now_ < listed + std::chrono::seconds(20)) {
+    for (const LeaseAction& lease : harness.WaitForLease()) {
+      acknowledged = lease.call_.acknowledged_ == 1 ? harness.now_ : acknowledged;
+      harness.dispatcher_.OnLease(lease,
+                                  {.outcome_ = CommandOutcome::kDone,
+                                   .clock_ = harness.WorkerClock(),
+                                   .incarnation_ = harness.incarnations_.at(harness.worker_),
+                                   .running_ = {},
+                                   .finished_ = ends},
+                                  harness.now_);
+    }
+  }
+  CHECK(harness.states_[JobId(1)] == ledger::JobState::kCompleted);
+  CHECK(acknowledged - listed > std::chrono::seconds(12));
+  CHECK(acknowledged - listed < std::chrono::seconds(16));
+}
+
 // Guards against a late start whose token the worker has not been shown: a run that was being
 // stopped when its start got no answer (issue 50, LIMIT).
 TEST_CASE("a start without an answer raises the token although its run is being stopped") {
