Count the runs that a check lists

A check vouched for a worker whose runs nobody had read: a run of a late start there was not counted when the next start was sent, on a full worker or of the same task. The lists in a check's answer were not read.

Runs that a check lists and nobody has counted are stopped and take up room until they have ended; a start that no longer fits, or is of the same task, is withdrawn. The test fails without it.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -212,6 +212,8 @@
   void WithdrawUnsentStarts(Worker& worker, std::string_view reason, core::TimePoint now);
   void SendRecordedStarts(core::TimePoint now);
   void SendCheck(Worker& worker, core::TimePoint now);
+  void StopUncountedRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
+                         core::TimePoint now);
   void OnCheckFailed(Worker& worker, std::string_view reason, core::TimePoint now);
   void ResendStarts(Worker& worker, bool present, core::TimePoint now);
   void SendStart(Worker& worker, const RunId& run, AssignedRun& assigned, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -197,11 +197,28 @@
     worker->checked_at_ = worker->check_sent_;
     worker->silent_at_ = {};
     NoteVerified(*worker, action.worker_.address_);
+    StopUncountedRuns(*worker, result.running_, now);
     ResendStarts(*worker, true, now);
   }
   SendRecordedStarts(now);
 }
 
+/** Stops runs that a check's answer lists and that nobody has counted, such as a start of an
+ * earlier leader that was carried out late. They take up room until they have ended, so that starts
+ * that do not fit beside them are withdrawn. */
+void Dispatcher::StopUncountedRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
+                                   core::TimePoint now) {
+  if (worker.last_lease_answer_ >= worker.check_sent_) {
+    return;  // That answer is newer, or may be: what it lists as ended is not at work any more.
+  }
+  for (const platform::ActiveRun& row : rows) {
+    const RunId run{.task_ = row.task_, .run_ = row.run_};
+    if (!worker.assigned_runs_.contains(run)) {
+      StopOrphanedRun(worker, run, now);
+    }
+  }
+}
+
 void Dispatcher::OnCheckFailed(Worker& worker, std::string_view reason, core::TimePoint now) {
   ++counts_.checks_failed_;
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "worker.check_failed",
--- a/src/laburnumledge/dispatch/hosting.cpp
+++ b/src/laburnumledge/dispatch/hosting.cpp
@@ -62,6 +62,11 @@
   if (assigned.incarnation_ != 0 && assigned.incarnation_ != worker.incarnation_) {
     return "the worker has restarted since";
   }
+  const auto other = worker.assigned_runs_.lower_bound({.task_ = run.task_, .run_ = 0});
+  if (other != worker.assigned_runs_.end() && other->first.task_ == run.task_ &&
+      other->first.run_ != run.run_) {
+    return "another run of the task is on the worker";
+  }
   const ledger::Step& step = job.submission_->steps_[run.task_.step_];
   const std::string_view misplaced = FindStepObstacle(worker, job, step);
   if (!misplaced.empty()) {
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -154,6 +154,37 @@
         starts[0].command_.fence_token_);
 }
 
+// Guards against runs that are not counted when the next start is sent (issue 50, LIMIT).
+TEST_CASE("a run that a check lists takes up room") {
+  CrashHarness harness(1);
+  harness.Advance(std::chrono::seconds(1));
+  harness.Submit(JobId(1), {MakeStep(1, 8)});
+  const ledger::TaskId late{.job_ = JobId(2), .occurrence_ = 0, .step_ = 0, .index_ = 0};
+  harness.Submit(JobId(2), {MakeStep(1, 8)});
+  bool sent = false;
+  bool listed = false;
+  for (int step = 0; step < 4; ++step) {
+    harness.now_ += core::Milliseconds(10);
+    (void)harness.dispatcher_.Run({.now_ = harness.now_, .wall_ = kWall});
+    const Actions actions = harness.dispatcher_.TakeActions();
+    sent = sent || !actions.starts_.empty();
+    for (const RecordBatch& batch : actions.records_) {
+      harness.dispatcher_.OnRecorded(batch.number_, harness.now_);
+    }
+    for (const CheckAction& check : actions.checks_) {
+      listed = true;
+      harness.dispatcher_.OnChecked(check,
+                                    {.outcome_ = CommandOutcome::kDone,
+                                     .clock_ = harness.WorkerClock(),
+                                     .incarnation_ = harness.incarnations_.at("w1"),
+                                     .running_ = {{.task_ = late, .run_ = 7}}},
+                                    harness.now_);
+    }
+  }
+  CHECK(listed);
+  CHECK_FALSE(sent);
+}
+
 // Guards against a start that is carried out seconds late by a process that has started since and
 // has seen no fencing token: a completed task ran again (review case 3, TWICE).
 TEST_CASE("a worker is called with a higher token while a start to it is in doubt") {
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -375,6 +375,7 @@
   platform::LeaseResult result{.outcome_ = CommandOutcome::kDone,
                                .clock_ = core::FromMs<core::WorkerTime>(ClockOf(worker, now)),
                                .incarnation_ = worker.incarnation_};
+  ListRuns(worker, result, now);
   return result;
 }
 
