Give no run up by a lease that this leader did not grant

A late start begins a lease of its own in the process that carries it out.

A run that the leader did not start, or that a new process lists, may hold a lease of full length from now on.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -236,7 +236,7 @@
   void RequestVerification(Worker& worker, core::TimePoint now);
   void VerifyWorkersAt(const config::Address& address, core::TimePoint now);
   void NoteVerified(Worker& worker, const config::Address& address);
-  void NoteListedRuns(Worker& worker, const platform::LeaseResult& result);
+  void NoteListedRuns(Worker& worker, const platform::LeaseResult& result, core::TimePoint now);
   [[nodiscard]] AddressHolder SuccessorOf(const Worker& worker, const config::Address& address,
                                           core::TimePoint now) const;
   void CorrectRestart(const config::Address& address, site::Incarnation restarted);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -160,6 +160,8 @@
   if (Task* known = FindTask(job_table_, run.task_)) {
     ++known->outstanding_runs_;
   }
+  // Its lease began with a call that this leader doesn't know.
+  worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
   AddAssignedRun(worker, run, orphan);
   StopRun(worker, run, "the run is not assigned to the worker", now);
 }
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -85,7 +85,7 @@
     worker->failed_calls_ = 0;
     worker->fence_due_ = false;
     NoteVerified(*worker, action.worker_.address_);
-    NoteListedRuns(*worker, result);
+    NoteListedRuns(*worker, result, now);
     if (worker->incarnation_ == result.incarnation_) {
       worker->results_acknowledged_ =
           std::max(worker->results_acknowledged_, action.call_.acknowledged_);
--- a/src/laburnumledge/dispatch/dispatcher_workers.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_workers.cpp
@@ -168,7 +168,12 @@
 
 /** Notes that the runs that a worker lists are of the incarnation that lists them, whatever the
  * list of workers said when they were assigned. */
-void Dispatcher::NoteListedRuns(Worker& worker, const platform::LeaseResult& result) {
+void Dispatcher::NoteListedRuns(Worker& worker, const platform::LeaseResult& result,
+                                core::TimePoint now) {
+  if (result.incarnation_ != worker.incarnation_ && !result.running_.empty()) {
+    // A late start has begun a lease of its own in a process that has just started.
+    worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
+  }
   const auto note = [&](const ledger::TaskId& task, std::uint64_t run) {
     const auto found = worker.assigned_runs_.find({.task_ = task, .run_ = run});
     if (found != worker.assigned_runs_.end()) {
