Record which start is in doubt, for the next leader

A task's record names the worker on which a start was in doubt as of writing. It is written when a start gets no answer and with each record until the doubt is over. The test fails without it.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -65,6 +66,20 @@
 
 }  // namespace
 
+ledger::TaskRecord DescribeStart(const Task& task, const Worker& worker, std::uint64_t run,
+                                 site::Incarnation incarnation, const config::Address& address) {
+  return {.outcome_ = ledger::TaskOutcome::kStarted,
+          .run_ = run,
+          .worker_ = worker.entry_.id_,
+          .incarnation_ = incarnation,
+          .failures_ = task.failures_,
+          .checkpoint_ = task.checkpoint_,
+          .failed_run_ = task.failed_run_,
+          .crashed_run_ = task.crashed_run_,
+          .worker_address_ = config::ToString(address),
+          .crashes_ = task.crashes_};
+}
+
 Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
                        site::InterferenceMode interference)
     : bounds_(bounds),
@@ -143,6 +158,9 @@
       undecided_crashes_.push_back({.task_ = id, .run_ = crash.run_});
     }
   }
+  if (!record.doubtful_worker_.empty()) {
+    LoadDoubt(FindOrAddWorker(record.doubtful_worker_), id, record);
+  }
   if (record.outcome_ == ledger::TaskOutcome::kStarted) {
     if (task->phase_ == TaskPhase::kWaiting) {
       MarkPlaced(step, *task, record.run_, record.worker_);
@@ -180,6 +198,7 @@
   for (auto& [id, worker] : fleet_.workers_) {
     worker.latest_lease_end_ = earlier_leases_end;
     worker.next_lease_ = now;
+    BeginDoubts(worker, now);
     for (auto& [run, assigned] : worker.assigned_runs_) {
       // The first lease call carries this term's fencing token: a run that its answer does not list
       // can no longer start.
@@ -296,7 +315,25 @@
   }
 }
 
+/** Records that a start is in doubt: the next leader would not know. */
+void Dispatcher::RecordDoubt(const Worker& worker, const RunId& run, core::TimePoint now) {
+  const Task* task = FindTask(job_table_, run.task_);
+  const auto assigned = worker.assigned_runs_.find(run);
+  if (task == nullptr || task->phase_ != TaskPhase::kPlaced || task->run_ != run.run_ ||
+      assigned == worker.assigned_runs_.end()) {
+    return;  // Its next record tells.
+  }
+  RecordBatch batch;
+  batch.tasks_.emplace_back(run.task_,
+                            DescribeStart(*task, worker, run.run_, assigned->second.incarnation_,
+                                          internal::AddressOf(worker, assigned->second).address_));
+  IssueBatch(std::move(batch), {}, now);
+}
+
 void Dispatcher::IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now) {
+  for (auto& [task, record] : batch.tasks_) {
+    DescribeDoubt(fleet_, task, now, record);
+  }
   batch.number_ = next_batch_++;
   pending.overdue_at_ = now + kRecordTimeout;
   pending_batches_.emplace(batch.number_, std::move(pending));
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -43,6 +43,11 @@
   std::uint64_t worker_updates_{};        ///< Checks of one worker's lease, stops and runs.
 };
 
+/** @brief Record of the start of a run on a worker at an address. */
+[[nodiscard]] ledger::TaskRecord DescribeStart(const Task& task, const Worker& worker,
+                                               std::uint64_t run, site::Incarnation incarnation,
+                                               const config::Address& address);
+
 /**
  * @brief Decides during one term which tasks run on which workers, and tracks the workers' runs.
  *
@@ -320,6 +325,7 @@
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void CountPreemption(const ledger::TaskId& task, bool gang);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
+  void RecordDoubt(const Worker& worker, const RunId& run, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
   site::Bounds bounds_;
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -111,6 +111,7 @@
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
   if (result.outcome_ == CommandOutcome::kUnknown) {
     NoteDoubtfulStart(*worker, action, now);
+    RecordDoubt(*worker, run, now);
   }
   const auto found = worker->assigned_runs_.find(run);
   if (found == worker->assigned_runs_.end()) {
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -311,18 +311,8 @@
          .exposure_ = {.kind_ = KindOf(job, start.task_.step_, now)}});
     ++task.outstanding_runs_;
     ++job.outstanding_runs_;
-    batch.tasks_.emplace_back(start.task_, ledger::TaskRecord{
-                                               .outcome_ = ledger::TaskOutcome::kStarted,
-                                               .run_ = run_number,
-                                               .worker_ = worker.entry_.id_,
-                                               .incarnation_ = worker.incarnation_,
-                                               .failures_ = task.failures_,
-                                               .checkpoint_ = task.checkpoint_,
-                                               .failed_run_ = task.failed_run_,
-                                               .crashed_run_ = task.crashed_run_,
-                                               .worker_address_ = config::ToString(address),
-                                               .crashes_ = task.crashes_,
-                                           });
+    batch.tasks_.emplace_back(
+        start.task_, DescribeStart(task, worker, run_number, worker.incarnation_, address));
     pending.starts_.emplace_back(worker.entry_.id_, run);
     if (!internal::IsVouchedFor(worker, now)) {
       SendCheck(worker, now);
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -23,6 +23,29 @@
       start.command_.task_, DoubtfulStart{.address_ = start.worker_.address_, .until_ = until});
 }
 
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, core::TimePoint now,
+                   ledger::TaskRecord& record) {
+  for (const auto& [id, worker] : fleet.workers_) {
+    const auto start = worker.doubtful_starts_.find(task);
+    if (start != worker.doubtful_starts_.end() && now < start->second.until_) {
+      record.doubtful_worker_ = id;
+      record.doubtful_address_ = config::ToString(start->second.address_);
+    }
+  }
+}
+
+void LoadDoubt(Worker& worker, const ledger::TaskId& task, const ledger::TaskRecord& record) {
+  worker.doubtful_starts_[task].address_ =
+      config::ParseAddress(record.doubtful_address_).value_or(config::Address{});
+}
+
+void BeginDoubts(Worker& worker, core::TimePoint now) {
+  for (auto& [task, start] : worker.doubtful_starts_) {
+    start.until_ = now + internal::kLateCommandTime;
+    worker.doubtful_until_ = start.until_;
+  }
+}
+
 void DropDoubtfulStarts(Worker& worker, const config::Address& address) {
   std::erase_if(worker.doubtful_starts_,
                 [&address](const auto& entry) { return entry.second.address_ == address; });
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -22,6 +22,17 @@
   const Worker* worker_{};  ///< Null if starts on several workers are in doubt.
 };
 
+/** @brief Notes in a task's record on which worker a start of the task is in doubt. */
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, core::TimePoint now,
+                   ledger::TaskRecord& record);
+
+/** @brief Notes that a start of a task was in doubt when an earlier leader wrote a record. The
+ * doubt lasts from when the term begins; see BeginDoubts. */
+void LoadDoubt(Worker& worker, const ledger::TaskId& task, const ledger::TaskRecord& record);
+
+/** @brief Sets the time until which the doubts of earlier leaders last. */
+void BeginDoubts(Worker& worker, core::TimePoint now);
+
 /** @brief Bindings of all tasks, for one plan. */
 using TaskBindings = std::map<ledger::TaskId, const Worker*>;
 
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -158,6 +158,8 @@
   message.set_failed_run(record.failed_run_);
   message.set_crashed_run(record.crashed_run_);
   message.set_worker_address(record.worker_address_);
+  message.set_doubtful_worker(record.doubtful_worker_);
+  message.set_doubtful_address(record.doubtful_address_);
   std::uint32_t caused = 0;
   for (const Crash& crash : record.crashes_) {
     wire::Crash& row = *message.add_crash();
@@ -190,6 +192,8 @@
       .failed_run_ = message->failed_run(),
       .crashed_run_ = message->crashed_run(),
       .worker_address_ = message->worker_address(),
+      .doubtful_worker_ = message->doubtful_worker(),
+      .doubtful_address_ = message->doubtful_address(),
   };
   for (const wire::Crash& row : message->crash()) {
     // A cause that a later version has added is taken for one that doesn't count.
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -134,6 +134,9 @@
   std::uint64_t crashed_run_{};  ///< Newest run that was counted as a crash.
   std::string worker_address_;   ///< Of `worker_`, which may be gone from the platform's list.
   std::vector<Crash> crashes_;   ///< Since the task was last cleared, oldest first.
+  /** Worker on which a start of the task was in doubt as of writing, and where it was sent. */
+  std::string doubtful_worker_;
+  std::string doubtful_address_;
 };
 
 /** @brief Term: period in which one node is the leader. */
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -102,6 +102,21 @@
   CHECK_FALSE(harness.WorkersOf(JobId(1)).empty());
 }
 
+// Guards against a doubt that only the earlier leader had (issue 50, TWICE).
+TEST_CASE("the next leader knows which start is in doubt") {
+  DoubtfulRunHarness harness;
+  const ledger::TaskRecord& record =
+      harness.records_.at({.job_ = JobId(1), .occurrence_ = 0, .step_ = 0, .index_ = 0});
+  CHECK(record.doubtful_worker_ == harness.worker_);
+  harness.down_.insert(harness.worker_);
+  harness.running_[harness.worker_].clear();
+  harness.TakeOver(2, {{JobId(1), {MakeStep(1, 4)}}}, std::chrono::seconds(6));
+  harness.Advance(std::chrono::seconds(12));
+  CHECK(harness.WorkersOf(JobId(1)).empty());
+  harness.Advance(std::chrono::seconds(5));
+  CHECK(harness.WorkersOf(JobId(1)) == std::vector{harness.other_});
+}
+
 // Guards against a completed task that a restarted worker starts again (issue 50, TWICE after the
 // end was noted): until its end is acknowledged, a worker that restarts loses it.
 TEST_CASE("an end is acknowledged once no start of its task is in doubt") {
