Take a start in flight for doubtful once its run is stopped

A stop, answered before the start that it follows, settled the run: its task could start elsewhere while the start was still to be carried out (TWICE). And a task whose starts one worker never answered was bound to that worker again and again.

A start in flight is in doubt from the stop on, with the token raised, until it is answered. After eight unanswered starts a task waits until none is in doubt, and goes to other workers first. Both tests fail without the change; found by reading.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -194,11 +194,11 @@
 
 void Dispatcher::Begin(core::TimePoint now, core::TimePoint earlier_leases_end) {
   begun_ = true;
+  BeginDoubts(fleet_, now);
   std::size_t unresolved = 0;
   for (auto& [id, worker] : fleet_.workers_) {
     worker.latest_lease_end_ = earlier_leases_end;
     worker.next_lease_ = now;
-    BeginDoubts(worker, now);
     for (auto& [run, assigned] : worker.assigned_runs_) {
       // The first lease call carries this term's fencing token: a run that its answer does not list
       // can no longer start.
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -73,6 +73,10 @@
     WithdrawStart(worker, run, reason);
     return;
   }
+  if (assigned.phase_ == RunPhase::kStartSent && assigned.command_in_flight_) {
+    NoteStartInFlight(fleet_, worker, run.task_, internal::AddressOf(worker, assigned).address_,
+                      now);
+  }
   assigned.phase_ = RunPhase::kStopping;
   assigned.command_attempts_ = 0;
   SendStop(worker, run, assigned, now);
@@ -110,8 +114,10 @@
   }
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
   if (result.outcome_ == CommandOutcome::kUnknown) {
-    NoteDoubtfulStart(*worker, action, now);
+    NoteDoubtfulStart(fleet_, *worker, action, now);
     RecordDoubt(*worker, run, now);
+  } else {
+    NoteStartAnswered(*worker, run.task_);
   }
   const auto found = worker->assigned_runs_.find(run);
   if (found == worker->assigned_runs_.end()) {
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -13,18 +13,46 @@
          left.step_ == right.step_;
 }
 
+DoubtfulStart& Extend(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
+                      const config::Address& address, core::TimePoint now) {
+  const core::TimePoint until = now + internal::kLateCommandTime;
+  fleet.doubtful_until_ = std::max(fleet.doubtful_until_, until);
+  worker.doubtful_until_ = std::max(worker.doubtful_until_, until);
+  DoubtfulStart& start = worker.doubtful_starts_[task];
+  start.address_ = address;
+  start.until_ = until;
+  return start;
+}
+
 }  // namespace
 
-void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now) {
-  const core::TimePoint until = now + internal::kLateCommandTime;
+void NoteDoubtfulStart(Fleet& fleet, Worker& worker, const StartAction& start,
+                       core::TimePoint now) {
   worker.fence_token_ = std::max(worker.fence_token_, start.command_.fence_token_ + 1);
-  worker.doubtful_until_ = std::max(worker.doubtful_until_, until);
-  worker.doubtful_starts_.insert_or_assign(
-      start.command_.task_, DoubtfulStart{.address_ = start.worker_.address_, .until_ = until});
+  DoubtfulStart& doubt = Extend(fleet, worker, start.command_.task_, start.worker_.address_, now);
+  if (++doubt.unanswered_ >= internal::kMaxUnansweredStarts) {
+    worker.silent_at_ = now;  // Others come first once the task is free.
+  }
+}
+
+void NoteStartInFlight(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
+                       const config::Address& address, core::TimePoint now) {
+  ++worker.fence_token_;
+  Extend(fleet, worker, task, address, now);
+}
+
+void NoteStartAnswered(Worker& worker, const ledger::TaskId& task) {
+  const auto start = worker.doubtful_starts_.find(task);
+  if (start != worker.doubtful_starts_.end() && start->second.unanswered_ == 0) {
+    worker.doubtful_starts_.erase(start);
+  }
 }
 
 void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, core::TimePoint now,
                    ledger::TaskRecord& record) {
+  if (now >= fleet.doubtful_until_) {
+    return;
+  }
   for (const auto& [id, worker] : fleet.workers_) {
     const auto start = worker.doubtful_starts_.find(task);
     if (start != worker.doubtful_starts_.end() && now < start->second.until_) {
@@ -39,10 +67,14 @@
       config::ParseAddress(record.doubtful_address_).value_or(config::Address{});
 }
 
-void BeginDoubts(Worker& worker, core::TimePoint now) {
-  for (auto& [task, start] : worker.doubtful_starts_) {
-    start.until_ = now + internal::kLateCommandTime;
-    worker.doubtful_until_ = start.until_;
+void BeginDoubts(Fleet& fleet, core::TimePoint now) {
+  for (auto& [id, worker] : fleet.workers_) {
+    for (auto& [task, start] : worker.doubtful_starts_) {
+      start.until_ = now + internal::kLateCommandTime;
+      start.unanswered_ = 1;
+      worker.doubtful_until_ = start.until_;
+      fleet.doubtful_until_ = start.until_;
+    }
   }
 }
 
@@ -71,11 +103,15 @@
 
 TaskBindings CollectBindings(const Fleet& fleet, core::TimePoint now) {
   TaskBindings bindings;
+  if (now >= fleet.doubtful_until_) {
+    return bindings;
+  }
   for (const auto& [id, worker] : fleet.workers_) {
     for (const auto& [task, start] : worker.doubtful_starts_) {
       if (now < start.until_) {
+        const bool again = start.unanswered_ < internal::kMaxUnansweredStarts;
         const auto [binding, added] = bindings.try_emplace(task, &worker);
-        binding->second = added ? &worker : nullptr;
+        binding->second = added && again ? &worker : nullptr;
       }
     }
   }
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -18,8 +18,9 @@
 
 /** @brief Worker that a task is bound to while a start of the task there is in doubt. */
 struct TaskBinding {
-  std::uint32_t task_{};    ///< Index of the task in its step.
-  const Worker* worker_{};  ///< Null if starts on several workers are in doubt.
+  std::uint32_t task_{};  ///< Index of the task in its step.
+  /** Null if the task has to wait: starts on several workers, or too many on one, are in doubt. */
+  const Worker* worker_{};
 };
 
 /** @brief Notes in a task's record on which worker a start of the task is in doubt. */
@@ -31,7 +32,7 @@
 void LoadDoubt(Worker& worker, const ledger::TaskId& task, const ledger::TaskRecord& record);
 
 /** @brief Sets the time until which the doubts of earlier leaders last. */
-void BeginDoubts(Worker& worker, core::TimePoint now);
+void BeginDoubts(Fleet& fleet, core::TimePoint now);
 
 /** @brief Bindings of all tasks, for one plan. */
 using TaskBindings = std::map<ledger::TaskId, const Worker*>;
@@ -40,7 +41,14 @@
  * @brief Notes that a start got no answer at a time, and raises the worker's fencing token above
  * that of the start: each process that has been called from then on refuses it.
  */
-void NoteDoubtfulStart(Worker& worker, const StartAction& start, core::TimePoint now);
+void NoteDoubtfulStart(Fleet& fleet, Worker& worker, const StartAction& start, core::TimePoint now);
+
+/** @brief Notes that a run is to be stopped before its start has been answered. */
+void NoteStartInFlight(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
+                       const config::Address& address, core::TimePoint now);
+
+/** @brief Drops the doubt about a start that was noted only because its answer had not come. */
+void NoteStartAnswered(Worker& worker, const ledger::TaskId& task);
 
 /** @brief Drops the doubts about starts to an address at which another process answers: it refuses
  * them. */
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -100,6 +100,7 @@
 struct DoubtfulStart {
   config::Address address_;
   core::TimePoint until_{};
+  std::uint32_t unanswered_{};  ///< Starts without an answer; 0 if the answer may still come.
 };
 
 /** @brief Value of Worker::acknowledgement_limit_ that allows every acknowledgement. */
@@ -158,6 +159,7 @@
   /** Addresses of workers that vanished from the list without having announced it, and when. */
   std::map<std::string, core::TimePoint> departed_;
   std::map<std::string, Worker, std::less<>> workers_;
+  core::TimePoint doubtful_until_{};  ///< No start is in doubt from then on.
 };
 
 /** @brief Longest time on the local clock that a lease granted now can last, clock drift included.
--- a/src/laburnumledge/dispatch/internal.hpp
+++ b/src/laburnumledge/dispatch/internal.hpp
@@ -28,6 +28,10 @@
  * the time that members of a gang wait for each other. */
 inline constexpr std::uint32_t kMaxStartAttempts = 4;
 
+/** @brief Starts of a task without an answer after which it is not started on the same worker
+ * again: two rounds of attempts. It waits until no start is in doubt, and is free from then on. */
+inline constexpr std::uint32_t kMaxUnansweredStarts = 2 * kMaxStartAttempts;
+
 /** @brief Interval at which an unanswered stop command is resent. */
 inline constexpr core::Milliseconds kStopRetryInterval{300};
 
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -32,6 +32,7 @@
   std::map<std::string, std::uint64_t> latest_token_;        ///< Of the latest lease call.
   std::map<std::string, core::WorkerTime> latest_deadline_;  ///< Of the latest lease call.
   int lease_calls_{};
+  std::set<std::string> silent_to_starts_;  ///< Workers that answer all calls but starts.
   int unanswered_starts_{};  ///< The next starts get no answer and are not carried out yet.
   std::map<std::string, config::Address> addresses_;  ///< Of workers that have come up elsewhere.
   std::map<std::string, site::WorkerEntry> foreign_;  ///< Entries of another writer, by key.
@@ -118,8 +119,8 @@
         dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kOtherIncarnation}, now_);
         continue;
       }
-      if (unanswered_starts_ > 0) {
-        --unanswered_starts_;
+      if (unanswered_starts_ > 0 || silent_to_starts_.contains(start.worker_.id_)) {
+        unanswered_starts_ -= unanswered_starts_ > 0 ? 1 : 0;
         dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kUnknown}, now_);
         continue;
       }
@@ -168,6 +169,21 @@
     }
   }
 
+  /** @brief Waits for the next start, which the test answers itself. */
+  StartAction WaitForStart() {
+    for (int step = 0; step < 40; ++step) {
+      now_ += core::Milliseconds(50);
+      (void)dispatcher_.Run({.now_ = now_, .wall_ = kWall});
+      Actions actions = dispatcher_.TakeActions();
+      const std::vector<StartAction> starts = std::exchange(actions.starts_, {});
+      Answer(actions);
+      if (!starts.empty()) {
+        return starts.front();
+      }
+    }
+    return {};
+  }
+
   /** @brief Restarts workers, which lose their runs, and lets the dispatcher notice. */
   void Crash(const std::vector<std::string>& workers) {
     for (const std::string& id : workers) {
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -102,6 +102,17 @@
   CHECK_FALSE(harness.WorkersOf(JobId(1)).empty());
 }
 
+// Guards against a task that is bound again and again to a worker that answers calls but no starts.
+TEST_CASE("a task leaves a worker that answers no starts") {
+  CrashHarness harness(2);
+  harness.silent_to_starts_ = {"w1"};
+  harness.Submit(JobId(1), {MakeStep(1, 4)});
+  harness.Advance(std::chrono::seconds(1));
+  REQUIRE(harness.WorkersOf(JobId(1)).empty());
+  harness.Advance(std::chrono::seconds(20));
+  CHECK(harness.WorkersOf(JobId(1)) == std::vector<std::string>{"w2"});
+}
+
 // Guards against a doubt that only the earlier leader had (issue 50, TWICE).
 TEST_CASE("the next leader knows which start is in doubt") {
   DoubtfulRunHarness harness;
@@ -152,21 +163,28 @@
 TEST_CASE("a start without an answer raises the token although its run is being stopped") {
   CrashHarness harness(1);
   harness.Submit(JobId(1), {MakeStep(1, 4)});
-  std::vector<StartAction> starts;
-  for (int step = 0; step < 40 && starts.empty(); ++step) {
-    harness.now_ += core::Milliseconds(50);
-    (void)harness.dispatcher_.Run({.now_ = harness.now_, .wall_ = kWall});
-    Actions actions = harness.dispatcher_.TakeActions();
-    starts = std::exchange(actions.starts_, {});
-    harness.Answer(actions);
-  }
-  REQUIRE(starts.size() == 1);
+  const StartAction start = harness.WaitForStart();
+  ledger::JobEntry cancelled{.submission_ = MakeSubmission({MakeStep(1, 4)}, 1)};
+  cancelled.cancelled_ = true;
+  harness.dispatcher_.OnJob(JobId(1), &cancelled, harness.now_);
+  harness.dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kUnknown}, harness.now_);
+  CHECK(harness.dispatcher_.Workers().workers_.at("w1").fence_token_ > start.command_.fence_token_);
+}
+
+// Guards against a stop that settles a run before its start has been answered: the task would be
+// free to start elsewhere (TWICE).
+TEST_CASE("a start in flight is in doubt once its run is stopped, until it is answered") {
+  CrashHarness harness(1);
+  harness.Submit(JobId(1), {MakeStep(1, 4)});
+  const StartAction start = harness.WaitForStart();
   ledger::JobEntry cancelled{.submission_ = MakeSubmission({MakeStep(1, 4)}, 1)};
   cancelled.cancelled_ = true;
   harness.dispatcher_.OnJob(JobId(1), &cancelled, harness.now_);
-  harness.dispatcher_.OnStarted(starts[0], {.outcome_ = CommandOutcome::kUnknown}, harness.now_);
-  CHECK(harness.dispatcher_.Workers().workers_.at("w1").fence_token_ >
-        starts[0].command_.fence_token_);
+  const Worker& worker = harness.dispatcher_.Workers().workers_.at("w1");
+  CHECK(worker.doubtful_starts_.contains(start.command_.task_));
+  CHECK(worker.fence_token_ > start.command_.fence_token_);
+  harness.dispatcher_.OnStarted(start, {.outcome_ = CommandOutcome::kDone}, harness.now_);
+  CHECK_FALSE(worker.doubtful_starts_.contains(start.command_.task_));
 }
 
 // Guards against runs that are not counted when the next start is sent (issue 50, LIMIT).
