--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -321,7 +321,7 @@
   const auto assigned = worker.assigned_runs_.find(run);
   if (task == nullptr || task->phase_ != TaskPhase::kPlaced || task->run_ != run.run_ ||
       assigned == worker.assigned_runs_.end()) {
-    return;  // Its next record tells.
+    return;  // Only the record of a task's newest run can be written again.
   }
   RecordBatch batch;
   batch.tasks_.emplace_back(run.task_,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
-#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -92,21 +91,6 @@
   plan_due_ = true;
 }
 
-/** Keeps a result from being acknowledged while a start of its task is in doubt: it stands for good
- * from then on, while the start may still be carried out. Until then the worker can lose it. */
-void Dispatcher::HoldResult(Worker& worker, const platform::FinishedRun& row, core::TimePoint now) {
-  const bool decisive = row.result_ == RunResult::kDone || row.result_ == RunResult::kFailed;
-  if (!decisive || now >= fleet_.doubtful_until_ || FindTask(job_table_, row.task_) == nullptr) {
-    return;
-  }
-  const Job& job = job_table_.jobs_.at(row.task_.job_);
-  const bool gang = job.submission_->steps_[row.task_.step_].gang_;
-  const core::TimePoint until = DoubtfulUntil(fleet_, row.task_, gang);
-  if (now < until) {
-    worker.held_results_.emplace(row.sequence_number_, until);
-  }
-}
-
 bool Dispatcher::ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
                                    RecordBatch& batch, core::TimePoint now) {
   const RunId run{.task_ = row.task_, .run_ = row.run_};
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -68,6 +68,22 @@
                               .number_ = worker.lease_call_number_});
 }
 
+/** Keeps a result from being acknowledged while a start of its task is in doubt: it stands for good
+ * from then on, while the start may still be carried out. Until then the worker can lose it. */
+void Dispatcher::HoldResult(Worker& worker, const platform::FinishedRun& row, core::TimePoint now) {
+  const bool decisive =
+      row.result_ == platform::RunResult::kDone || row.result_ == platform::RunResult::kFailed;
+  if (!decisive || now >= fleet_.doubtful_until_ || FindTask(job_table_, row.task_) == nullptr) {
+    return;
+  }
+  const Job& job = job_table_.jobs_.at(row.task_.job_);
+  const bool gang = job.submission_->steps_[row.task_.step_].gang_;
+  const core::TimePoint until = DoubtfulUntil(fleet_, row.task_, gang);
+  if (now < until) {
+    worker.held_results_.emplace(row.sequence_number_, until);
+  }
+}
+
 void Dispatcher::OnLease(const LeaseAction& action, const platform::LeaseResult& result,
                          core::TimePoint now) {
   Worker* worker = FindWorker(fleet_, action.worker_.id_);
