Log which appends held a job's record, and how often each call was sent

From a job's identifier nobody could tell whether its record was ever sent, in which appends, what became of each, and why the outcome was taken for "not run": `job.batch` named neither its number nor how often the HTTP client had sent it, and was dropped first.

`job.batch` has its number and `sends`, and failed ones are dropped last. `job.record_settled` names the appends that held a record, unless its first one stored it. `call.refused` names the job and method of calls that were not admitted too, and says whether another node passed the call on; `call.passed_on` names the node that answered, and `peer.no_answer` one that did not. `laburnumledge_http_calls_resent_total` counts calls that libcurl sent again. No decision changes.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -96,6 +96,9 @@
                            "1 for the state of the circuit breaker of the store, by state.")),
         latency_(MakeGauge(registry, "laburnumledge_store_latency_seconds",
                            "Latency of the store as the node has learned it.")),
+        resent_calls_(MakeCounter(registry, "laburnumledge_http_calls_resent_total",
+                                  "Calls to the store, to workers and to other nodes that the HTTP "
+                                  "client sent again since a kept connection had closed.")),
         job_wait_(MakeHistogram(registry, "laburnumledge_job_wait_seconds",
                                 "Time from a job's acceptance to its first start.")),
         job_seconds_(MakeHistogram(registry, "laburnumledge_job_seconds",
@@ -139,6 +142,7 @@
   Family<Counter>& doubts_;
   Family<Gauge>& breaker_;
   Family<Gauge>& latency_;
+  Family<Counter>& resent_calls_;
   Family<Histogram>& job_wait_;
   Family<Histogram>& job_seconds_;
   Family<Counter>& runs_;
@@ -284,6 +288,10 @@
   families_->latency_.Add({}).Set(std::chrono::duration<double>(writer.latency_).count());
 }
 
+void NodeMetrics::Update(const http::Client& client) {
+  IncreaseTo(families_->resent_calls_.Add({}), client.ResentCalls());
+}
+
 void NodeMetrics::Update(const dispatch::Dispatcher& dispatcher) {
   const dispatch::DispatchCounts& counts = dispatcher.Counts();
   IncreaseOutcomes(families_->runs_, {{"started", counts.starts_},
--- a/src/laburnumledge/control/metrics.hpp
+++ b/src/laburnumledge/control/metrics.hpp
@@ -9,6 +9,7 @@
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/entry/job_calls.hpp"
+#include "laburnumledge/http/client.hpp"
 #include "laburnumledge/ledger/job.hpp"
 #include "laburnumledge/platform/store.hpp"
 #include "laburnumledge/platform/workers.hpp"
@@ -48,6 +49,9 @@
   /** @brief Updates the counters of clients' calls. */
   void Update(const entry::EntryCounts& counts);
 
+  /** @brief Updates the counter of calls that the HTTP client sent more than once. */
+  void Update(const http::Client& client);
+
   /** @brief Updates the metrics of jobs, runs and workers from the leader's dispatcher. */
   void Update(const dispatch::Dispatcher& dispatcher);
 
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -226,6 +226,7 @@
 
 http::Reply Node::Implementation::MetricsReply() {
   metrics_.Update(calls_.Counts());
+  metrics_.Update(client_);
   metrics_.UpdateTerm(term_.newest_.has_value() ? term_.newest_->number_ : 0, term_.is_leader_);
   if (leadership_ != nullptr && leadership_->ActiveDispatcher() != nullptr) {
     metrics_.Update(*leadership_->ActiveDispatcher());
--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -44,6 +44,12 @@
       submits ? ledger::JobRecordKind::kSubmission : ledger::JobRecordKind::kCancellation, job);
 }
 
+/** Job of a call for log lines, also of one that was not admitted. Empty if none is known. */
+std::string_view JobOf(const PendingCall& pending) noexcept {
+  const std::string_view key = pending.key_;
+  return pending.job_.empty() && !key.empty() ? key.substr(1) : std::string_view(pending.job_);
+}
+
 /** Whether the replica holds a key's record. */
 bool IsApplied(const ledger::Jobs& jobs, std::string_view key) {
   const ledger::JobEntry* entry = ledger::FindJob(jobs, key.substr(1));
@@ -117,7 +123,9 @@
   counts_.refused_ += in_doubt ? 0 : 1;
   counts_.in_doubt_ += in_doubt ? 1 : 0;
   core::LogEvent(Level::kInfo, EventPriority::kHigh, in_doubt ? "call.in_doubt" : "call.refused",
-                 {{"job", pending->job_},
+                 {{"job", JobOf(*pending)},
+                  {"method", pending->request_.method_},
+                  {"forwarded", pending->forwarded_},
                   {"status", reported_status},
                   {"version", context_.rules_.configuration_.version_},
                   {"reason", reason}});
@@ -184,7 +192,10 @@
 void JobCalls::Implementation::LogForwarded(const PendingCall& pending, const PeerReply& answer,
                                             std::string_view reason) const {
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "call.passed_on",
-                 {{"job", pending.job_},
+                 {{"job", JobOf(pending)},
+                  {"method", pending.request_.method_},
+                  {"peer", answer.node_},
+                  {"sends", answer.sends_},
                   {"status", answer.reply_.status_},
                   {"version", answer.version_},
                   {"reason", reason},
--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -236,9 +236,10 @@
     ReplySuccess(pending);
     return;
   }
-  core::LogEvent(Level::kWarning, EventPriority::kLow, "job.append_failed",
+  core::LogEvent(Level::kWarning, EventPriority::kHigh, "job.append_failed",
                  {{"job", pending->job_},
                   {"outcome", platform::ToString(result.outcome_)},
+                  {"sends", result.sends_},
                   {"reason", result.reason_}});
   pending->may_have_run_ = pending->may_have_run_ || result.outcome_ == AppendOutcome::kUnknown;
   if (result.outcome_ == AppendOutcome::kInvalid) {
--- a/src/laburnumledge/entry/job_writer.cpp
+++ b/src/laburnumledge/entry/job_writer.cpp
@@ -33,6 +33,30 @@
 /** Number of positions over which the retries of clients are spread. */
 constexpr std::uint32_t kSpreadSteps = 1000;
 
+std::string_view ToString(RecordFate fate) noexcept {
+  switch (fate) {
+    case RecordFate::kStored:
+      return "stored";
+    case RecordFate::kNotRun:
+      return "not-run";
+    case RecordFate::kInDoubt:
+      return "in-doubt";
+  }
+  return "";
+}
+
+std::string_view ToString(WriteEnd end) noexcept {
+  switch (end) {
+    case WriteEnd::kSettled:
+      return "settled";
+    case WriteEnd::kTimedOut:
+      return "timed-out";
+    case WriteEnd::kUnreachable:
+      return "unreachable";
+  }
+  return "";
+}
+
 core::Milliseconds Between(core::TimePoint from, core::TimePoint to) {
   return std::chrono::duration_cast<core::Milliseconds>(to - from);
 }
@@ -70,6 +94,7 @@
   void ResendOrWait(core::Milliseconds probe_time);
   void ObserveReads();
   void LogBreaker(BreakerState before, std::string_view reason) const;
+  void LogFate(const CallFate& fate, WriteEnd end) const;
   void Deliver(const std::vector<CallFate>& fates, WriteEnd end);
   void ScheduleWake();
   [[nodiscard]] core::Milliseconds TimeoutFor(core::TimePoint deadline) const;
@@ -177,11 +202,13 @@
     context_.loop_.Cancel(slow_timer_);
   }
   if (records > 1 || !done || elapsed > kSlowLatency) {
-    core::LogEvent(Level::kInfo, EventPriority::kLow, "job.batch",
-                   {{"records", records},
+    core::LogEvent(Level::kInfo, done ? EventPriority::kLow : EventPriority::kHigh, "job.batch",
+                   {{"append", number},
+                    {"records", records},
                     {"queued_ms", Between(queued, sent)},
                     {"elapsed_ms", elapsed},
                     {"outcome", platform::ToString(result.outcome_)},
+                    {"sends", result.sends_},
                     {"reason", result.reason_}});
   }
   const BreakerState before = breaker_.state_;
@@ -308,8 +335,27 @@
        {"reason", reason}});
 }
 
+/** Logs which appends held a record, unless the first one has stored it. */
+void JobWriter::Implementation::LogFate(const CallFate& fate, WriteEnd end) const {
+  const AppendHistory& appends = fate.appends_;
+  if (fate.fate_ == RecordFate::kStored && appends.count_ == 1) {
+    return;
+  }
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "job.record_settled",
+                 {{"job", std::string_view(fate.key_).substr(1)},
+                  {"fate", ToString(fate.fate_)},
+                  {"end", ToString(end)},
+                  {"appends", appends.count_},
+                  {"first_append", appends.first_},
+                  {"last_append", appends.last_},
+                  {"last_outcome", appends.last_outcome_.has_value()
+                                       ? platform::ToString(*appends.last_outcome_)
+                                       : std::string_view()}});
+}
+
 void JobWriter::Implementation::Deliver(const std::vector<CallFate>& fates, WriteEnd end) {
   for (const CallFate& fate : fates) {
+    LogFate(fate, end);
     counts_.doubt_stored_ += fate.resent_ && fate.fate_ == RecordFate::kStored ? 1 : 0;
     counts_.doubt_remained_ += fate.fate_ == RecordFate::kInDoubt ? 1 : 0;
     const auto callback = callbacks_.find(fate.call_);
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -12,6 +12,7 @@
 #include "laburnumledge/control/follower.hpp"
 #include "laburnumledge/core/event.hpp"
 #include "laburnumledge/core/reason.hpp"
+#include "laburnumledge/core/verdict.hpp"
 #include "laburnumledge/entry/collectors.hpp"
 #include "laburnumledge/platform/callers.hpp"
 
@@ -83,12 +84,14 @@
 
   void ApplyRecords(const std::vector<platform::StoredRecord>& records);
   void Announce();
-  Peer* ChoosePeer(core::TimePoint now);
+  std::optional<std::string> ChoosePeer(core::TimePoint now);
   [[nodiscard]] http::Call MakeCall(const http::Request& request, std::uint64_t version) const;
   void ForwardToPeer(const http::Call& call, const ForwardLimits& limits, int attempts_left,
                      bool unanswered, const ForwardCallback& done);
-  void Send(Peer& peer, const http::Call& call, const ForwardLimits& limits,
+  void Send(const std::string& node, const http::Call& call, const ForwardLimits& limits,
             const ForwardCallback& done);
+  void OnNoAnswer(const std::string& node, const config::Address& address, std::string_view target,
+                  const http::Response& response);
 };
 
 void Peers::Implementation::ApplyRecords(const std::vector<platform::StoredRecord>& records) {
@@ -137,15 +140,15 @@
       });
 }
 
-Peer* Peers::Implementation::ChoosePeer(core::TimePoint now) {
-  std::vector<Peer*> candidates;
-  for (auto& [name, peer] : peers_) {
+std::optional<std::string> Peers::Implementation::ChoosePeer(core::TimePoint now) {
+  std::vector<std::string> candidates;
+  for (const auto& [name, peer] : peers_) {
     if (peer.excluded_until_ <= now) {
-      candidates.push_back(&peer);
+      candidates.push_back(name);
     }
   }
   if (candidates.empty()) {
-    return nullptr;
+    return std::nullopt;
   }
   return candidates[random_(static_cast<std::uint32_t>(candidates.size()))];
 }
@@ -154,13 +157,14 @@
                                           int attempts_left, bool unanswered,
                                           const ForwardCallback& done) {
   const core::TimePoint now = loop_.Now();
-  Peer* peer = attempts_left > 0 && now < limits.deadline_ ? ChoosePeer(now) : nullptr;
-  if (peer == nullptr) {
+  const std::optional<std::string> node =
+      attempts_left > 0 && now < limits.deadline_ ? ChoosePeer(now) : std::nullopt;
+  if (!node.has_value()) {
     loop_.CallSoon(
         [done, unanswered] { done({.reply_ = std::nullopt, .may_have_run_ = unanswered}); });
     return;
   }
-  Send(*peer, call, limits,
+  Send(*node, call, limits,
        [weak = weak_from_this(), call, limits, attempts_left, unanswered,
         done](ForwardResult result) {
          result.may_have_run_ = result.may_have_run_ || unanswered;
@@ -173,34 +177,48 @@
        });
 }
 
-void Peers::Implementation::Send(Peer& peer, const http::Call& call, const ForwardLimits& limits,
-                                 const ForwardCallback& done) {
-  const config::Address address = peer.address_;
+/** Gives a node no calls for a while. */
+void Peers::Implementation::OnNoAnswer(const std::string& node, const config::Address& address,
+                                       std::string_view target, const http::Response& response) {
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "peer.no_answer",
+                 {{"peer", node},
+                  {"target", target},
+                  {"verdict", core::ToString(response.verdict_)},
+                  {"sends", response.sends_},
+                  {"reason", response.reason_}});
+  for (auto& [name, asked] : peers_) {
+    if (asked.address_ == address) {
+      asked.excluded_until_ = loop_.Now() + kExclusionTime;
+    }
+  }
+}
+
+void Peers::Implementation::Send(const std::string& node, const http::Call& call,
+                                 const ForwardLimits& limits, const ForwardCallback& done) {
+  const config::Address address = peers_.at(node).address_;
   http::Call forwarded = call;
   forwarded.url_ = fmt::format("http://{}{}", config::ToString(address), call.url_);
   forwarded.deadline_ = limits.peer_timeout_.count() == 0
                             ? limits.deadline_
                             : std::min(limits.deadline_, loop_.Now() + limits.peer_timeout_);
-  client_.Send(std::move(forwarded), [weak = weak_from_this(), done,
-                                      address](const http::Response& response) {
+  client_.Send(std::move(forwarded), [weak = weak_from_this(), done, node, address,
+                                      target = call.url_](const http::Response& response) {
     const auto self = weak.lock();
     if (self == nullptr) {
       return;
     }
     if (response.status_ != 0) {
       PeerReply reply{.reply_ = http::JsonReply(response.status_, response.body_),
-                      .version_ = VersionOf(response.headers_)};
+                      .version_ = VersionOf(response.headers_),
+                      .node_ = node,
+                      .sends_ = response.sends_};
       if (const auto retry = http::Find(response.headers_, "Retry-After")) {
         reply.reply_.headers_.push_back({"Retry-After", std::string(*retry)});
       }
       done({.reply_ = std::move(reply), .may_have_run_ = false});
       return;
     }
-    for (auto& [name, asked] : self->peers_) {
-      if (asked.address_ == address) {
-        asked.excluded_until_ = self->loop_.Now() + kExclusionTime;
-      }
-    }
+    self->OnNoAnswer(node, address, target, response);
     done({.reply_ = std::nullopt, .may_have_run_ = response.verdict_ != core::Verdict::kNotRun});
   });
 }
@@ -244,13 +262,11 @@
 
 void Peers::ForwardTo(const std::string& node, const http::Request& request,
                       const ForwardLimits& limits, const ForwardCallback& done) {
-  const auto peer = implementation_->peers_.find(node);
-  if (peer == implementation_->peers_.end()) {
+  if (!implementation_->peers_.contains(node)) {
     implementation_->loop_.CallSoon([done] { done({}); });
     return;
   }
-  implementation_->Send(peer->second, implementation_->MakeCall(request, limits.version_), limits,
-                        done);
+  implementation_->Send(node, implementation_->MakeCall(request, limits.version_), limits, done);
 }
 
 void Peers::NotifySlow() {
--- a/src/laburnumledge/entry/peers.hpp
+++ b/src/laburnumledge/entry/peers.hpp
@@ -19,6 +19,8 @@
 struct PeerReply {
   http::Reply reply_;
   std::uint64_t version_{};
+  std::string node_;       ///< Name of the node.
+  std::uint32_t sends_{};  ///< How often the HTTP client sent the call.
 };
 
 /** @brief Result of forwarding a call. */
--- a/src/laburnumledge/entry/submission_batch.cpp
+++ b/src/laburnumledge/entry/submission_batch.cpp
@@ -23,7 +23,11 @@
   const RecordFate fate = IsStored(queue, key)    ? RecordFate::kStored
                           : IsInDoubt(queue, key) ? RecordFate::kInDoubt
                                                   : RecordFate::kNotRun;
-  return {.call_ = call, .fate_ = fate, .resent_ = InDoubt(record)};
+  return {.call_ = call,
+          .fate_ = fate,
+          .resent_ = InDoubt(record),
+          .key_ = key,
+          .appends_ = record.appends_};
 }
 
 /** Removes calls. What is in doubt stays remembered. */
@@ -74,9 +78,16 @@
   return order;
 }
 
+void NoteSent(AppendHistory& appends, std::uint64_t number) noexcept {
+  ++appends.count_;
+  appends.first_ = appends.first_ == 0 ? number : appends.first_;
+  appends.last_ = number;
+}
+
 /** Applies the end of an append to one of its records. Returns whether that settles its fate. */
 bool EndRecord(QueuedRecord& record, AppendOutcome outcome, bool batched) {
   --record.open_appends_;
+  record.appends_.last_outcome_ = outcome;
   record.unanswered_ = record.unanswered_ || outcome == AppendOutcome::kUnknown;
   const bool invalid = outcome == AppendOutcome::kInvalid;
   record.alone_ = record.alone_ || (invalid && batched);
@@ -129,6 +140,7 @@
     }
     bytes += record_bytes;
     ++record.open_appends_;
+    NoteSent(record.appends_, queue.last_append_ + 1);
     open.calls_.push_back(number);
     open.keys_.push_back(record.record_.key_);
     next.records_.push_back(record.record_);
--- a/src/laburnumledge/entry/submission_batch.hpp
+++ b/src/laburnumledge/entry/submission_batch.hpp
@@ -15,6 +15,14 @@
 /** @brief Number of a client's call within one queue; later calls have higher numbers. */
 using CallNumber = std::uint64_t;
 
+/** @brief Appends that have held a record. */
+struct AppendHistory {
+  std::uint32_t count_{};
+  std::uint64_t first_{};  ///< Number of the first append; 0 if the record was never sent.
+  std::uint64_t last_{};   ///< Number of the newest append.
+  std::optional<platform::AppendOutcome> last_outcome_;  ///< Of the append that ended last.
+};
+
 /** @brief Record of a client's call that the store has not confirmed yet. */
 struct QueuedRecord {
   platform::KeyedRecord record_;
@@ -25,6 +33,7 @@
   bool alone_{};                  ///< Sent alone: the store has rejected a batch that held it.
   bool unanswered_{};             ///< An append that holds it ended without an answer.
   std::uint32_t open_appends_{};  ///< Appends that hold it and have not ended.
+  AppendHistory appends_;
 };
 
 /** @brief Append that has been sent and has not ended. */
@@ -71,6 +80,8 @@
   CallNumber call_{};
   RecordFate fate_{};
   bool resent_{};  ///< An append of the record was in doubt before.
+  std::string key_;
+  AppendHistory appends_;
 };
 
 /** @brief Append to send now. */
--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -33,7 +33,7 @@
   Received received_;
   bool too_large_{};
   bool headers_ended_{};
-  bool sent_{};
+  std::uint32_t sends_{};
   bool once_{};  ///< See Call::once_.
 };
 
@@ -75,8 +75,11 @@
 int OnPrerequest(void* context, char* /*ip*/, char* /*local_ip*/, int /*port*/,
                  int /*local_port*/) {
   auto* transfer = static_cast<Transfer*>(context);
-  const bool again = std::exchange(transfer->sent_, true);
-  return again && transfer->once_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  if (transfer->sends_ > 0 && transfer->once_) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++transfer->sends_;
+  return CURL_PREREQFUNC_OK;
 }
 
 /** Sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays unacknowledged. */
@@ -95,7 +98,7 @@
  * Whether libcurl never began to send the call. The result code can't tell: libcurl resends a call
  * when a reused connection closes, so a failure to connect may follow a request that was sent.
  */
-bool NeverSent(const Transfer& transfer) noexcept { return !transfer.sent_; }
+bool NeverSent(const Transfer& transfer) noexcept { return transfer.sends_ == 0; }
 
 }  // namespace
 
@@ -112,6 +115,7 @@
   loop::Handle timer_{};
   CallId next_call_{1};
   std::unordered_map<curl_socket_t, loop::Handle> watches_;
+  std::uint64_t resent_calls_{};
   std::uint64_t bytes_sent_{};
   std::uint64_t bytes_received_{};
   std::unordered_map<CallId, std::unique_ptr<Transfer>> transfers_;
@@ -194,6 +198,8 @@
   Transfer* transfer = nullptr;
   curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
   Response response = std::move(transfer->response_);
+  response.sends_ = transfer->sends_;
+  resent_calls_ += transfer->sends_ > 1 ? 1 : 0;
   if (code == CURLE_OK && !transfer->headers_ended_) {
     response.malformed_ = true;
     response.reason_ = "the response ended within its headers";
@@ -317,6 +323,8 @@
 
 std::size_t Client::InFlight() const noexcept { return implementation_->transfers_.size(); }
 
+std::uint64_t Client::ResentCalls() const noexcept { return implementation_->resent_calls_; }
+
 std::uint64_t Client::BytesSent() const noexcept { return implementation_->bytes_sent_; }
 
 std::uint64_t Client::BytesReceived() const noexcept { return implementation_->bytes_received_; }
--- a/src/laburnumledge/http/client.hpp
+++ b/src/laburnumledge/http/client.hpp
@@ -60,6 +60,9 @@
   /** @brief Number of calls in flight. */
   [[nodiscard]] std::size_t InFlight() const noexcept;
 
+  /** @brief Completed calls that libcurl sent more than once. */
+  [[nodiscard]] std::uint64_t ResentCalls() const noexcept;
+
   /** @brief HTTP bytes sent by completed calls, headers included. */
   [[nodiscard]] std::uint64_t BytesSent() const noexcept;
 
--- a/src/laburnumledge/http/message.hpp
+++ b/src/laburnumledge/http/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,8 +67,9 @@
   std::string body_;
   core::Verdict verdict_{core::Verdict::kMayHaveRun};  ///< kRan for a complete response.
   bool timed_out_{};
-  bool malformed_{};    ///< The response was invalid HTTP, truncated or too large.
-  std::string reason_;  ///< Why there is no complete response.
+  bool malformed_{};       ///< The response was invalid HTTP, truncated or too large.
+  std::string reason_;     ///< Why there is no complete response.
+  std::uint32_t sends_{};  ///< How often the client began to send the call.
 };
 
 /** @brief Builds a reply with an `application/json` body. */
--- a/src/laburnumledge/platform/store.cpp
+++ b/src/laburnumledge/platform/store.cpp
@@ -244,7 +244,7 @@
 }
 
 AppendResult ParseAppendResponse(const http::Response& response) {
-  AppendResult result;
+  AppendResult result{.sends_ = response.sends_};
   const std::optional<nlohmann::json> body = ParseObject(response.body_);
   if (body.has_value()) {
     result.end_ = Unsigned(*body, "end_offset").value_or(0);
--- a/src/laburnumledge/platform/store.hpp
+++ b/src/laburnumledge/platform/store.hpp
@@ -67,6 +67,7 @@
   AppendOutcome outcome_{AppendOutcome::kUnknown};
   std::uint64_t end_{};                ///< End of the stream, for kDone and kConflict.
   std::uint64_t expected_sequence_{};  ///< Next sequence of the writer, for kOutOfSequence.
+  std::uint32_t sends_{};              ///< How often the HTTP client sent the call.
   std::string reason_;
 };
 
--- a/test/laburnumledge/entry/submission_batch.cpp
+++ b/test/laburnumledge/entry/submission_batch.cpp
@@ -48,6 +48,25 @@
   CHECK(MakeAppend(queue, 0, kStart)->records_.size() == 1);
 }
 
+TEST_CASE("the fate of a record names the appends that held it") {
+  // Guards against a refusal of which nobody can tell whether its record was ever sent.
+  SubmissionQueue queue;
+  Enqueue(queue, Record("a"));
+  const auto first = MakeAppend(queue, 0, kStart);
+  CHECK(EndAppend(queue, first->number_, AppendOutcome::kUnknown, kStart).empty());
+  const auto second = MakeAppend(queue, 0, kStart);
+  CHECK(EndAppend(queue, second->number_, AppendOutcome::kRefused, kStart).empty());
+  Enqueue(queue, Record("b"));
+  const auto fates = TakeAll(queue, kStart);
+  REQUIRE(fates.size() == 2);
+  CHECK(fates[0].key_ == "a");
+  CHECK(fates[0].appends_.count_ == 2);
+  CHECK(fates[0].appends_.first_ == first->number_);
+  CHECK(fates[0].appends_.last_ == second->number_);
+  CHECK(fates[0].appends_.last_outcome_ == AppendOutcome::kRefused);
+  CHECK(fates[1].appends_.count_ == 0);
+}
+
 TEST_CASE("reset connections: a store that answers nothing clear is not flooded with appends") {
   // Guards against an append for each round trip while a store resets connections or answers 500.
   SubmissionQueue queue;
