Reproduce REFUSED: a store that carries an append out, closes and refuses

The test fails: the job is answered 503 and runs. A node's connection to the store passes through a proxy. The store carries out one more append of job records and then refuses every call; the proxy closes each connection that is open at its next answer. libcurl sends the append again on a new connection, and the refusal of that attempt is taken for the outcome of both.

New in the stand-ins: `lose` of the proxy, fault `last` of the store.

--- a/test/standin/keyed_store.cpp
+++ b/test/standin/keyed_store.cpp
@@ -58,6 +58,9 @@
   }
   if (request.path_ == "/-/log-append") {
     http::Reply reply = Append(request);
+    if (fault == StoreFault::kLast && Argument(request, "topic") == "keyed.jobs") {
+      fault_ = StoreFault::kBusy;
+    }
     if (fault != StoreFault::kLost) {
       respond(std::move(reply));
     }
@@ -208,6 +211,7 @@
     fault_ = kind == "busy"     ? StoreFault::kBusy
              : kind == "silent" ? StoreFault::kSilent
              : kind == "lost"   ? StoreFault::kLost
+             : kind == "last"   ? StoreFault::kLast
                                 : StoreFault::kNone;
     fault_until_ =
         loop_.Now() + core::Milliseconds(static_cast<std::int64_t>(Number(request, "for_ms")));
--- a/test/standin/keyed_store.hpp
+++ b/test/standin/keyed_store.hpp
@@ -18,6 +18,7 @@
   kBusy,    ///< Refuses every call.
   kSilent,  ///< Answers nothing, and does nothing.
   kLost,    ///< Does what is asked and answers no append.
+  kLast,    ///< Carries out and answers one more append of job records, then is kBusy.
 };
 
 /** @brief Stand-in for the platform's store: keyed streams, conditions, epochs of writers. */
--- a/test/standin/proxy.cpp
+++ b/test/standin/proxy.cpp
@@ -43,6 +43,7 @@
   };
   Side client_;
   Side server_;
+  bool loses_answer_{};  ///< Closed instead of passing the next bytes from the server.
 };
 
 std::unique_ptr<Proxy> Proxy::Start(loop::Loop& loop, std::uint16_t port, std::uint16_t target) {
@@ -85,6 +86,12 @@
     link_ = Link::kPass;
     return true;
   }
+  if (word == "lose") {
+    for (auto& [number, connection] : connections_) {
+      connection->loses_answer_ = true;
+    }
+    return true;
+  }
   const std::map<std::string, Link> links = {{"pass", Link::kPass},
                                              {"delay", Link::kDelay},
                                              {"silence", Link::kSilence},
@@ -144,6 +151,10 @@
     Close(number, bytes < 0);
     return;
   }
+  if (connection.loses_answer_ && !from_client) {
+    Close(number, false);
+    return;
+  }
   const bool swallowed =
       link_ == Link::kSilence || link_ == Link::kRefuse || (link_ == Link::kOneWay && !from_client);
   if (swallowed) {
--- a/test/standin/proxy.hpp
+++ b/test/standin/proxy.hpp
@@ -23,8 +23,9 @@
 /**
  * @brief Passes connections on to a port of the same machine, and misbehaves when it is told to.
  *
- * Commands are `pass`, `delay MS`, `silence`, `oneway`, `refuse`, and `reset`, which resets all
- * open connections and then passes again. Not thread safe.
+ * Commands are `pass`, `delay MS`, `silence`, `oneway`, `refuse`; `reset`, which resets all open
+ * connections and then passes again; and `lose`, after which each connection that is open now is
+ * closed when the next answer arrives on it, without that answer. Not thread safe.
  */
 class Proxy {
  public:
