Send a call once, unless it says that it changes nothing

Cause: when a kept connection closes without a response, libcurl sends the call again on another connection by itself and reports the last response only. A store that carries out an append, closes and answers 503 from then on made the append's outcome "refused", that is "no effect".

The class is an answer to the last attempt that is taken for the answer to all. Starts were kept from it by a flag of their own; appends, calls passed on to another node, stops, leases and paces were not. Now the client sends a call once, and a call that may be sent again has to say so: `Call::resendable_`, which reads of the store, of the VM list, of another node's job states and of explanations have. A resend is stopped before its socket connects, and again before it uses another kept connection; the response then says that the call may have run. `Call::once_` goes.

A lease call without an answer raises the fencing token again: a refusal of its resend had hidden that.

--- a/src/laburnumledge/control/where.cpp
+++ b/src/laburnumledge/control/where.cpp
@@ -120,7 +120,8 @@
       .headers_ = {{"Content-Type", "application/json"},
                    {std::string(kForwardedHeader), fmt::format("by={}", context.node_)}},
       .body_ = request.body_,
-      .deadline_ = context.now_() + kPassOnTimeout};
+      .deadline_ = context.now_() + kPassOnTimeout,
+      .resendable_ = true};
   context.send_(std::move(call), [respond, name = leader.name_](const http::Response& response) {
     respond(PassOnAnswer(name, response));
   });
--- a/src/laburnumledge/entry/peers.cpp
+++ b/src/laburnumledge/entry/peers.cpp
@@ -228,7 +228,8 @@
   http::Call call{.method_ = request.method_,
                   .url_ = request.target_,
                   .headers_ = platform::HeadersToForward(request),
-                  .body_ = request.body_};
+                  .body_ = request.body_,
+                  .resendable_ = request.method_ == "GET"};
   call.headers_.push_back({std::string(kForwardedHeader), fmt::format("by={}", deployment_.node_)});
   call.headers_.push_back({std::string(kVersionHeader), fmt::format("{}", version)});
   return call;
--- a/src/laburnumledge/http/client.cpp
+++ b/src/laburnumledge/http/client.cpp
@@ -34,7 +34,7 @@
   bool too_large_{};
   bool headers_ended_{};
   std::uint32_t sends_{};
-  bool once_{};  ///< See Call::once_.
+  bool refused_resend_{};  ///< libcurl was kept from sending the call again.
 };
 
 size_t OnBody(char* data, size_t size, size_t count, void* context) {
@@ -72,18 +72,28 @@
   return line.size();
 }
 
+/** Whether a call that libcurl is about to send must not be sent: it was sent before. */
+bool RefusesResend(Transfer& transfer) noexcept {
+  transfer.refused_resend_ = transfer.sends_ > 0 && !transfer.call_.resendable_;
+  return transfer.refused_resend_;
+}
+
 int OnPrerequest(void* context, char* /*ip*/, char* /*local_ip*/, int /*port*/,
                  int /*local_port*/) {
   auto* transfer = static_cast<Transfer*>(context);
-  if (transfer->sends_ > 0 && transfer->once_) {
+  if (RefusesResend(*transfer)) {
     return CURL_PREREQFUNC_ABORT;
   }
   ++transfer->sends_;
   return CURL_PREREQFUNC_OK;
 }
 
-/** Sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays unacknowledged. */
-int OnNewSocket(void* /*context*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+/** Sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays unacknowledged.
+ * Aborts a resend here already, rather than once a connection for it is open. */
+int OnNewSocket(void* context, curl_socket_t socket, curlsocktype /*purpose*/) {
+  if (RefusesResend(*static_cast<Transfer*>(context))) {
+    return CURL_SOCKOPT_ERROR;
+  }
   const unsigned timeout = kUserTimeoutMs;
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
   return CURL_SOCKOPT_OK;
@@ -212,8 +222,9 @@
     response.status_ = 0;
     response.timed_out_ = code == CURLE_OPERATION_TIMEDOUT;
     response.malformed_ = IsMalformed(*transfer, code);
-    response.reason_ =
-        transfer->too_large_ ? "the response is too large" : curl_easy_strerror(code);
+    response.reason_ = transfer->too_large_        ? "the response is too large"
+                       : transfer->refused_resend_ ? "the connection closed without a response"
+                                                   : curl_easy_strerror(code);
     response.verdict_ = NeverSent(*transfer) ? core::Verdict::kNotRun : core::Verdict::kMayHaveRun;
   }
   const Received received = std::move(transfer->received_);
@@ -239,7 +250,6 @@
                                           fmt::format("{}: {}", field.name_, field.value_).c_str());
   }
   transfer.headers_ = curl_slist_append(transfer.headers_, "Expect:");
-  transfer.once_ = call.once_;
   curl_easy_setopt(easy, CURLOPT_URL, call.url_.c_str());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -252,6 +262,7 @@
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnNewSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
   curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.fresh_connection_ ? 1L : 0L);
--- a/src/laburnumledge/http/client.hpp
+++ b/src/laburnumledge/http/client.hpp
@@ -28,8 +28,11 @@
 /**
  * @brief HTTP client on libcurl's multi interface, driven by the loop.
  *
- * Follows no redirects and leaves retries to its user. libcurl itself resends a call when a reused
- * connection closes; Call::once_ rules that out, and so does Call::fresh_connection_.
+ * Follows no redirects and leaves retries to its user. When a reused connection closes without a
+ * response, libcurl sends the call again by itself; the client lets it do so for
+ * Call::resendable_ alone. The response to a second send says nothing about the first one, which
+ * the other side may have carried out. Any other call is sent at most once, and its response has
+ * the verdict kMayHaveRun if the connection closes.
  * Not thread safe: use it on the loop's thread only.
  */
 class Client {
--- a/src/laburnumledge/http/message.hpp
+++ b/src/laburnumledge/http/message.hpp
@@ -56,7 +56,7 @@
   core::TimePoint deadline_;
   std::size_t max_answer_bytes_{16U << 20U};
   bool fresh_connection_{};  ///< Opens a new connection instead of reusing an idle one.
-  bool once_{};              ///< Is not sent again if a reused connection closes.
+  bool resendable_{};        ///< Changes nothing, so that the client may send it again by itself.
   bool close_after_{};       ///< Closes the connection after the response.
 };
 
--- a/src/laburnumledge/platform/log.cpp
+++ b/src/laburnumledge/platform/log.cpp
@@ -68,6 +68,7 @@
     http::Call call;
     call.url_ = fmt::format("{}{}/records?from={}&limit={}", base, stream, from, kReadLimit);
     call.deadline_ = deadline;
+    call.resendable_ = true;
     client.Send(std::move(call), [done = std::move(done)](const http::Response& response) {
       if (response.status_ != kOk) {
         done(
--- a/src/laburnumledge/platform/store.cpp
+++ b/src/laburnumledge/platform/store.cpp
@@ -308,7 +308,7 @@
     if (call.wait_.count() > 0) {
       url += fmt::format("&wait_ms={}", call.wait_.count());
     }
-    http::Call request{.url_ = std::move(url), .deadline_ = call.deadline_};
+    http::Call request{.url_ = std::move(url), .deadline_ = call.deadline_, .resendable_ = true};
     client.Send(std::move(request), [done, from = call.from_](const http::Response& response) {
       done(ParseReadResponse(response, from));
     });
@@ -318,7 +318,7 @@
     if (!call.after_.empty()) {
       url += fmt::format("&after={}", http::EscapeQuery(call.after_));
     }
-    http::Call request{.url_ = std::move(url), .deadline_ = call.deadline_};
+    http::Call request{.url_ = std::move(url), .deadline_ = call.deadline_, .resendable_ = true};
     client.Send(std::move(request),
                 [done](const http::Response& response) { done(ParseNewestResponse(response)); });
   };
--- a/src/laburnumledge/platform/vm_list.cpp
+++ b/src/laburnumledge/platform/vm_list.cpp
@@ -73,6 +73,7 @@
   http::Call call;
   call.url_ = fmt::format("http://{}/v1/vms", config::ToString(platform));
   call.deadline_ = deadline;
+  call.resendable_ = true;
   if (!tag.empty()) {
     call.headers_ = {{"If-None-Match", tag}};
   }
--- a/src/laburnumledge/platform/workers.cpp
+++ b/src/laburnumledge/platform/workers.cpp
@@ -248,12 +248,9 @@
     if (!command.ticket_.empty()) {
       body["ticket"] = command.ticket_;
     }
-    http::Call call = MakeCall(worker, "/-/run-start", body, deadline);
-    // The process behind another connection may be a later one, which has seen no fencing token.
-    call.once_ = true;
-    client.Send(std::move(call), [done](const http::Response& response) {
-      done(internal::ParseCommandResponse(response));
-    });
+    client.Send(
+        MakeCall(worker, "/-/run-start", body, deadline),
+        [done](const http::Response& response) { done(internal::ParseCommandResponse(response)); });
   };
   workers.stop_ = [&client](const WorkerAddress& worker, const StopCommand& command,
                             core::TimePoint deadline, const CommandCallback& done) {
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -243,6 +243,23 @@
   }
 }
 
+TEST_CASE("a forwarded submission is in doubt if its kept connection closes") {
+  // Guards against the refusal by a later process at the same address, which got a second send of
+  // the call, where the first one may have stored the job (issue 53, REFUSED).
+  for (const std::string method : {"POST", "DELETE"}) {
+    CAPTURE(method);
+    loop::Loop loop;
+    http::RawServer peer(
+        loop, [](int number) { return number == 2 ? "" : AnswerOf(number == 1 ? 200 : 503, 7); },
+        false);
+    JobCallsFixture fixture(loop, {{"node-2", AddressOf(peer)}});
+    fixture.outcomes_ = {AppendOutcome::kRefused};
+    REQUIRE(fixture.Call(method, std::string("/s/") + kJob, kBody).status_ == 200);
+    CHECK(fixture.Call(method, "/s/00000000000000aa", kBody).status_ == 504);
+    CHECK(peer.Requests() == 2);
+  }
+}
+
 TEST_CASE("no older configuration answers after a peer has answered by a newer one") {
   loop::Loop loop;
   http::RawServer peer(
--- a/test/laburnumledge/http/client.cpp
+++ b/test/laburnumledge/http/client.cpp
@@ -76,6 +76,51 @@
   CHECK(server.Requests() == 2);
 }
 
+TEST_CASE("A call that changes something is not sent again when its kept connection closes") {
+  // Guards against the refusal of a second send that is taken for the answer to the first one,
+  // which the server has carried out (issue 53, REFUSED).
+  for (const std::string method : {"POST", "PUT", "DELETE"}) {
+    CAPTURE(method);
+    loop::Loop loop;
+    RawServer server(
+        loop,
+        [](int number) {
+          const std::string refusal =
+              "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+          return number == 1 ? kCompleteResponse : number == 2 ? "" : refusal;
+        },
+        false);
+    Client client(loop, 4);
+    Call call;
+    call.method_ = method;
+    call.url_ = server.Url();
+    call.body_ = "x";
+    CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
+    const Response response = Exchange(loop, client, call);
+    CHECK(response.status_ == 0);
+    CHECK(response.verdict_ == core::Verdict::kMayHaveRun);
+    CHECK(response.sends_ == 1);
+    CHECK(response.reason_ == "the connection closed without a response");
+    CHECK(server.Requests() == 2);
+    CHECK(client.ResentCalls() == 0);
+  }
+}
+
+TEST_CASE("A call that is resendable is answered although its kept connection closes") {
+  loop::Loop loop;
+  RawServer server(
+      loop, [](int number) { return number == 2 ? "" : kCompleteResponse; }, false);
+  Client client(loop, 4);
+  Call call;
+  call.url_ = server.Url();
+  call.resendable_ = true;
+  CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
+  const Response response = Exchange(loop, client, call);
+  CHECK(response.verdict_ == core::Verdict::kRan);
+  CHECK(response.sends_ == 2);
+  CHECK(client.ResentCalls() == 1);
+}
+
 TEST_CASE("A call whose connection is refused has not run") {
   loop::Loop loop;
   std::string url;
@@ -145,7 +190,8 @@
   call.url_ = server.Url();
   call.body_ = "x";
   CHECK(Exchange(loop, client, call).verdict_ == core::Verdict::kRan);
-  // libcurl resends a call when a reused connection closes; the second attempt can't connect.
+  // libcurl may resend this one since its reused connection closes; that attempt can't connect.
+  call.resendable_ = true;
   const Response response = Exchange(loop, client, call);
   CHECK(server.Requests() == 2);
   CHECK(response.status_ == 0);
