Keep a record in doubt after a later append of it was not sent

In the deployment with a log of its own, a caller could be told "not run" for a job or a configuration that takes effect later. An append of a record had no answer, a read reached the tail without the record, and the record was sent again; that append was not sent (connection refused), which took the doubt about the first one away, so that the record was withdrawn without the record that voids it. The log may still carry the first append out.

A record that was once in doubt is not withdrawn any more: it is voided, as one in doubt already is. The new case of unit_platform failed before (WithdrawRecord said "not run") and passes, with the 21 others.

--- a/src/laburnumledge/platform/appender.cpp
+++ b/src/laburnumledge/platform/appender.cpp
@@ -86,6 +86,12 @@
     RequeueSentRecords(appender);
     return;
   }
+  for (const std::string& id : appender.sent_ids_) {
+    const auto found = appender.unconfirmed_.find(id);
+    if (found != appender.unconfirmed_.end()) {
+      found->second.was_in_doubt_ = true;
+    }
+  }
   appender.in_doubt_ = true;
   appender.in_doubt_since_ = now;
 }
@@ -123,7 +129,8 @@
 
 core::Verdict WithdrawRecord(Appender& appender, const std::string& id) {
   const auto found = appender.unconfirmed_.find(id);
-  if (found == appender.unconfirmed_.end() || found->second.may_be_in_log_) {
+  if (found == appender.unconfirmed_.end() || found->second.may_be_in_log_ ||
+      found->second.was_in_doubt_) {
     return core::Verdict::kMayHaveRun;
   }
   auto& ids = appender.queued_ids_[found->second.priority_];
--- a/src/laburnumledge/platform/appender.hpp
+++ b/src/laburnumledge/platform/appender.hpp
@@ -24,6 +24,7 @@
   proto::Record record_;
   Priority priority_{Priority::kOther};
   bool may_be_in_log_{};  ///< Sent in an append that is not known to have failed.
+  bool was_in_doubt_{};   ///< An append of it ended in doubt: the log may yet carry that out.
 };
 
 /**
@@ -90,8 +91,8 @@
 [[nodiscard]] bool IsUnconfirmed(const Appender& appender, const std::string& id);
 
 /**
- * @brief Removes a record from the queue, unless it may be in the log.
- * @return kNotRun if the record was removed, else kMayHaveRun: the log holds it or may hold it.
+ * @brief Removes a record from the queue, unless it may be in the log or may get there.
+ * @return kNotRun if the record was removed, else kMayHaveRun.
  */
 [[nodiscard]] core::Verdict WithdrawRecord(Appender& appender, const std::string& id);
 
--- a/test/laburnumledge/platform/appender.cpp
+++ b/test/laburnumledge/platform/appender.cpp
@@ -50,6 +50,20 @@
   CHECK(WithdrawRecord(appender, "b") == core::Verdict::kMayHaveRun);
 }
 
+TEST_CASE("a record in doubt can't be withdrawn since a later append of it was not sent") {
+  // Guards against "not run" for a job whose first append the log carries out late (REFUSED).
+  Appender appender;
+  core::Random random = core::MakeRandom(1, "test");
+  QueueRecord(appender, RecordOf("a"), Priority::kOther);
+  REQUIRE(NextAppend(appender, At(0)).has_value());
+  OnAppendAnswer(appender, {.verdict_ = core::Verdict::kMayHaveRun}, At(10), random);
+  OnTailReached(appender, At(11));
+  REQUIRE(NextAppend(appender, At(60000)).has_value());
+  OnAppendAnswer(appender, {.verdict_ = core::Verdict::kNotRun}, At(60010), random);
+  CHECK(WithdrawRecord(appender, "a") == core::Verdict::kMayHaveRun);
+  CHECK(NextAppend(appender, At(120000)).has_value());
+}
+
 TEST_CASE("a batch holds configuration before placements and placements before other records") {
   Appender appender;
   QueueRecord(appender, RecordOf("other"), Priority::kOther);
