Name views instead of casting to them in log lines

The linter takes a functional cast to std::string_view for a C-style one; it refused job_calls.cpp and job_writer.cpp. No behaviour changes; unit_entry passes (37 cases).

--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -46,8 +46,9 @@
 
 /** Job of a call for log lines, also of one that was not admitted. Empty if none is known. */
 std::string_view JobOf(const PendingCall& pending) noexcept {
+  const std::string_view job = pending.job_;
   const std::string_view key = pending.key_;
-  return pending.job_.empty() && !key.empty() ? key.substr(1) : std::string_view(pending.job_);
+  return job.empty() && !key.empty() ? key.substr(1) : job;
 }
 
 /** Whether the replica holds a key's record. */
--- a/src/laburnumledge/entry/job_writer.cpp
+++ b/src/laburnumledge/entry/job_writer.cpp
@@ -338,11 +338,12 @@
 /** Logs which appends held a record, unless the first one has stored it. */
 void JobWriter::Implementation::LogFate(const CallFate& fate, WriteEnd end) const {
   const AppendHistory& appends = fate.appends_;
+  const std::string_view key = fate.key_;
   if (fate.fate_ == RecordFate::kStored && appends.count_ == 1) {
     return;
   }
   core::LogEvent(Level::kInfo, EventPriority::kHigh, "job.record_settled",
-                 {{"job", std::string_view(fate.key_).substr(1)},
+                 {{"job", key.substr(1)},
                   {"fate", ToString(fate.fate_)},
                   {"end", ToString(end)},
                   {"appends", appends.count_},
