Remember the doubt of a call that another node answers with 504

A client that repeated its call could be told 503, "never runs", by a node that had passed the first try on: the other node had answered 504, since its append may be stored, and this node passed the 504 back without noting the doubt. The collector's 504 was noted already.

The new case of unit_entry fails before (503 for POST and DELETE) and passes with the 37 others.

--- a/src/laburnumledge/entry/job_calls.cpp
+++ b/src/laburnumledge/entry/job_calls.cpp
@@ -162,7 +162,10 @@
 void JobCalls::Implementation::OnPeerAnswer(const PendingCallPointer& pending,
                                             const ForwardCause& cause, ForwardResult answer) {
   const bool changes = pending->call_.verb_ != CallerVerb::kShow;
-  pending->may_have_run_ = pending->may_have_run_ || (changes && answer.may_have_run_);
+  const bool in_doubt_there =
+      answer.reply_.has_value() && answer.reply_->reply_.status_ == kGatewayTimeout;
+  pending->may_have_run_ =
+      pending->may_have_run_ || (changes && (answer.may_have_run_ || in_doubt_there));
   const bool rejected =
       !answer.reply_.has_value() || (answer.reply_->reply_.status_ >= kBadRequest &&
                                      answer.reply_->reply_.status_ != kGatewayTimeout);
--- a/test/laburnumledge/entry/job_calls.cpp
+++ b/test/laburnumledge/entry/job_calls.cpp
@@ -260,6 +260,21 @@
   }
 }
 
+TEST_CASE("a call that another node answers with 504 stays in doubt for its repetition") {
+  // Guards against "never runs" for a repeated call whose first try another node may have stored.
+  for (const std::string method : {"POST", "DELETE"}) {
+    CAPTURE(method);
+    loop::Loop loop;
+    http::RawServer peer(
+        loop, [](int number) { return AnswerOf(number == 1 ? 504 : 503, 7); }, true);
+    JobCallsFixture fixture(loop, {{"node-2", AddressOf(peer)}}, true);
+    fixture.FailReads();
+    const std::string path = std::string("/s/") + kJob;
+    CHECK(fixture.Call(method, path, kBody).status_ == 504);
+    CHECK(fixture.Call(method, path, kBody).status_ != 503);
+  }
+}
+
 TEST_CASE("no older configuration answers after a peer has answered by a newer one") {
   loop::Loop loop;
   http::RawServer peer(
