Count a queued call of the same key as one that may yet run

A client whose first try broke off while it waited in the node's queue, and whose repetition at the same node timed out earlier, was told 503, "never runs", and the first try's record was sent afterwards: only records that had been sent counted as in doubt. Found by a reviewer's reading. Now a call is refused only if no other call of its key stays in the queue; calls that leave it together, unsent, have not run, as before.

--- a/src/laburnumledge/entry/submission_batch.cpp
+++ b/src/laburnumledge/entry/submission_batch.cpp
@@ -1,6 +1,7 @@
 #include "laburnumledge/entry/submission_batch.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace laburnumledge::entry {
@@ -18,11 +19,27 @@
   return record.unanswered_ || record.open_appends_ > 0;
 }
 
-CallFate FateOf(const SubmissionQueue& queue, CallNumber call, const QueuedRecord& record) {
+/** Whether a key's record may be stored, or may yet be sent by a call that stays in the queue. */
+bool MayBeStored(const SubmissionQueue& queue, const std::string& key,
+                 const std::set<CallNumber>& leaving) {
+  const auto remembered = queue.remembered_.find(key);
+  if (remembered != queue.remembered_.end()) {
+    return true;
+  }
+  return std::any_of(queue.records_.begin(), queue.records_.end(), [&](const auto& call) {
+    const auto& [number, record] = call;
+    return record.record_.key_ == key && (InDoubt(record) || !leaving.contains(number));
+  });
+}
+
+/** Fate of one of the calls that leave the queue together. */
+CallFate FateOf(const SubmissionQueue& queue, CallNumber call,
+                const std::set<CallNumber>& leaving) {
+  const QueuedRecord& record = queue.records_.at(call);
   const std::string& key = record.record_.key_;
-  const RecordFate fate = IsStored(queue, key)    ? RecordFate::kStored
-                          : IsInDoubt(queue, key) ? RecordFate::kInDoubt
-                                                  : RecordFate::kNotRun;
+  const RecordFate fate = IsStored(queue, key)               ? RecordFate::kStored
+                          : MayBeStored(queue, key, leaving) ? RecordFate::kInDoubt
+                                                             : RecordFate::kNotRun;
   return {.call_ = call,
           .fate_ = fate,
           .resent_ = InDoubt(record),
@@ -33,10 +50,11 @@
 /** Removes calls. What is in doubt stays remembered. */
 std::vector<CallFate> TakeCalls(SubmissionQueue& queue, const std::vector<CallNumber>& calls,
                                 core::TimePoint now) {
+  const std::set<CallNumber> leaving(calls.begin(), calls.end());
   std::vector<CallFate> taken;
   taken.reserve(calls.size());
   for (const CallNumber call : calls) {
-    taken.push_back(FateOf(queue, call, queue.records_.at(call)));
+    taken.push_back(FateOf(queue, call, leaving));
   }
   for (const CallNumber call : calls) {
     const QueuedRecord& record = queue.records_.at(call);
@@ -102,13 +120,7 @@
 }
 
 bool IsInDoubt(const SubmissionQueue& queue, const std::string& key) {
-  const auto remembered = queue.remembered_.find(key);
-  if (remembered != queue.remembered_.end()) {
-    return !remembered->second.stored_;
-  }
-  return std::any_of(queue.records_.begin(), queue.records_.end(), [&key](const auto& call) {
-    return call.second.record_.key_ == key && InDoubt(call.second);
-  });
+  return !IsStored(queue, key) && MayBeStored(queue, key, {});
 }
 
 void NoteDoubt(SubmissionQueue& queue, const std::string& key, core::TimePoint now) {
--- a/src/laburnumledge/entry/submission_batch.hpp
+++ b/src/laburnumledge/entry/submission_batch.hpp
@@ -101,10 +101,10 @@
 [[nodiscard]] bool IsStored(const SubmissionQueue& queue, const std::string& key);
 
 /**
- * @brief Whether the store may hold a key's record, or may yet carry out an append of it.
+ * @brief Whether the store may hold a key's record, or an append may yet bring it there.
  *
  * A client repeats a call whose answer it missed, so that one key can have several calls, of which
- * the later ones have not been sent.
+ * some have not been sent and may be.
  */
 [[nodiscard]] bool IsInDoubt(const SubmissionQueue& queue, const std::string& key);
 
--- a/test/laburnumledge/entry/submission_batch.cpp
+++ b/test/laburnumledge/entry/submission_batch.cpp
@@ -48,6 +48,32 @@
   CHECK(MakeAppend(queue, 0, kStart)->records_.size() == 1);
 }
 
+TEST_CASE("a call is in doubt while an earlier call of its key may still be sent") {
+  // Guards against "never runs" for a repeated call whose first try waits in the queue.
+  SubmissionQueue queue;
+  QueuedRecord first = Record("a");
+  first.deadline_ = kDeadline + Milliseconds(5000);
+  Enqueue(queue, first);
+  Enqueue(queue, Record("a"));
+  queue.not_before_ = kDeadline + Milliseconds(1000);
+  CHECK(IsInDoubt(queue, "a"));
+  const auto expired = TakeExpired(queue, kDeadline);
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].fate_ == RecordFate::kInDoubt);
+  CHECK(MakeAppend(queue, 0, queue.not_before_).has_value());
+}
+
+TEST_CASE("calls of one key that leave the queue together, unsent, have not run") {
+  SubmissionQueue queue;
+  Enqueue(queue, Record("a"));
+  Enqueue(queue, Record("a"));
+  const auto fates = TakeAll(queue, kStart);
+  REQUIRE(fates.size() == 2);
+  CHECK(fates[0].fate_ == RecordFate::kNotRun);
+  CHECK(fates[1].fate_ == RecordFate::kNotRun);
+  CHECK_FALSE(IsInDoubt(queue, "a"));
+}
+
 TEST_CASE("the fate of a record names the appends that held it") {
   // Guards against a refusal of which nobody can tell whether its record was ever sent.
   SubmissionQueue queue;
