Say what keeps an urgent job from the GPUs that it is guaranteed

Callers: an urgent job within its organisation's guarantee waits, and nothing tells why, nor that its bound has passed. No line names such a job before it has waited 3 s, and then the least urgent steps fill the ten lines.

Guarantees are measured in each plan, from the job table and the phases of the runs. The log, the metrics, the dry run and `job where` tell which steps wait within a guarantee, what the organisation holds, which obstacle the plan met, and when the bound has passed. No decision changes.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -474,4 +474,8 @@
   return implementation_->dispatcher_.get();
 }
 
+std::vector<dispatch::GuaranteeNews> Leadership::TakeGuaranteeNews() {
+  return implementation_->dispatcher_->TakeGuaranteeNews();
+}
+
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/control/leadership.hpp
+++ b/src/laburnumledge/control/leadership.hpp
@@ -64,6 +64,9 @@
   /** @brief The dispatcher, or null until the takeover is complete. */
   [[nodiscard]] const dispatch::Dispatcher* ActiveDispatcher() const noexcept;
 
+  /** @brief See Dispatcher::TakeGuaranteeNews. Precondition: there is an active dispatcher. */
+  [[nodiscard]] std::vector<dispatch::GuaranteeNews> TakeGuaranteeNews();
+
  private:
   struct Implementation;
   std::shared_ptr<Implementation> implementation_;
--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -341,6 +341,7 @@
     families_->capacity_.Add({{"use", name}}).Set(static_cast<double>(amount));
   }
   UpdateOrganisations(dispatcher);
+  guarantees_.Update(dispatcher.UrgentClaims(), dispatcher.KnownOrganisations());
   if (dispatcher.Interference().mode_ != site::InterferenceMode::kOff) {
     families_->interference_pairs_.Add({}).Set(
         static_cast<double>(dispatcher.Interference().known_pairs_));
--- a/src/laburnumledge/control/metrics.hpp
+++ b/src/laburnumledge/control/metrics.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "laburnumledge/control/guarantee_metrics.hpp"
 #include "laburnumledge/core/time.hpp"
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/entry/job_calls.hpp"
@@ -55,6 +56,12 @@
   /** @brief Updates the metrics of jobs, runs and workers from the leader's dispatcher. */
   void Update(const dispatch::Dispatcher& dispatcher);
 
+  /** @brief Counts the guarantees that were kept or missed since the last call. */
+  void CountGuarantees(const std::vector<dispatch::GuaranteeNews>& news,
+                       const dispatch::Organisations& organisations) {
+    guarantees_.Count(news, organisations);
+  }
+
   /** @brief Updates the counter of entries that name no worker to use, from the leader's total. */
   void UpdateIgnoredEntries(std::uint64_t total);
 
@@ -70,6 +77,7 @@
   struct Families;
   prometheus::Registry registry_;
   std::unique_ptr<Families> families_;
+  GuaranteeMetrics guarantees_{registry_};
 };
 
 }  // namespace laburnumledge::control
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -229,7 +229,9 @@
   metrics_.Update(client_);
   metrics_.UpdateTerm(term_.newest_.has_value() ? term_.newest_->number_ : 0, term_.is_leader_);
   if (leadership_ != nullptr && leadership_->ActiveDispatcher() != nullptr) {
-    metrics_.Update(*leadership_->ActiveDispatcher());
+    const dispatch::Dispatcher& dispatcher = *leadership_->ActiveDispatcher();
+    metrics_.Update(dispatcher);
+    metrics_.CountGuarantees(leadership_->TakeGuaranteeNews(), dispatcher.KnownOrganisations());
     metrics_.UpdateIgnoredEntries(leadership_->IgnoredEntries());
   }
   return {.status_ = kOk,
--- a/src/laburnumledge/control/where_answer.cpp
+++ b/src/laburnumledge/control/where_answer.cpp
@@ -19,6 +19,17 @@
   return time.has_value() ? Json((*time - start).count()) : Json();
 }
 
+Json ToJson(const dispatch::GuaranteeWait& wait) {
+  return {{"obstacle", ToString(wait.obstacle_)},
+          {"tasks", wait.tasks_},
+          {"fitting", wait.fitting_},
+          {"fitting_rack", wait.rack_},
+          {"free_gpus", wait.free_gpus_},
+          {"reserved_gpus", wait.reserved_gpus_},
+          {"less_urgent_gpus", wait.less_urgent_gpus_},
+          {"beyond_guarantees_gpus", wait.beyond_gpus_}};
+}
+
 Json ToJson(const dispatch::StepExplanation& step, ledger::WallTime at) {
   Json ruled_out = Json::object();
   for (std::size_t index = 0; index < step.ruled_out_.size(); ++index) {
@@ -42,8 +53,12 @@
                {"chosen", std::move(chosen)},
                {"queue_place", step.place_},
                {"waiting_ahead", step.waiting_ahead_},
+               {"within_guarantee", step.within_guarantee_},
                {"first_start_in_ms", TimeFrom(at, step.first_start_)},
                {"last_start_in_ms", TimeFrom(at, step.last_start_)}};
+  if (step.guarantee_wait_.has_value()) {
+    json["guarantee_wait"] = ToJson(*step.guarantee_wait_);
+  }
   if (!step.never_reason_.empty()) {
     json["reason"] = step.never_reason_;
   }
@@ -75,6 +90,7 @@
             {"used", ToJson(quota.used_)},
             {"limit", ToJson(quota.limit_)},
             {"guaranteed_gpus", quota.guaranteed_gpus_},
+            {"urgent_gpus", quota.urgent_gpus_},
             {"weight", quota.weight_},
             {"dominant_share", quota.dominant_share_}}},
           {"steps", std::move(steps)},
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/explanation.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/guarantee.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
 #include "laburnumledge/dispatch/share.hpp"
@@ -159,6 +160,11 @@
   }
   /** @brief What waits for a quota, by organisation index; empty without quotas. */
   [[nodiscard]] const std::vector<QuotaWait>& QuotaWaits() const noexcept { return quota_waits_; }
+  /** @brief Urgent work against the guarantees, as the latest plan found it. */
+  [[nodiscard]] const Guarantees& UrgentClaims() const noexcept { return guarantees_; }
+  /** @brief Steps within their guarantee that have begun or missed the bound since the last call.
+   * The oldest are dropped beyond a bounded number. */
+  [[nodiscard]] std::vector<GuaranteeNews> TakeGuaranteeNews();
   /** @brief Kinds of work and what is known about their slowdowns. */
   [[nodiscard]] const InterferenceTable& Interference() const noexcept { return interference_; }
 
@@ -317,6 +323,8 @@
   void RunPlan(PlanTime time);
   void LogCapacityUse(core::TimePoint now);
   void LogQuotas() const;
+  void FollowGuarantees(PlanTime time);
+  void LogGuaranteeWaits(const std::vector<GuaranteeWait>& waits, PlanTime time) const;
   void LogWaitingSteps(core::TimePoint now);
   [[nodiscard]] Plan MakeFairPlan(PlanTime time,
                                   const std::vector<OrganisationUse>& organisation_use);
@@ -361,6 +369,9 @@
   bool ordered_by_share_{};               ///< The latest plan lacked capacity.
   std::vector<ledger::JobId> uncounted_;  ///< Jobs that CountJobRates has not seen.
   std::vector<QuotaWait> quota_waits_;    ///< See Plan::quota_waits_.
+  Guarantees guarantees_;                 ///< As the latest plan found them.
+  GuaranteeWatch guarantee_watch_;
+  std::vector<GuaranteeNews> guarantee_news_;  ///< See TakeGuaranteeNews.
   core::TimePoint next_capacity_log_{};
   std::int64_t waiting_unresolved_gpus_{};  ///< See WaitingForUnresolvedRuns.
   DispatchCounts counts_;
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -232,11 +232,13 @@
                        UrgentDemand(job_table_, fleet_, organisations_, organisation_use),
                        time.now_);
   RefreshKnownPairs(interference_, time.now_);
+  FollowGuarantees(time);
   const Plan plan = MakeFairPlan(time, organisation_use);
   capacity_use_ = plan.use_;
   counts_.interference_avoided_ += plan.interference_avoided_;
   organisation_use_ = std::move(organisation_use);
   quota_waits_ = plan.quota_waits_;
+  LogGuaranteeWaits(plan.guarantee_waits_, time);
   LogCapacityUse(time.now_);
   ReplaceReservations(plan.reservations_);
   RecordBatch batch;
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -11,6 +11,10 @@
 /** Reason in log events of starts that a quota no longer allows. */
 constexpr std::string_view kOverQuota = "the organisation's quota is used up";
 
+/** Wait within a guarantee from which on each log event of the fleet's use explains it: early
+ * enough to show what is done about it before the bound has passed. */
+constexpr core::Milliseconds kUnexplainedGuaranteeWait{1000};
+
 /** Limit as the configuration writes it: 0 for none. */
 std::int64_t LimitOrZero(std::int64_t limit) noexcept {
   return limit == site::kUnlimitedAmount ? 0 : limit;
@@ -79,18 +83,22 @@
   }
   const bool avoids = interference_.mode_ == site::InterferenceMode::kAvoid;
   const auto make = [&](bool by_share) {
-    return MakePlan(job_table_, fleet_,
-                    {.rules_ = rules_,
-                     .bounds_ = bounds_,
-                     .durations_ = durations_,
-                     .organisations_ = &organisations_,
-                     .organisation_use_ = organisation_use,
-                     .shares_ = by_share ? &shares_ : nullptr,
-                     .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
-                     .interference_ = avoids ? &interference_ : nullptr,
-                     .calm_since_ = calm_since_,
-                     .trial_room_ = TrialRoom(fleet_),
-                     .time_ = time});
+    return MakePlan(
+        job_table_, fleet_,
+        {.rules_ = rules_,
+         .bounds_ = bounds_,
+         .durations_ = durations_,
+         .organisations_ = &organisations_,
+         .organisation_use_ = organisation_use,
+         .shares_ = by_share ? &shares_ : nullptr,
+         .guarantees_ = &guarantees_,
+         .unexplained_wait_ =
+             time.now_ < next_capacity_log_ ? core::Milliseconds::max() : kUnexplainedGuaranteeWait,
+         .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
+         .interference_ = avoids ? &interference_ : nullptr,
+         .calm_since_ = calm_since_,
+         .trial_room_ = TrialRoom(fleet_),
+         .time_ = time});
   };
   const bool by_share = weighted && ordered_by_share_;
   Plan plan = make(by_share);
--- a/src/laburnumledge/dispatch/explanation.cpp
+++ b/src/laburnumledge/dispatch/explanation.cpp
@@ -100,6 +100,7 @@
   }
   StepExplanation& explanation = run.explanation_.steps_[step.index_];
   explanation.place_ = static_cast<std::uint32_t>(run.ahead_.size()) + 1;
+  explanation.within_guarantee_ = step.within_guarantee_;
   internal::CountWorkers(planner, run.snapshot_.fleet_, step, explanation);
   if (internal::CountTasksWithinQuota(planner, step) == 0) {
     run.waits_for_quota_.insert(step.index_);
@@ -127,6 +128,11 @@
 
 /** Takes over what the finished plan does for the job. */
 void ReadPlan(const Plan& plan, Explanation& explanation) {
+  for (const GuaranteeWait& wait : plan.guarantee_waits_) {
+    if (wait.step_.job_ == kDryRunJob) {
+      explanation.steps_[wait.step_.step_].guarantee_wait_ = wait;
+    }
+  }
   // Tasks by step, whether they wait for preempted runs, and worker.
   std::map<std::tuple<std::uint32_t, bool, std::string>, std::uint32_t> chosen;
   for (const PlannedGroup& group : plan.starts_) {
@@ -291,6 +297,11 @@
   explanation.steps_.resize(submission.steps_.size());
   DryRun run{.snapshot_ = snapshot, .explanation_ = explanation};
   // The inputs must be those of Dispatcher::RunPlan.
+  const Guarantees guarantees = CollectGuarantees(snapshot.jobs_, snapshot.fleet_,
+                                                  snapshot.organisations_, time.now_, time.wall_);
+  if (!guarantees.held_gpus_.empty()) {
+    explanation.quota_.urgent_gpus_ = guarantees.held_gpus_[job.organisation_];
+  }
   // The job's organisation may be new.
   snapshot.shares_.all_.resize(std::max(snapshot.shares_.all_.size(), use.size()));
   if (snapshot.organisations_.has_weights_) {
@@ -302,6 +313,8 @@
                             .organisations_ = &snapshot.organisations_,
                             .organisation_use_ = std::move(use),
                             .shares_ = snapshot.ordered_by_share_ ? &snapshot.shares_ : nullptr,
+                            .guarantees_ = &guarantees,
+                            .unexplained_wait_ = core::Milliseconds(-1),
                             .urgent_headroom_gpus_ = UrgentHeadroomGpus(
                                 snapshot.urgent_headroom_, CountListedGpus(snapshot.fleet_)),
                             .interference_ = snapshot.interference_,
--- a/src/laburnumledge/dispatch/explanation.hpp
+++ b/src/laburnumledge/dispatch/explanation.hpp
@@ -10,6 +10,7 @@
 
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/guarantee_wait.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/dispatch/organisations.hpp"
 #include "laburnumledge/dispatch/placement.hpp"
@@ -80,6 +81,8 @@
   std::vector<ChosenWorker> chosen_;
   std::uint32_t place_{};          ///< Place in the queue from 1; 0 for a step that is not ready.
   std::uint32_t waiting_ahead_{};  ///< Steps ahead of it that keep waiting for resources.
+  bool within_guarantee_{};        ///< Urgent, and within the organisation's guaranteed GPUs.
+  std::optional<GuaranteeWait> guarantee_wait_;  ///< If it is and keeps waiting: what it waits for.
   /** Estimated starts of the first and of the last task; empty if nothing bounds the wait. */
   std::optional<ledger::WallTime> first_start_;
   std::optional<ledger::WallTime> last_start_;
@@ -91,6 +94,7 @@
   site::Resources used_;
   site::Resources limit_{site::kUnlimited};
   std::int64_t guaranteed_gpus_{};  ///< For its urgent jobs.
+  std::int64_t urgent_gpus_{};      ///< Held by its urgent runs; 0 if nobody has a guarantee.
   std::uint32_t weight_{};          ///< 0 if not given.
   double dominant_share_{};         ///< Largest of its fractions of the listed workers' resources.
 };
--- /dev/null
+++ b/src/laburnumledge/dispatch/guarantee.cpp
@@ -0,0 +1,175 @@
+#include "laburnumledge/dispatch/guarantee.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "laburnumledge/dispatch/internal.hpp"
+
+namespace laburnumledge::dispatch {
+
+namespace {
+
+GuaranteeClaim* Find(std::vector<GuaranteeClaim>& claims, const ledger::TaskId& task) noexcept {
+  const auto key = std::tie(task.job_, task.occurrence_, task.step_);
+  const auto found = std::lower_bound(
+      claims.begin(), claims.end(), key, [](const GuaranteeClaim& claim, const auto& wanted) {
+        return std::tie(claim.step_.job_, claim.step_.occurrence_, claim.step_.step_) < wanted;
+      });
+  const bool same = found != claims.end() && std::tie(found->step_.job_, found->step_.occurrence_,
+                                                      found->step_.step_) == key;
+  return same ? &*found : nullptr;
+}
+
+void CollectClaims(const Job& job, core::TimePoint now, ledger::WallTime wall,
+                   std::vector<GuaranteeClaim>& claims) {
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t index = 0; index < occurrence.steps_.size(); ++index) {
+      const StepState& state = occurrence.steps_[index];
+      if (state.done_ == state.tasks_.size() || !IsReady(job, occurrence, index)) {
+        continue;
+      }
+      const ledger::Step& spec = job.submission_->steps_[index];
+      const auto placed =
+          static_cast<std::uint32_t>(state.tasks_.size()) - state.done_ - state.waiting_;
+      claims.push_back({.step_ = {.job_ = job.id_, .occurrence_ = number, .step_ = index},
+                        .organisation_ = job.organisation_,
+                        .due_ = ServiceDue(job, number, index, now, wall),
+                        .task_gpus_ = spec.task_resources_.gpus_,
+                        .gang_ = spec.gang_,
+                        .waiting_ = state.waiting_,
+                        .running_ = placed,
+                        .begun_ = placed});
+    }
+  }
+}
+
+/** Corrects the claims, which count placed tasks, by the phases of the runs. */
+void CountPhases(const Fleet& fleet, std::vector<GuaranteeClaim>& claims) {
+  for (const auto& [id, worker] : fleet.workers_) {
+    for (const auto& [run, assigned] : worker.assigned_runs_) {
+      if (assigned.priority_ != 0 || assigned.phase_ == RunPhase::kRunning) {
+        continue;
+      }
+      GuaranteeClaim* claim = Find(claims, run.task_);
+      // Runs of tasks that wait already have nothing to correct.
+      if (claim == nullptr || claim->begun_ == 0) {
+        continue;
+      }
+      --claim->begun_;
+      if (internal::IsBeingStopped(assigned)) {
+        --claim->running_;
+        ++claim->waiting_;
+      }
+    }
+  }
+}
+
+/** Order in which the claims of one organisation take up its guarantee. */
+std::vector<std::vector<GuaranteeClaim*>> OrderByOrganisation(std::vector<GuaranteeClaim>& claims,
+                                                              std::size_t organisations) {
+  std::vector<std::vector<GuaranteeClaim*>> order(organisations);
+  for (GuaranteeClaim& claim : claims) {
+    order[claim.organisation_].push_back(&claim);
+  }
+  for (std::vector<GuaranteeClaim*>& own : order) {
+    std::stable_sort(own.begin(), own.end(),
+                     [](const auto* left, const auto* right) { return left->due_ < right->due_; });
+  }
+  return order;
+}
+
+void MarkWithin(const std::vector<GuaranteeClaim*>& order, std::int64_t guaranteed,
+                std::int64_t held) noexcept {
+  for (GuaranteeClaim* claim : order) {
+    if (claim->waiting_ == 0) {
+      continue;
+    }
+    const std::int64_t wanted = claim->task_gpus_ * claim->waiting_;
+    if (held + wanted <= guaranteed) {
+      claim->within_ = true;
+      held += wanted;
+    } else if (claim->task_gpus_ * (claim->waiting_ + claim->running_) <= guaranteed) {
+      return;
+    }
+  }
+}
+
+}  // namespace
+
+ledger::WallTime ServiceDue(const Job& job, std::uint32_t occurrence, std::uint32_t step,
+                            core::TimePoint now, ledger::WallTime wall) noexcept {
+  if (job.submission_->steps_[step].after_.empty()) {
+    return DueTime(*job.submission_, occurrence);
+  }
+  const StepState& state = job.occurrences_.at(occurrence).steps_[step];
+  return wall - std::chrono::duration_cast<core::Milliseconds>(now - state.ready_since_);
+}
+
+Guarantees CollectGuarantees(const JobTable& table, const Fleet& fleet,
+                             const Organisations& organisations, core::TimePoint now,
+                             ledger::WallTime wall) {
+  Guarantees guarantees;
+  if (!organisations.has_guarantees_) {
+    return guarantees;
+  }
+  for (const auto& [id, job] : table.jobs_) {
+    if (job.treatment_.priority_ == 0 && !job.cancelled_ && !ledger::IsFinal(job.state_)) {
+      CollectClaims(job, now, wall, guarantees.claims_);
+    }
+  }
+  CountPhases(fleet, guarantees.claims_);
+  guarantees.held_gpus_.resize(organisations.all_.size());
+  for (const GuaranteeClaim& claim : guarantees.claims_) {
+    guarantees.held_gpus_[claim.organisation_] += claim.task_gpus_ * claim.running_;
+  }
+  const auto order = OrderByOrganisation(guarantees.claims_, organisations.all_.size());
+  for (std::size_t index = 0; index < order.size(); ++index) {
+    const std::int64_t guaranteed = organisations.all_[index].guaranteed_gpus_;
+    if (guaranteed > 0) {
+      MarkWithin(order[index], guaranteed, guarantees.held_gpus_[index]);
+    }
+  }
+  return guarantees;
+}
+
+const GuaranteeClaim* FindClaim(const Guarantees& guarantees, const StepId& step) noexcept {
+  const auto found = std::lower_bound(
+      guarantees.claims_.begin(), guarantees.claims_.end(), step,
+      [](const GuaranteeClaim& claim, const StepId& wanted) { return claim.step_ < wanted; });
+  return found == guarantees.claims_.end() || found->step_ != step ? nullptr : &*found;
+}
+
+std::vector<GuaranteeNews> UpdateGuaranteeWatch(GuaranteeWatch& watch, const Guarantees& guarantees,
+                                                const site::Bounds& bounds, ledger::WallTime wall) {
+  std::vector<GuaranteeNews> news;
+  std::map<StepId, GuaranteeWatch::Waiting> before = std::exchange(watch.waiting_, {});
+  for (const GuaranteeClaim& claim : guarantees.claims_) {
+    const auto found = before.find(claim.step_);
+    GuaranteeWatch::Waiting waiting{.organisation_ = claim.organisation_, .due_ = claim.due_};
+    if (found != before.end()) {
+      waiting = found->second;
+    }
+    const auto waited = std::max(core::Milliseconds{}, wall - waiting.due_);
+    const GuaranteeNews now{.step_ = claim.step_,
+                            .organisation_ = claim.organisation_,
+                            .waited_ = waited,
+                            .late_ = waiting.late_};
+    if (claim.waiting_ == 0 && claim.begun_ == claim.running_) {
+      if (waiting.within_) {
+        news.push_back(now);
+        news.back().begun_ = true;
+      }
+      continue;
+    }
+    waiting.within_ = claim.waiting_ > 0 ? claim.within_ : waiting.within_;
+    if (waiting.within_ && !waiting.late_ && waited > bounds.reclaim_time_) {
+      waiting.late_ = true;
+      news.push_back(now);
+    }
+    watch.waiting_.emplace_hint(watch.waiting_.end(), claim.step_, waiting);
+  }
+  return news;
+}
+
+}  // namespace laburnumledge::dispatch
--- /dev/null
+++ b/src/laburnumledge/dispatch/guarantee.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "laburnumledge/core/time.hpp"
+#include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/job_table.hpp"
+#include "laburnumledge/dispatch/organisations.hpp"
+#include "laburnumledge/ledger/job.hpp"
+#include "laburnumledge/site/deployment.hpp"
+
+namespace laburnumledge::dispatch {
+
+/** @brief Step of one occurrence of a job. */
+struct StepId {
+  ledger::JobId job_;
+  std::uint32_t occurrence_{};
+  std::uint32_t step_{};
+
+  [[nodiscard]] auto operator<=>(const StepId&) const = default;
+};
+
+/** @brief Step that a task belongs to. */
+[[nodiscard]] inline StepId StepOf(const ledger::TaskId& task) {
+  return {.job_ = task.job_, .occurrence_ = task.occurrence_, .step_ = task.step_};
+}
+
+/** @brief Urgent step that can run and is not done, and its place in its organisation's guarantee.
+ */
+struct GuaranteeClaim {
+  StepId step_;
+  OrganisationIndex organisation_{kNoOrganisation};
+  ledger::WallTime due_{};  ///< From when on the start is due; see ServiceDue.
+  std::int64_t task_gpus_{};
+  bool gang_{};
+  std::uint32_t waiting_{};  ///< Tasks without a run, or whose run is being stopped.
+  std::uint32_t running_{};  ///< Tasks with a run that isn't being stopped.
+  std::uint32_t begun_{};    ///< Of these, tasks whose start is confirmed.
+  /** The waiting tasks, beside all that the organisation's urgent work holds, are within the
+   * guarantee. */
+  bool within_{};
+};
+
+/** @brief Urgent work of all organisations, against their guarantees. */
+struct Guarantees {
+  std::vector<GuaranteeClaim> claims_;   ///< In the order of StepId.
+  std::vector<std::int64_t> held_gpus_;  ///< By organisation: running tasks of all claims.
+};
+
+/**
+ * @brief Time from which the start of a step counts as due: that of its occurrence or, if other
+ * steps come first, when these were done.
+ * @param now, wall One moment on the steady clock and on the wall clock.
+ */
+[[nodiscard]] ledger::WallTime ServiceDue(const Job& job, std::uint32_t occurrence,
+                                          std::uint32_t step, core::TimePoint now,
+                                          ledger::WallTime wall) noexcept;
+
+/**
+ * @brief Collects the urgent steps and marks those that wait within their organisation's guarantee.
+ *
+ * What an organisation's urgent runs hold counts first. Waiting steps follow by the time at which
+ * they were due; one that has to wait until the organisation holds less keeps later ones from being
+ * within the guarantee, unless the guarantee can never hold it. Empty if no organisation has a
+ * guarantee. Costs a pass over the urgent tasks and over all runs. Not thread safe.
+ */
+[[nodiscard]] Guarantees CollectGuarantees(const JobTable& table, const Fleet& fleet,
+                                           const Organisations& organisations, core::TimePoint now,
+                                           ledger::WallTime wall);
+
+/** @brief Claim of a step, or null if the step is not urgent or is done. Thread safe. */
+[[nodiscard]] const GuaranteeClaim* FindClaim(const Guarantees& guarantees,
+                                              const StepId& step) noexcept;
+
+/** @brief Step within its guarantee whose tasks had not all begun in time, or have begun now. */
+struct GuaranteeNews {
+  StepId step_;
+  OrganisationIndex organisation_{kNoOrganisation};
+  core::Milliseconds waited_{};  ///< Since the start was due.
+  bool begun_{};                 ///< All tasks have begun; else the bound has just passed.
+  bool late_{};                  ///< The bound had passed before.
+};
+
+/** @brief Guarantees of steps that have not begun, as seen over time. Not thread safe. */
+struct GuaranteeWatch {
+  struct Waiting {
+    OrganisationIndex organisation_{kNoOrganisation};
+    ledger::WallTime due_{};
+    bool within_{};  ///< As last seen while tasks waited.
+    bool late_{};    ///< Was within the guarantee when the bound had passed.
+  };
+  std::map<StepId, Waiting> waiting_;
+};
+
+/**
+ * @brief Follows the claims: tells which steps within their guarantee have begun since the last
+ * call, and which have just missed the bound.
+ * @param watch Updated in place. Steps that are no claim any more are dropped, unless they have
+ * begun.
+ * @param guarantees Claims by the present state.
+ * @param bounds Bounds that the platform guarantees.
+ * @param wall Time of the call, not before the last one.
+ */
+[[nodiscard]] std::vector<GuaranteeNews> UpdateGuaranteeWatch(GuaranteeWatch& watch,
+                                                              const Guarantees& guarantees,
+                                                              const site::Bounds& bounds,
+                                                              ledger::WallTime wall);
+
+}  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/dispatch/organisations.cpp
+++ b/src/laburnumledge/dispatch/organisations.cpp
@@ -19,6 +19,7 @@
 void ReplaceLimits(Organisations& organisations, const site::Configuration& configuration) {
   organisations.has_quotas_ = false;
   organisations.has_weights_ = false;
+  organisations.has_guarantees_ = false;
   for (OrganisationLimits& limits : organisations.all_) {
     limits = {.name_ = limits.name_};
   }
@@ -34,6 +35,8 @@
     organisations.has_quotas_ =
         organisations.has_quotas_ || organisation.quota_ != site::kUnlimited;
     organisations.has_weights_ = organisations.has_weights_ || organisation.weight_ > 0;
+    organisations.has_guarantees_ =
+        organisations.has_guarantees_ || organisation.guaranteed_gpus_ > 0;
   }
 }
 
--- a/src/laburnumledge/dispatch/organisations.hpp
+++ b/src/laburnumledge/dispatch/organisations.hpp
@@ -37,8 +37,9 @@
 struct Organisations {
   std::vector<OrganisationLimits> all_{1};
   std::map<std::string, OrganisationIndex, std::less<>> index_by_name_{{"", kNoOrganisation}};
-  bool has_quotas_{};   ///< An organisation has a quota.
-  bool has_weights_{};  ///< An organisation has a weight.
+  bool has_quotas_{};      ///< An organisation has a quota.
+  bool has_weights_{};     ///< An organisation has a weight.
+  bool has_guarantees_{};  ///< An organisation has guaranteed GPUs.
 };
 
 /** @brief Index of an organisation; adds it, without limits, if it is not known. */
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -61,6 +61,17 @@
   return reservation.has_value();
 }
 
+/** Notes why a step that waits within its guarantee did not start. */
+void ExplainGuaranteeWait(Planner& planner, const ReadyStep& step, bool reserved,
+                          bool within_quota) {
+  const PlanContext& context = planner.context_;
+  if (step.within_guarantee_ &&
+      context.time_.wall_ - step.service_due_ > context.unexplained_wait_) {
+    planner.plan_.guarantee_waits_.push_back(
+        internal::DescribeGuaranteeWait(planner, step, reserved, within_quota));
+  }
+}
+
 /** Plans a step of which no task has to wait for a quota. */
 void PlanStepWithinQuota(Planner& planner, const ReadyStep& step, bool holds_reservations) {
   const std::size_t missing = internal::PlaceStep(planner, step);
@@ -75,12 +86,15 @@
     // Runs are being preempted for this step already: wait for their resources, preempt no others.
     internal::KeepReservations(planner, step);
     CountForOrganisation(planner, step, missing);
+    ExplainGuaranteeWait(planner, step, true, true);
     return;
   }
-  if (ObtainResources(planner, step, missing)) {
+  const bool obtained = ObtainResources(planner, step, missing);
+  if (obtained) {
     // Otherwise less urgent work could take the quota before the resources are free.
     CountForOrganisation(planner, step, missing);
   }
+  ExplainGuaranteeWait(planner, step, obtained, true);
 }
 
 void PlanStep(Planner& planner, const ReadyStep& step, bool holds_reservations) {
@@ -102,6 +116,7 @@
     PlanStepWithinQuota(planner, startable, false);
   }
   internal::WaitForQuota(planner, waiting);
+  ExplainGuaranteeWait(planner, waiting, false, false);
 }
 
 /** Shows a whole step to the observer of a dry run, before any part of it is planned. */
--- a/src/laburnumledge/dispatch/placement.hpp
+++ b/src/laburnumledge/dispatch/placement.hpp
@@ -8,6 +8,7 @@
 #include "laburnumledge/dispatch/capacity_use.hpp"
 #include "laburnumledge/dispatch/durations.hpp"
 #include "laburnumledge/dispatch/fleet.hpp"
+#include "laburnumledge/dispatch/guarantee_wait.hpp"
 #include "laburnumledge/dispatch/interference.hpp"
 #include "laburnumledge/dispatch/job_table.hpp"
 #include "laburnumledge/site/configuration.hpp"
@@ -39,7 +40,10 @@
   const DurationModel& durations_;
   const Organisations* organisations_{};             ///< Null if no organisation has limits.
   std::vector<OrganisationUse> organisation_use_{};  ///< By index, if there are organisations.
-  const Shares* shares_{};  ///< Null if shares don't affect the order; needs organisations.
+  const Shares* shares_{};          ///< Null if shares don't affect the order; needs organisations.
+  const Guarantees* guarantees_{};  ///< Null if there are none; needs organisations.
+  /** Longest wait within a guarantee that is not explained; the maximum explains none. */
+  core::Milliseconds unexplained_wait_{core::Milliseconds::max()};
   std::int64_t urgent_headroom_gpus_{};      ///< GPUs kept free for urgent jobs.
   const InterferenceTable* interference_{};  ///< Null if interference is not avoided.
   /** The fleet is calm since then, so that tasks on trial may start; see IsCalm. */
@@ -84,6 +88,7 @@
   std::vector<PlannedPreemption> preemptions_;
   std::vector<PlannedReservations> reservations_;  ///< Replaces the reservations of all steps.
   std::vector<QuotaWait> quota_waits_;             ///< By organisation; empty without quotas.
+  std::vector<GuaranteeWait> guarantee_waits_;     ///< As PlanContext::unexplained_wait_ says.
   bool lacks_capacity_{};                 ///< A step within its quota did not fit beside what runs.
   std::uint64_t interference_avoided_{};  ///< Groups placed elsewhere because of a known pair.
   CapacityUse use_;                       ///< Use of the fleet before the plan is carried out.
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -168,6 +168,12 @@
       time.wall_ + chain > due + (objective - due) * kUsefulCompletionFactor;
   step.late_ = time.wall_ > step.latest_start_;
   step.ready_since_ = state.ready_since_;
+  step.service_due_ = ServiceDue(job, number, index, time.now_, time.wall_);
+  if (context.guarantees_ != nullptr) {
+    const GuaranteeClaim* claim =
+        FindClaim(*context.guarantees_, {.job_ = job.id_, .occurrence_ = number, .step_ = index});
+    step.within_guarantee_ = claim != nullptr && claim->within_;
+  }
   step.kind_ = KindToAvoid(job, index, context);
   const bool last_attempt =
       !spec.long_running_ &&
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -63,8 +63,10 @@
   bool avoids_failed_workers_{};
   std::vector<TaskBinding> bindings_;  ///< Of its tasks; of the only task if the step is no gang.
   bool crash_suspect_{};               ///< A worker has crashed under one of the tasks.
-  bool on_trial_{};   ///< One of the tasks is on trial: none of another job runs beside it.
-  ShareBand band_{};  ///< The same for all steps without shares.
+  bool on_trial_{};          ///< One of the tasks is on trial: none of another job runs beside it.
+  ShareBand band_{};         ///< The same for all steps without shares.
+  bool within_guarantee_{};  ///< See GuaranteeClaim::within_.
+  ledger::WallTime service_due_{};  ///< See ServiceDue.
 };
 
 /** @brief What an organisation's quota leaves in the plan under way. */
--- a/src/laburnumledge/operators/job_where.cpp
+++ b/src/laburnumledge/operators/job_where.cpp
@@ -84,6 +84,12 @@
   text += fmt::format("  chosen       {}\n", ChosenText(step));
   text += fmt::format("  queue        place {}; {} steps ahead keep waiting\n",
                       MemberText(step, "queue_place"), MemberText(step, "waiting_ahead"));
+  if (step.value("within_guarantee", false)) {
+    const Json wait = ObjectOf(step, "guarantee_wait");
+    text +=
+        fmt::format("  guarantee    within it{}\n",
+                    wait.empty() ? "" : fmt::format(", waits: {}", MemberText(wait, "obstacle")));
+  }
   text += fmt::format("  start        first task {}, last task {}\n",
                       TimeText(step, "first_start_in_ms"), TimeText(step, "last_start_in_ms"));
   return text;
