Reproduce RECLAIM in worlds of organisations that press beyond guarantees

Callers: an urgent job within its organisation's guarantee begins late.

The simulated worlds had no guarantees that matter: 12 jobs, organisations only beside quotas, no racks. Each urgent job is checked by the platform's rule at the moment its bound passes. Random numbers for this are drawn apart, so that other worlds keep their course.

--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -212,6 +212,7 @@
   site::WorkerEntry entry = fixture::MakeEntry(worker.id_);
   entry.address_ = worker.address_;
   entry.service_ = worker.service_;
+  entry.rack_ = worker.rack_;
   entry.labels_ = {worker.label_, entry.rack_};
   entry.capacity_.gpus_ = worker.gpus_;
   entry.incarnation_ = worker.incarnation_;
@@ -267,6 +268,7 @@
                       .successor_ = worker.successor_,
                       .service_ = worker.service_,
                       .label_ = worker.label_,
+                      .rack_ = worker.rack_,
                       .gpus_ = worker.gpus_,
                       .incarnation_ = StartedAt(back),
                       .started_ = back,
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -33,6 +33,7 @@
   std::string successor_;    ///< Worker that took the address after a crash; empty for none.
   std::string service_;      ///< May change with each incarnation, like the label.
   std::string label_;
+  std::string rack_{"r1"};
   std::int64_t gpus_{};
   site::Incarnation incarnation_{1};
   core::TimePoint started_{};
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int kJobs = 12;
 constexpr core::Milliseconds kIdleCheckInterval{100};
 
 }  // namespace
@@ -26,7 +25,8 @@
       faults_(faults),
       size_(size),
       deadly_job_(faults.deadly_job_),
-      has_kinds_(faults.other_kind_ > 0 || faults.route_change_ > 0) {
+      has_kinds_(faults.other_kind_ > 0 || faults.route_change_ > 0),
+      guarantee_random_(core::MakeRandom(seed, "guarantees")) {
   fake_workers_.bounds_ = fixture::MakeBounds();
   fake_workers_.bounds_.longest_lease_ = size.longest_lease_;
   fake_workers_.slow_stop_ = faults.slow_stop_;
@@ -35,13 +35,19 @@
   fake_workers_.course_ = [this](const platform::StartCommand& order) { return CourseOf(order); };
   for (int number = 1; number <= size.workers_; ++number) {
     const std::string id = fmt::format("w{}", number);
-    worker_list_[id] = EntryOf(Add(fake_workers_, id, now_ - std::chrono::seconds(number)), now_);
+    FakeWorker& worker = Add(fake_workers_, id, now_ - std::chrono::seconds(number));
+    worker.rack_ = fmt::format("r{}", 1 + (number - 1) / size.workers_per_rack_);
+    worker_list_[id] = EntryOf(worker, now_);
     reachability_[id] = {};
   }
   if (has_kinds_) {
     ChooseKinds();
   }
-  for (int number = 1; number <= kJobs; ++number) {
+  if (size.guarantees_ > 0) {
+    PublishGuarantees();
+    return;
+  }
+  for (int number = 1; number <= size.jobs_; ++number) {
     Schedule(now_ + RandomDuration(0, 15000), [this, number] { SubmitJob(number); });
   }
 }
@@ -68,6 +74,9 @@
 
 /** Chooses length and result of a run. All members of a gang get the same result. */
 RunCourse World::CourseOf(const platform::StartCommand& order) {
+  if (const auto length = lengths_.find(order.task_.job_); length != lengths_.end()) {
+    return {.length_ = length->second, .fails_ = false};
+  }
   const core::Milliseconds length = RandomDuration(200, 6000);
   const ledger::Submission& submission = *jobs_.entries_.at(order.task_.job_).submission_;
   if (!submission.steps_[order.task_.step_].gang_) {
@@ -371,7 +380,7 @@
 }
 
 bool World::AllJobsFinished() const {
-  return jobs_.entries_.size() == kJobs &&
+  return jobs_.entries_.size() == static_cast<std::size_t>(size_.jobs_) &&
          std::all_of(jobs_.entries_.begin(), jobs_.entries_.end(),
                      [](const auto& entry) { return ledger::IsFinal(entry.second.state_); });
 }
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -42,6 +43,11 @@
 /** @brief Size of a simulated deployment. */
 struct WorldSize {
   int workers_{4};
+  int workers_per_rack_{std::numeric_limits<int>::max()};
+  int jobs_{12};
+  /** Organisations with guarantees, whose jobs are mostly urgent and come in bursts; 0 for none. */
+  std::uint32_t guarantees_{};
+  bool weights_{};  ///< These organisations have weights too.
   core::Milliseconds longest_lease_{6000};
 };
 
@@ -126,6 +132,11 @@
   [[nodiscard]] bool HasRoom(const ledger::Step& step) const;
   void CheckIdleJobs();
   void PublishQuotas(bool calm);
+  void PublishGuarantees();
+  void SubmitGuaranteedJob(int number);
+  [[nodiscard]] bool HasBegun(const ledger::JobId& job) const;
+  [[nodiscard]] bool IsWithinGuarantee(const std::string& organisation) const;
+  void CheckGuarantee(const ledger::JobId& job);
   [[nodiscard]] site::Resources HighestQuota(const std::string& organisation) const;
   void TakeOver(core::Clock::duration unconfirmed);
   void Pump(const LeaderPointer& leader);
@@ -170,6 +181,8 @@
   core::TimePoint earlier_leases_end_{};
   std::vector<PublishedQuotas> quotas_;
   std::vector<dispatch::Actions> issued_actions_;
+  core::Random guarantee_random_;  ///< Apart, so that other worlds keep their course.
+  std::map<ledger::JobId, core::Milliseconds> lengths_;  ///< Of guaranteed jobs' tasks.
 };
 
 }  // namespace laburnumledge::support
