Let a guaranteed gang wait for one rack no longer than its guarantee allows

Callers: an urgent gang within its organisation's guarantee began 3.7 s after its acceptance, 0.3 s past the bound, while its tasks fitted into what was free on several racks all the time.

Cause: a gang that wants one rack waits for it as long as one of its tasks is predicted to take. That wait was weighed against a slower run only, and knew of no other bound. The longer a job declared itself, the longer it waited.

A step has now one time from which its start is due, and one at which it has to take what there is: the bound less the stop grace period, the record and the start. From then on a step within its guarantee no longer waits for a rack. Preemption used the same time for the loss that it accepts; both share it, and steps that follow others count from when those were done.

--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -42,6 +42,15 @@
  * stop. */
 constexpr double kPreemptionSlackFraction = 0.8;
 
+/** Time before a guaranteed start is late at which it no longer waits for resources to become free:
+ * the record, the start and a second attempt. */
+constexpr core::Milliseconds kGuaranteeMargin{800};
+
+/** Wait after which a guaranteed step is late unless runs are stopped for it. */
+core::Milliseconds LongestGuaranteeWait(const PlanContext& context) noexcept {
+  return context.bounds_.reclaim_time_ - context.bounds_.stop_grace_ - kGuaranteeMargin;
+}
+
 bool IsPlacedBefore(const ReadyStep& left, const ReadyStep& right) noexcept {
   const auto key = [](const ReadyStep& step) {
     return std::tuple(step.job_->treatment_.priority_, step.band_, step.past_useful_completion_,
@@ -169,7 +178,9 @@
   step.late_ = time.wall_ > step.latest_start_;
   step.ready_since_ = state.ready_since_;
   step.service_due_ = ServiceDue(job, number, index, time.now_, time.wall_);
-  if (context.guarantees_ != nullptr) {
+  step.start_due_ =
+      IsUrgent(step) && time.wall_ >= step.service_due_ + LongestGuaranteeWait(context);
+  if (context.guarantees_ != nullptr && IsUrgent(step)) {
     const GuaranteeClaim* claim =
         FindClaim(*context.guarantees_, {.job_ = job.id_, .occurrence_ = number, .step_ = index});
     step.within_guarantee_ = claim != nullptr && claim->within_;
@@ -315,8 +326,12 @@
          planner.context_.time_.now_ >= step.ready_since_ + kMaxIdleWait;
 }
 
+bool IsGuaranteeDue(const ReadyStep& step) noexcept {
+  return step.within_guarantee_ && step.start_due_;
+}
+
 bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept {
-  return !ExceedsIdleWait(planner, step) &&
+  return !ExceedsIdleWait(planner, step) && !IsGuaranteeDue(step) &&
          planner.context_.time_.now_ < step.ready_since_ + step.duration_;
 }
 
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -67,6 +67,9 @@
   ShareBand band_{};         ///< The same for all steps without shares.
   bool within_guarantee_{};  ///< See GuaranteeClaim::within_.
   ledger::WallTime service_due_{};  ///< See ServiceDue.
+  /** Urgent, and late for what its organisation may be guaranteed unless resources are freed now.
+   */
+  bool start_due_{};
 };
 
 /** @brief What an organisation's quota leaves in the plan under way. */
@@ -124,8 +127,11 @@
  * most of the fleet is idle or, for long-running steps, at any time. */
 [[nodiscard]] bool ExceedsIdleWait(const Planner& planner, const ReadyStep& step) noexcept;
 
+/** @brief Whether a step is within its organisation's guarantee, and late if it waits on. */
+[[nodiscard]] bool IsGuaranteeDue(const ReadyStep& step) noexcept;
+
 /** @brief Whether a step should keep waiting for the rack that it wants rather than start
- * elsewhere. */
+ * elsewhere: for its predicted duration, and no longer than its guarantee allows. */
 [[nodiscard]] bool WaitsForRack(const Planner& planner, const ReadyStep& step) noexcept;
 
 /** @brief Whether a worker may run a step's tasks, regardless of the resources in use there. */
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -22,10 +22,6 @@
  * waits for resources as long as its guarantee allows: mostly gangs that have run for seconds. */
 constexpr double kMaxUrgentLoss = 4.0;
 
-/** Time before a guaranteed start is due at which it no longer waits for resources to become free:
- * the record, the start and a second attempt. */
-constexpr core::Milliseconds kGuaranteeMargin{800};
-
 /** Run time that counts as lost with every stopped run, however new: its start, and the time until
  * its task runs again. */
 constexpr core::Milliseconds kMinLostTime{1000};
@@ -119,22 +115,13 @@
   return lost;
 }
 
-/** Whether an urgent step has waited so long that its guarantee is broken without preemption. */
-bool IsGuaranteeDue(const Planner& planner, const ReadyStep& step) noexcept {
-  const site::Bounds& bounds = planner.context_.bounds_;
-  const auto longest = bounds.reclaim_time_ - bounds.stop_grace_ - kGuaranteeMargin;
-  return planner.context_.time_.wall_ >=
-         DueTime(*step.job_->submission_, step.occurrence_) + longest;
-}
-
 /** Whether an urgent step should wait, since preempting runs would throw away far more work than
  * its tasks do. */
-bool IsLossTooHigh(const Planner& planner, const ReadyStep& step, std::size_t tasks,
-                   double lost_work) noexcept {
+bool IsLossTooHigh(const ReadyStep& step, std::size_t tasks, double lost_work) noexcept {
   const double own_work = site::WeightInCores(step.spec_->task_resources_) *
                           static_cast<double>(tasks) *
                           std::chrono::duration<double>(step.duration_).count();
-  return IsUrgent(step) && lost_work > own_work * kMaxUrgentLoss && !IsGuaranteeDue(planner, step);
+  return IsUrgent(step) && lost_work > own_work * kMaxUrgentLoss && !step.start_due_;
 }
 
 ledger::TaskId FirstTask(const ReadyStep& step) {
@@ -268,7 +255,7 @@
     best = ChoosePreemptions(std::move(all), wanted);
   }
   if (!best.has_value() ||
-      IsLossTooHigh(planner, step, wanted, LostWorkOfAll(*best, planner.context_.time_.now_))) {
+      IsLossTooHigh(step, wanted, LostWorkOfAll(*best, planner.context_.time_.now_))) {
     return false;
   }
   ReservePreempted(planner, step, *std::move(best), wanted);
