Reserve nothing on several racks for a gang that waits for one

Callers: in bursts urgent jobs wait although a tenth to a quarter of the GPUs is idle, and jobs within their guarantee begin late.

Cause: a gang that no rack can hold asks for preemption, and where no rack can be cleared either, that chose workers on any racks. If these were idle, nothing was preempted and all of them were reserved. The gang doesn't use them while it waits for a rack, nobody else may, and each such gang breaks up the racks for the next one.

A gang that waits for one rack now frees and reserves resources in one rack or not at all. Once it has waited long enough it takes several, as before.

--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/dispatch/step_placement.hpp"
 
 namespace laburnumledge::dispatch::internal {
 
@@ -243,7 +244,9 @@
     }
   }
   std::optional<std::vector<WorkerPreemption>> best;
-  if (step.spec_->gang_ && step.spec_->same_rack_) {
+  // Resources on several racks would stay idle for as long as the gang waits for one.
+  const bool one_rack = WaitsForOneRack(planner, step);
+  if (one_rack || (step.spec_->gang_ && step.spec_->same_rack_)) {
     for (const auto& [rack, preemptions] : by_rack) {
       std::optional<std::vector<WorkerPreemption>> chosen = ChoosePreemptions(preemptions, wanted);
       if (chosen.has_value() && (!best.has_value() || TotalCost(*chosen) < TotalCost(*best))) {
@@ -251,7 +254,7 @@
       }
     }
   }
-  if (!best.has_value()) {
+  if (!best.has_value() && !one_rack) {
     best = ChoosePreemptions(std::move(all), wanted);
   }
   if (!best.has_value() ||
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -232,7 +232,7 @@
       AssignAllTasks(planner, step, *std::move(rack));
       return true;
     }
-    if (WaitsForRack(planner, step) && AnyRackFits(planner, step)) {
+    if (WaitsForOneRack(planner, step)) {
       return false;
     }
   }
@@ -299,6 +299,12 @@
 
 }  // namespace
 
+bool WaitsForOneRack(const Planner& planner, const ReadyStep& step) {
+  const bool wants_rack = step.spec_->same_rack_ || !step.spec_->affinity_rack_.empty();
+  return step.spec_->gang_ && wants_rack && WaitsForRack(planner, step) &&
+         AnyRackFits(planner, step);
+}
+
 std::size_t PlaceStep(Planner& planner, const ReadyStep& step) {
   for (CandidateWorker& candidate : planner.candidates_) {
     // By shares a step may be placed in parts, of which a worker that is probed takes one task.
