Plan work within its guarantee before other urgent work, weights or not

Callers: urgent jobs within their organisation's guarantee wait behind urgent jobs beyond other organisations' guarantees that were accepted later.

Cause: guarantees took part in the order only where an organisation has a weight and work lacked capacity in the plan before, and there an organisation had no guaranteed job at all once its urgent work was one job beyond. Elsewhere urgent steps were ordered by latest start, so by declared durations. Two other places had a notion of a guarantee of their own: the quota's, and what was reserved for steps that may wait was kept from those that may not.

The claims on guarantees, which so far were only reported, decide now: a step within its guarantee comes first; once its start is due it comes before all and, like a higher priority, before reservations of others. The quota asks the same claims, and the counts that it kept for this are gone.

Evidence: the two new tests fail without the change, in three cases.

--- a/src/laburnumledge/dispatch/organisations.cpp
+++ b/src/laburnumledge/dispatch/organisations.cpp
@@ -62,8 +62,6 @@
       organisation.assigned_ += assigned.needs_;
       if (internal::IsBeingStopped(assigned)) {
         organisation.stopping_ += assigned.needs_;
-      } else if (assigned.priority_ == 0) {
-        organisation.urgent_gpus_ += assigned.needs_.gpus_;
       }
     }
   }
--- a/src/laburnumledge/dispatch/organisations.hpp
+++ b/src/laburnumledge/dispatch/organisations.hpp
@@ -54,8 +54,7 @@
  * its worker has listed its end or its lease has expired for certain. */
 struct OrganisationUse {
   site::Resources assigned_;
-  site::Resources stopping_;    ///< Part of `assigned_` that is being stopped.
-  std::int64_t urgent_gpus_{};  ///< Part of `assigned_` of urgent runs that aren't being stopped.
+  site::Resources stopping_;  ///< Part of `assigned_` that is being stopped.
 };
 
 /** @brief Whether an organisation's use, which includes a start's needs, keeps the quota in every
--- a/src/laburnumledge/dispatch/placement.cpp
+++ b/src/laburnumledge/dispatch/placement.cpp
@@ -148,8 +148,13 @@
   }
 }
 
-/** Plans the steps of one priority, after their reservations have been applied. */
-void PlanPriority(Planner& planner, std::span<const ReadyStep> steps) {
+/** Priority of a step, and whether its guarantee is due. */
+std::pair<std::uint32_t, bool> ClassOf(const ReadyStep& step) noexcept {
+  return {step.job_->treatment_.priority_, internal::IsGuaranteeDue(step)};
+}
+
+/** Plans the steps of one class, after their reservations have been applied. */
+void PlanClass(Planner& planner, std::span<const ReadyStep> steps) {
   std::vector<char> holds_reservations;  // Not of bool, so that a part of it is a span.
   holds_reservations.reserve(steps.size());
   for (const ReadyStep& step : steps) {
@@ -200,15 +205,14 @@
   const std::vector<ReadyStep> steps =
       internal::CollectReadySteps(table, context, CollectBindings(fleet, context.time_.now_));
   planner.plan_.use_ = internal::MeasureCapacityUse(fleet, planner.candidates_, steps);
-  // Priorities are planned one after the other, so that reservations of less urgent steps don't
-  // keep resources from more urgent steps.
+  // One class is planned after the other, so that reservations of less urgent steps, and of steps
+  // that may wait, don't keep resources from those that come first.
   auto begin = steps.begin();
   while (begin != steps.end()) {
-    const std::uint32_t priority = begin->job_->treatment_.priority_;
-    const auto end = std::find_if(begin, steps.end(), [priority](const ReadyStep& step) {
-      return step.job_->treatment_.priority_ != priority;
+    const auto end = std::find_if(begin, steps.end(), [begin](const ReadyStep& step) {
+      return ClassOf(step) != ClassOf(*begin);
     });
-    PlanPriority(planner, {begin, end});
+    PlanClass(planner, {begin, end});
     begin = end;
   }
   for (const internal::QuotaRoom& room : planner.quota_rooms_) {
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -53,7 +53,9 @@
 
 bool IsPlacedBefore(const ReadyStep& left, const ReadyStep& right) noexcept {
   const auto key = [](const ReadyStep& step) {
-    return std::tuple(step.job_->treatment_.priority_, step.band_, step.past_useful_completion_,
+    const bool due = IsGuaranteeDue(step);
+    return std::tuple(step.job_->treatment_.priority_, !due, step.band_,
+                      due ? step.service_due_ : ledger::WallTime{}, step.past_useful_completion_,
                       step.late_, step.latest_start_, std::string_view{step.job_->id_},
                       step.occurrence_, step.index_);
   };
@@ -223,9 +225,7 @@
       }
     }
   }
-  if (context.shares_ != nullptr) {
-    AssignBands(steps, *context.organisations_, context.organisation_use_);
-  }
+  AssignBands(steps, context.shares_ != nullptr);
   std::sort(steps.begin(), steps.end(), IsPlacedBefore);
   LimitTrials(steps, context);
   return steps;
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -37,9 +37,10 @@
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
 };
 
-/** @brief Order of steps of the same priority while work waits for capacity. */
+/** @brief Order of steps of the same priority. The last two take part only while work waits for
+ * capacity and organisations have weights. */
 enum class ShareBand : unsigned char {
-  kGuaranteed,  ///< Urgent, and the organisation's urgent work is within its guarantee.
+  kGuaranteed,  ///< Urgent, and within its organisation's guarantee.
   kOwed,        ///< Within the organisation's rate of jobs.
   kBeyondRate,
   kWorthless,  ///< Can't finish before its result is worthless.
@@ -63,9 +64,9 @@
   bool avoids_failed_workers_{};
   std::vector<TaskBinding> bindings_;  ///< Of its tasks; of the only task if the step is no gang.
   bool crash_suspect_{};               ///< A worker has crashed under one of the tasks.
-  bool on_trial_{};          ///< One of the tasks is on trial: none of another job runs beside it.
-  ShareBand band_{};         ///< The same for all steps without shares.
-  bool within_guarantee_{};  ///< See GuaranteeClaim::within_.
+  bool on_trial_{};  ///< One of the tasks is on trial: none of another job runs beside it.
+  ShareBand band_{};
+  bool within_guarantee_{};         ///< See GuaranteeClaim::within_.
   ledger::WallTime service_due_{};  ///< See ServiceDue.
   /** Urgent, and late for what its organisation may be guaranteed unless resources are freed now.
    */
@@ -76,9 +77,8 @@
 struct QuotaRoom {
   site::Resources free_{site::kUnlimited};              ///< Free for immediate starts.
   site::Resources free_after_stops_{site::kUnlimited};  ///< Free once stopping runs are gone.
-  std::int64_t urgent_gpus_{};  ///< In use by, or claimed for, its urgent work.
-  QuotaWait wait_;              ///< What waits for the quota.
-  bool held_back_{};            ///< More urgent work of the organisation waits for the quota.
+  QuotaWait wait_;                                      ///< What waits for the quota.
+  bool held_back_{};  ///< More urgent work of the organisation waits for the quota.
 };
 
 /** @brief State of one planning pass. */
--- a/src/laburnumledge/dispatch/quota.cpp
+++ b/src/laburnumledge/dispatch/quota.cpp
@@ -94,7 +94,6 @@
   }
   // Further urgent steps need room of their own.
   room.free_after_stops_ -= each * count;
-  room.urgent_gpus_ += (each * count).gpus_;
 }
 
 }  // namespace
@@ -108,9 +107,7 @@
   rooms.reserve(organisations.all_.size());
   for (std::size_t index = 0; index < organisations.all_.size(); ++index) {
     const site::Resources free = organisations.all_[index].quota_ - use[index].assigned_;
-    rooms.push_back({.free_ = free,
-                     .free_after_stops_ = free + use[index].stopping_,
-                     .urgent_gpus_ = use[index].urgent_gpus_});
+    rooms.push_back({.free_ = free, .free_after_stops_ = free + use[index].stopping_});
   }
   return rooms;
 }
@@ -135,7 +132,6 @@
   const site::Resources needs = step.spec_->task_resources_ * static_cast<std::uint32_t>(tasks);
   room.free_ -= needs;
   room.free_after_stops_ -= needs;
-  room.urgent_gpus_ += IsUrgent(step) ? needs.gpus_ : 0;
 }
 
 void WaitForQuota(Planner& planner, const ReadyStep& step) {
@@ -153,7 +149,7 @@
   }
   room.held_back_ = room.held_back_ ||
                     (!step.past_useful_completion_ && UsesHalfOfQuota(room.free_, limits.quota_));
-  if (IsUrgent(step) && room.urgent_gpus_ + waiting_gpus <= limits.guaranteed_gpus_) {
+  if (step.within_guarantee_) {
     PreemptOwnRuns(planner, step, waiting);
   }
 }
--- a/src/laburnumledge/dispatch/share.cpp
+++ b/src/laburnumledge/dispatch/share.cpp
@@ -96,27 +96,16 @@
 
 namespace internal {
 
-void AssignBands(std::vector<ReadyStep>& steps, const Organisations& organisations,
-                 const std::vector<OrganisationUse>& use) {
-  std::vector<std::int64_t> urgent_gpus(organisations.all_.size());
-  for (std::size_t index = 0; index < urgent_gpus.size(); ++index) {
-    urgent_gpus[index] = use[index].urgent_gpus_;
-  }
-  for (const ReadyStep& step : steps) {
-    if (IsUrgent(step)) {
-      urgent_gpus[step.job_->organisation_] +=
-          static_cast<std::int64_t>(step.tasks_.size()) * step.spec_->task_resources_.gpus_;
-    }
-  }
+void AssignBands(std::vector<ReadyStep>& steps, bool by_share) noexcept {
   for (ReadyStep& step : steps) {
-    const OrganisationIndex index = step.job_->organisation_;
-    const std::int64_t guaranteed = organisations.all_[index].guaranteed_gpus_;
-    if (IsUrgent(step) && guaranteed > 0 && urgent_gpus[index] <= guaranteed) {
+    if (step.within_guarantee_) {
       step.band_ = ShareBand::kGuaranteed;
-    } else if (step.past_useful_completion_) {
+    } else if (by_share && step.past_useful_completion_) {
       step.band_ = ShareBand::kWorthless;
+    } else if (by_share && step.job_->beyond_rate_) {
+      step.band_ = ShareBand::kBeyondRate;
     } else {
-      step.band_ = step.job_->beyond_rate_ ? ShareBand::kBeyondRate : ShareBand::kOwed;
+      step.band_ = ShareBand::kOwed;
     }
   }
 }
--- a/src/laburnumledge/dispatch/share.hpp
+++ b/src/laburnumledge/dispatch/share.hpp
@@ -59,9 +59,11 @@
 
 namespace internal {
 
-/** @brief Sets the band of each step; the steps may be in any order. */
-void AssignBands(std::vector<ReadyStep>& steps, const Organisations& organisations,
-                 const std::vector<OrganisationUse>& use);
+/**
+ * @brief Sets the band of each step; the steps may be in any order.
+ * @param by_share Organisations' shares take part in the order; else only guarantees do.
+ */
+void AssignBands(std::vector<ReadyStep>& steps, bool by_share) noexcept;
 
 /** @brief Share in use by organisation index, past service included, as a plan starts. */
 [[nodiscard]] std::vector<double> CollectShares(const Shares& shares,
--- a/test/laburnumledge/dispatch/quota.cpp
+++ b/test/laburnumledge/dispatch/quota.cpp
@@ -50,12 +50,14 @@
   }
 
   Plan Make() {
+    const Guarantees guarantees = CollectGuarantees(table_, fleet_, organisations_, kNow, kWall);
     return MakePlan(table_, fleet_,
                     {.rules_ = rules_,
                      .bounds_ = bounds_,
                      .durations_ = durations_,
                      .organisations_ = &organisations_,
                      .organisation_use_ = MeasureOrganisationUse(organisations_, fleet_),
+                     .guarantees_ = &guarantees,
                      .time_ = {.now_ = kNow, .wall_ = kWall}});
   }
 };
--- a/test/laburnumledge/dispatch/reclaim.cpp
+++ b/test/laburnumledge/dispatch/reclaim.cpp
@@ -37,4 +37,37 @@
   CHECK(CountStarts(plan, 3) == 1);
 }
 
+// Guards against work within a guarantee that waits behind work beyond guarantees, since that
+// declares less, or since its own organisation asks for more besides (RECLAIM).
+TEST_CASE("work within its guarantee goes before other urgent work, however short that is") {
+  GuaranteeHarness harness(1, 1);
+  harness.SetGuarantee("crew", 8);
+  ledger::Step brief = MakeStep(1, 8);
+  brief.estimate_ = Milliseconds(100);
+  harness.Add(1, "other", brief);
+  harness.Add(2, "crew", MakeStep(1, 8));
+  SUBCASE("alone") {}
+  SUBCASE("beside a later job of its organisation") {
+    harness.Add(3, "crew", brief, Milliseconds(1));
+  }
+  const Plan plan = harness.Make();
+  CHECK(CountStarts(plan, 1) == 0);
+  CHECK(CountStarts(plan, 2) == 1);
+}
+
+// Guards against resources that are reserved for urgent work which may wait, while the start of
+// work within a guarantee is late (RECLAIM).
+TEST_CASE("work whose guarantee is due takes what is reserved for work beyond guarantees") {
+  GuaranteeHarness harness(1, 2);
+  harness.SetGuarantee("crew", 8);
+  harness.AddRunning(1, "other", MakeStep(1, 8), {"r1w1"});
+  Job& beyond = harness.Add(2, "other", MakeRackGang(2, 8));
+  beyond.occurrences_.at(0).steps_[0].reservations_ = {{.worker_ = "r1w1", .tasks_ = 1},
+                                                       {.worker_ = "r1w2", .tasks_ = 1}};
+  harness.fleet_.workers_.at("r1w1").assigned_runs_.begin()->second.phase_ = RunPhase::kStopping;
+  harness.Add(3, "crew", MakeStep(1, 8), Milliseconds(10));
+  CHECK(CountStarts(harness.Make(Milliseconds(100)), 3) == 0);
+  CHECK(CountStarts(harness.Make(kDue + Milliseconds(10)), 3) == 1);
+}
+
 }  // namespace laburnumledge::dispatch
