Take a due guarantee back from urgent work beyond other guarantees

Callers: in long bursts urgent work fills the fleet. An urgent job within its organisation's guarantee then begins only when some of that work ends by itself, while others hold several times what they are guaranteed.

Cause: preemption looked at priorities alone, so no urgent run was ever preempted. "Others may use whatever is idle" gives them no right to keep it.

The claims now tell which runs are beyond their organisation's guarantee: those of the jobs that were due last, as far as the others fill it; a gang as a whole. If a guarantee is due and stopping less urgent runs does not make room, such runs are stopped, least lost work first. Runs within a guarantee never are, and what was stopped takes nothing back while its organisation holds its own, so two organisations can't take the same GPUs in turn.

--- a/src/laburnumledge/dispatch/guarantee.cpp
+++ b/src/laburnumledge/dispatch/guarantee.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-GuaranteeClaim* Find(std::vector<GuaranteeClaim>& claims, const ledger::TaskId& task) noexcept {
+/** Position of the claim of a task's step, or the end. */
+template <typename Claims>
+auto FindClaimOf(Claims& claims, const ledger::TaskId& task) noexcept {
   const auto key = std::tie(task.job_, task.occurrence_, task.step_);
   const auto found = std::lower_bound(
       claims.begin(), claims.end(), key, [](const GuaranteeClaim& claim, const auto& wanted) {
@@ -18,7 +20,7 @@
       });
   const bool same = found != claims.end() && std::tie(found->step_.job_, found->step_.occurrence_,
                                                       found->step_.step_) == key;
-  return same ? &*found : nullptr;
+  return same ? found : claims.end();
 }
 
 void CollectClaims(const Job& job, core::TimePoint now, ledger::WallTime wall,
@@ -51,9 +53,9 @@
       if (assigned.priority_ != 0 || assigned.phase_ == RunPhase::kRunning) {
         continue;
       }
-      GuaranteeClaim* claim = Find(claims, run.task_);
+      const auto claim = FindClaimOf(claims, run.task_);
       // Runs of tasks that wait already have nothing to correct.
-      if (claim == nullptr || claim->begun_ == 0) {
+      if (claim == claims.end() || claim->begun_ == 0) {
         continue;
       }
       --claim->begun_;
@@ -79,6 +81,34 @@
   return order;
 }
 
+/** Index of the first of a step's tasks that are beyond a number of tasks with a run. */
+std::uint32_t FirstTaskBeyond(const JobTable& table, const StepId& step, std::int64_t tasks) {
+  const Occurrence& occurrence = table.jobs_.at(step.job_).occurrences_.at(step.occurrence_);
+  const std::vector<Task>& all = occurrence.steps_[step.step_].tasks_;
+  std::uint32_t index = 0;
+  for (; index < all.size() && tasks > 0; ++index) {
+    tasks -= all[index].phase_ == TaskPhase::kPlaced ? 1 : 0;
+  }
+  return index;
+}
+
+/** Marks the runs that an organisation has beyond its guarantee. */
+void MarkBeyond(const std::vector<GuaranteeClaim*>& order, std::int64_t guaranteed,
+                const JobTable& table) {
+  for (GuaranteeClaim* claim : order) {
+    const std::int64_t held = claim->task_gpus_ * claim->running_;
+    if (held <= guaranteed) {
+      guaranteed -= held;
+    } else if (claim->gang_) {
+      claim->first_beyond_ = 0;
+    } else {
+      const std::int64_t within = guaranteed / claim->task_gpus_;
+      claim->first_beyond_ = FirstTaskBeyond(table, claim->step_, within);
+      guaranteed -= within * claim->task_gpus_;
+    }
+  }
+}
+
 void MarkWithin(const std::vector<GuaranteeClaim*>& order, std::int64_t guaranteed,
                 std::int64_t held) noexcept {
   for (GuaranteeClaim* claim : order) {
@@ -126,6 +156,9 @@
   const auto order = OrderByOrganisation(guarantees.claims_, organisations.all_.size());
   for (std::size_t index = 0; index < order.size(); ++index) {
     const std::int64_t guaranteed = organisations.all_[index].guaranteed_gpus_;
+    if (guarantees.held_gpus_[index] > guaranteed) {
+      MarkBeyond(order[index], guaranteed, table);
+    }
     if (guaranteed > 0) {
       MarkWithin(order[index], guaranteed, guarantees.held_gpus_[index]);
     }
@@ -140,6 +173,11 @@
   return found == guarantees.claims_.end() || found->step_ != step ? nullptr : &*found;
 }
 
+bool IsBeyondGuarantee(const Guarantees& guarantees, const ledger::TaskId& task) noexcept {
+  const auto claim = FindClaimOf(guarantees.claims_, task);
+  return claim != guarantees.claims_.end() && task.index_ >= claim->first_beyond_;
+}
+
 std::vector<GuaranteeNews> UpdateGuaranteeWatch(GuaranteeWatch& watch, const Guarantees& guarantees,
                                                 const site::Bounds& bounds, ledger::WallTime wall) {
   std::vector<GuaranteeNews> news;
--- a/src/laburnumledge/dispatch/guarantee.hpp
+++ b/src/laburnumledge/dispatch/guarantee.hpp
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -39,6 +40,8 @@
   std::uint32_t waiting_{};  ///< Tasks without a run, or whose run is being stopped.
   std::uint32_t running_{};  ///< Tasks with a run that isn't being stopped.
   std::uint32_t begun_{};    ///< Of these, tasks whose start is confirmed.
+  /** Tasks with a run from this index on are beyond the organisation's guarantee. */
+  std::uint32_t first_beyond_{std::numeric_limits<std::uint32_t>::max()};
   /** The waiting tasks, beside all that the organisation's urgent work holds, are within the
    * guarantee. */
   bool within_{};
@@ -62,10 +65,12 @@
 /**
  * @brief Collects the urgent steps and marks those that wait within their organisation's guarantee.
  *
- * What an organisation's urgent runs hold counts first. Waiting steps follow by the time at which
- * they were due; one that has to wait until the organisation holds less keeps later ones from being
- * within the guarantee, unless the guarantee can never hold it. Empty if no organisation has a
- * guarantee. Costs a pass over the urgent tasks and over all runs. Not thread safe.
+ * What an organisation's urgent runs hold counts first; of these, runs of the jobs that were due
+ * last are beyond the guarantee if not all are within it, gangs as a whole. Waiting steps follow by
+ * the time at which they were due; one that has to wait until the organisation holds less keeps
+ * later ones from being within the guarantee, unless the guarantee can never hold it. Empty if no
+ * organisation has a guarantee. Costs a pass over the urgent tasks and over all runs. Not thread
+ * safe.
  */
 [[nodiscard]] Guarantees CollectGuarantees(const JobTable& table, const Fleet& fleet,
                                            const Organisations& organisations, core::TimePoint now,
@@ -75,6 +80,10 @@
 [[nodiscard]] const GuaranteeClaim* FindClaim(const Guarantees& guarantees,
                                               const StepId& step) noexcept;
 
+/** @brief Whether an urgent task's run is beyond its organisation's guarantee. Thread safe. */
+[[nodiscard]] bool IsBeyondGuarantee(const Guarantees& guarantees,
+                                     const ledger::TaskId& task) noexcept;
+
 /** @brief Step within its guarantee whose tasks had not all begun in time, or have begun now. */
 struct GuaranteeNews {
   StepId step_;
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -27,10 +27,22 @@
  * its task runs again. */
 constexpr core::Milliseconds kMinLostTime{1000};
 
-bool IsPreemptible(const AssignedRun& assigned, const ReadyStep& step) noexcept {
-  const bool spared = assigned.preemptions_ >= kMaxPreemptions && !IsUrgent(step);
-  return assigned.priority_ > step.job_->treatment_.priority_ && !spared &&
-         !IsBeingStopped(assigned);
+/** Runs that a step may preempt. */
+enum class Victims : unsigned char {
+  kLessUrgent,
+  kBeyondGuarantees,  ///< Less urgent runs, and urgent ones beyond their organisation's guarantee.
+};
+
+bool IsPreemptible(const Planner& planner, const RunId& run, const AssignedRun& assigned,
+                   const ReadyStep& step, Victims victims) noexcept {
+  if (IsBeingStopped(assigned)) {
+    return false;
+  }
+  if (assigned.priority_ > step.job_->treatment_.priority_) {
+    return assigned.preemptions_ < kMaxPreemptions || IsUrgent(step);
+  }
+  return victims == Victims::kBeyondGuarantees && assigned.priority_ == 0 &&
+         IsBeyondGuarantee(*planner.context_.guarantees_, run.task_);
 }
 
 /** Runs to preempt on one worker so that a number of tasks fit there. */
@@ -43,15 +55,18 @@
 
 /** Selects runs of a worker to preempt, least lost work per GPU first, until the wanted tasks fit
  * or no preemptible run is left; empty if not a single task fits. */
-std::optional<WorkerPreemption> CheapestPreemption(CandidateWorker& candidate,
+std::optional<WorkerPreemption> CheapestPreemption(const Planner& planner,
+                                                   CandidateWorker& candidate,
                                                    const ReadyStep& step, std::uint32_t wanted,
-                                                   core::TimePoint now) {
+                                                   Victims victims) {
+  const core::TimePoint now = planner.context_.time_.now_;
   WorkerPreemption preemption{.candidate_ = &candidate};
   site::Resources available = candidate.free_after_stops_;
   const std::uint32_t limit = std::min(wanted, RemainingTaskLimit(candidate, step));
   std::vector<std::pair<double, RunId>> preemptible;
   for (const auto& [run, assigned] : candidate.worker_->assigned_runs_) {
-    if (IsPreemptible(assigned, step) && !candidate.preempted_.contains(run)) {
+    if (IsPreemptible(planner, run, assigned, step, victims) &&
+        !candidate.preempted_.contains(run)) {
       const double gpus = static_cast<double>(std::max<std::int64_t>(1, assigned.needs_.gpus_));
       preemptible.emplace_back(LostWork(assigned, now) / gpus, run);
     }
@@ -172,6 +187,57 @@
   planner.plan_.reservations_.push_back(std::move(planned));
 }
 
+/** What each worker can hold of a step's tasks, with the preemptions that it takes. */
+std::vector<WorkerPreemption> CollectPreemptions(Planner& planner, const ReadyStep& step,
+                                                 std::size_t wanted, Victims victims) {
+  std::vector<WorkerPreemption> preemptions;
+  for (CandidateWorker& candidate : planner.candidates_) {
+    // What an earlier gang has reserved is not taken away from it by work of equal urgency.
+    const bool reserved = candidate.reserved_from_ != core::TimePoint::max();
+    if (reserved || !CanHost(planner, candidate, step)) {
+      continue;
+    }
+    std::optional<WorkerPreemption> preemption =
+        CheapestPreemption(planner, candidate, step, static_cast<std::uint32_t>(wanted), victims);
+    if (preemption.has_value()) {
+      preemptions.push_back(*std::move(preemption));
+    }
+  }
+  return preemptions;
+}
+
+/** Chooses workers of the rack where that loses the least work; empty if no rack can hold all. */
+std::optional<std::vector<WorkerPreemption>> ChooseRackPreemptions(
+    const std::vector<WorkerPreemption>& preemptions, std::size_t wanted) {
+  std::map<std::string_view, std::vector<WorkerPreemption>> by_rack;
+  for (const WorkerPreemption& preemption : preemptions) {
+    by_rack[preemption.candidate_->worker_->entry_.rack_].push_back(preemption);
+  }
+  std::optional<std::vector<WorkerPreemption>> best;
+  for (const auto& [rack, in_rack] : by_rack) {
+    std::optional<std::vector<WorkerPreemption>> chosen = ChoosePreemptions(in_rack, wanted);
+    if (chosen.has_value() && (!best.has_value() || TotalCost(*chosen) < TotalCost(*best))) {
+      best = std::move(chosen);
+    }
+  }
+  return best;
+}
+
+/** Finds workers for a number of tasks: in one rack if the step wants that, else anywhere. */
+std::optional<std::vector<WorkerPreemption>> FindPreemptions(Planner& planner,
+                                                             const ReadyStep& step,
+                                                             std::size_t wanted, Victims victims) {
+  std::vector<WorkerPreemption> preemptions = CollectPreemptions(planner, step, wanted, victims);
+  // Resources on several racks would stay idle for as long as the gang waits for one.
+  const bool one_rack = WaitsForOneRack(planner, step);
+  std::optional<std::vector<WorkerPreemption>> best;
+  if (one_rack || (step.spec_->gang_ && step.spec_->same_rack_)) {
+    best = ChooseRackPreemptions(preemptions, wanted);
+  }
+  return best.has_value() || one_rack ? std::move(best)
+                                      : ChoosePreemptions(std::move(preemptions), wanted);
+}
+
 CandidateWorker* FindCandidate(Planner& planner, const std::string& worker) {
   const auto found =
       std::lower_bound(planner.candidates_.begin(), planner.candidates_.end(), worker,
@@ -228,34 +294,10 @@
 }
 
 bool PreemptForStep(Planner& planner, const ReadyStep& step, std::size_t wanted) {
-  std::map<std::string_view, std::vector<WorkerPreemption>> by_rack;
-  std::vector<WorkerPreemption> all;
-  for (CandidateWorker& candidate : planner.candidates_) {
-    // What an earlier gang has reserved is not taken away from it by work of equal urgency.
-    const bool reserved = candidate.reserved_from_ != core::TimePoint::max();
-    if (reserved || !CanHost(planner, candidate, step)) {
-      continue;
-    }
-    std::optional<WorkerPreemption> preemption = CheapestPreemption(
-        candidate, step, static_cast<std::uint32_t>(wanted), planner.context_.time_.now_);
-    if (preemption.has_value()) {
-      by_rack[candidate.worker_->entry_.rack_].push_back(*preemption);
-      all.push_back(*std::move(preemption));
-    }
-  }
-  std::optional<std::vector<WorkerPreemption>> best;
-  // Resources on several racks would stay idle for as long as the gang waits for one.
-  const bool one_rack = WaitsForOneRack(planner, step);
-  if (one_rack || (step.spec_->gang_ && step.spec_->same_rack_)) {
-    for (const auto& [rack, preemptions] : by_rack) {
-      std::optional<std::vector<WorkerPreemption>> chosen = ChoosePreemptions(preemptions, wanted);
-      if (chosen.has_value() && (!best.has_value() || TotalCost(*chosen) < TotalCost(*best))) {
-        best = std::move(chosen);
-      }
-    }
-  }
-  if (!best.has_value() && !one_rack) {
-    best = ChoosePreemptions(std::move(all), wanted);
+  std::optional<std::vector<WorkerPreemption>> best =
+      FindPreemptions(planner, step, wanted, Victims::kLessUrgent);
+  if (!best.has_value() && IsGuaranteeDue(step)) {
+    best = FindPreemptions(planner, step, wanted, Victims::kBeyondGuarantees);
   }
   if (!best.has_value() ||
       IsLossTooHigh(step, wanted, LostWorkOfAll(*best, planner.context_.time_.now_))) {
--- a/src/laburnumledge/dispatch/preemption.hpp
+++ b/src/laburnumledge/dispatch/preemption.hpp
@@ -9,6 +9,9 @@
 /**
  * @brief Plans preemptions that free resources for tasks of a step, with the least lost work.
  *
+ * Less urgent runs are preempted; for a step whose guarantee is due, if these are not enough, also
+ * urgent runs beyond their organisation's guarantee.
+ *
  * The step's tasks don't start in this plan: the resources become free when the runs have stopped.
  *
  * @return Whether preemption can free enough; the resources are then reserved for the step.
