Count a guarantee as missed once there was time to keep it

The line and the counter are for guarantees that were not kept.

A wait within the guarantee counts from when the work came within it, and is missed when the bound has passed and there was time to stop runs and start. The time that this takes is defined once, beside the claims.

--- a/src/laburnumledge/dispatch/guarantee.cpp
+++ b/src/laburnumledge/dispatch/guarantee.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** Time before a guaranteed start is late at which it no longer waits for resources to become free:
+ * the record, the start and a second attempt. */
+constexpr core::Milliseconds kGuaranteeMargin{800};
+
 /** Position of the claim of a task's step, or the end. */
 template <typename Claims>
 auto FindClaimOf(Claims& claims, const ledger::TaskId& task) noexcept {
@@ -125,8 +129,31 @@
   }
 }
 
+/** Latest time at which a waiting step must have begun. */
+ledger::WallTime LatestBegin(const GuaranteeWatch::Waiting& waiting, const site::Bounds& bounds) {
+  return std::max(waiting.due_ + bounds.reclaim_time_,
+                  *waiting.within_since_ + bounds.stop_grace_ + kGuaranteeMargin);
+}
+
+/** Takes over whether a waiting step is within its guarantee, and since when. */
+void UpdateWithin(GuaranteeWatch::Waiting& waiting, const GuaranteeClaim& claim,
+                  ledger::WallTime wall) {
+  if (claim.waiting_ == 0) {
+    return;
+  }
+  if (!claim.within_) {
+    waiting.within_since_.reset();
+  } else if (!waiting.within_since_.has_value()) {
+    waiting.within_since_ = wall;
+  }
+}
+
 }  // namespace
 
+core::Milliseconds LongestGuaranteeWait(const site::Bounds& bounds) noexcept {
+  return bounds.reclaim_time_ - bounds.stop_grace_ - kGuaranteeMargin;
+}
+
 ledger::WallTime ServiceDue(const Job& job, std::uint32_t occurrence, std::uint32_t step,
                             core::TimePoint now, ledger::WallTime wall) noexcept {
   if (job.submission_->steps_[step].after_.empty()) {
@@ -188,22 +215,21 @@
     if (found != before.end()) {
       waiting = found->second;
     }
-    const auto waited = std::max(core::Milliseconds{}, wall - waiting.due_);
-    const GuaranteeNews now{.step_ = claim.step_,
-                            .organisation_ = claim.organisation_,
-                            .waited_ = waited,
-                            .late_ = waiting.late_};
-    if (claim.waiting_ == 0 && claim.begun_ == claim.running_) {
-      if (waiting.within_) {
-        news.push_back(now);
-        news.back().begun_ = true;
+    UpdateWithin(waiting, claim, wall);
+    const bool begun = claim.waiting_ == 0 && claim.begun_ == claim.running_;
+    if (waiting.within_since_.has_value()) {
+      const bool misses = !begun && !waiting.late_ && wall > LatestBegin(waiting, bounds);
+      if (begun || misses) {
+        news.push_back({.step_ = claim.step_,
+                        .organisation_ = claim.organisation_,
+                        .waited_ = wall - std::max(waiting.due_, *waiting.within_since_),
+                        .begun_ = begun,
+                        .late_ = waiting.late_});
       }
-      continue;
+      waiting.late_ = waiting.late_ || misses;
     }
-    waiting.within_ = claim.waiting_ > 0 ? claim.within_ : waiting.within_;
-    if (waiting.within_ && !waiting.late_ && waited > bounds.reclaim_time_) {
-      waiting.late_ = true;
-      news.push_back(now);
+    if (begun) {
+      continue;
     }
     watch.waiting_.emplace_hint(watch.waiting_.end(), claim.step_, waiting);
   }
--- a/src/laburnumledge/dispatch/guarantee.hpp
+++ b/src/laburnumledge/dispatch/guarantee.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "laburnumledge/core/time.hpp"
@@ -15,6 +16,9 @@
 
 namespace laburnumledge::dispatch {
 
+/** @brief Wait of a guaranteed step after which it is late unless resources are freed for it. */
+[[nodiscard]] core::Milliseconds LongestGuaranteeWait(const site::Bounds& bounds) noexcept;
+
 /** @brief Step of one occurrence of a job. */
 struct StepId {
   ledger::JobId job_;
@@ -88,7 +92,7 @@
 struct GuaranteeNews {
   StepId step_;
   OrganisationIndex organisation_{kNoOrganisation};
-  core::Milliseconds waited_{};  ///< Since the start was due.
+  core::Milliseconds waited_{};  ///< Since the start was due within the guarantee.
   bool begun_{};                 ///< All tasks have begun; else the bound has just passed.
   bool late_{};                  ///< The bound had passed before.
 };
@@ -98,8 +102,9 @@
   struct Waiting {
     OrganisationIndex organisation_{kNoOrganisation};
     ledger::WallTime due_{};
-    bool within_{};  ///< As last seen while tasks waited.
-    bool late_{};    ///< Was within the guarantee when the bound had passed.
+    /** Since when it has been within the guarantee, as last seen while tasks waited. */
+    std::optional<ledger::WallTime> within_since_;
+    bool late_{};  ///< Was within the guarantee when the bound had passed.
   };
   std::map<StepId, Waiting> waiting_;
 };
@@ -107,6 +112,9 @@
 /**
  * @brief Follows the claims: tells which steps within their guarantee have begun since the last
  * call, and which have just missed the bound.
+ *
+ * A step that comes within the guarantee when the bound is near, since its organisation holds less
+ * now, has missed it only once there was time to free resources.
  * @param watch Updated in place. Steps that are no claim any more are dropped, unless they have
  * begun.
  * @param guarantees Claims by the present state.
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -42,15 +42,6 @@
  * stop. */
 constexpr double kPreemptionSlackFraction = 0.8;
 
-/** Time before a guaranteed start is late at which it no longer waits for resources to become free:
- * the record, the start and a second attempt. */
-constexpr core::Milliseconds kGuaranteeMargin{800};
-
-/** Wait after which a guaranteed step is late unless runs are stopped for it. */
-core::Milliseconds LongestGuaranteeWait(const PlanContext& context) noexcept {
-  return context.bounds_.reclaim_time_ - context.bounds_.stop_grace_ - kGuaranteeMargin;
-}
-
 bool IsPlacedBefore(const ReadyStep& left, const ReadyStep& right) noexcept {
   const auto key = [](const ReadyStep& step) {
     const bool due = IsGuaranteeDue(step);
@@ -181,7 +172,7 @@
   step.ready_since_ = state.ready_since_;
   step.service_due_ = ServiceDue(job, number, index, time.now_, time.wall_);
   step.start_due_ =
-      IsUrgent(step) && time.wall_ >= step.service_due_ + LongestGuaranteeWait(context);
+      IsUrgent(step) && time.wall_ >= step.service_due_ + LongestGuaranteeWait(context.bounds_);
   if (context.guarantees_ != nullptr && IsUrgent(step)) {
     const GuaranteeClaim* claim =
         FindClaim(*context.guarantees_, {.job_ = job.id_, .occurrence_ = number, .step_ = index});
--- a/test/laburnumledge/dispatch/guarantee.cpp
+++ b/test/laburnumledge/dispatch/guarantee.cpp
@@ -69,6 +69,7 @@
     return UpdateGuaranteeWatch(watch, harness.Collect(later), harness.bounds_, kWall + later);
   };
   harness.Add(1, "crew", MakeStep(1, 8));
+  CHECK(update(Milliseconds(0)).empty());
   CHECK(update(Milliseconds(2900)).empty());
   const std::vector<GuaranteeNews> missed = update(Milliseconds(2901));
   REQUIRE(missed.size() == 1);
@@ -84,4 +85,23 @@
   CHECK(update(Milliseconds(3600)).empty());
 }
 
+TEST_CASE("work that comes within its guarantee after its bound is not missed at once") {
+  GuaranteeHarness harness(1, 2);
+  harness.SetGuarantee("crew", 8);
+  harness.AddRunning(1, "crew", MakeStep(1, 8), {"r1w1"});
+  harness.Add(2, "crew", MakeStep(1, 8));
+  GuaranteeWatch watch;
+  const auto update = [&](Milliseconds later) {
+    return UpdateGuaranteeWatch(watch, harness.Collect(later), harness.bounds_, kWall + later);
+  };
+  CHECK(update(Milliseconds(5000)).empty());
+  harness.table_.jobs_.erase(JobId(1));
+  CHECK(update(Milliseconds(6000)).empty());
+  // A stop takes up to 0.4 s, record and start up to 0.8 s.
+  CHECK(update(Milliseconds(7200)).empty());
+  const std::vector<GuaranteeNews> missed = update(Milliseconds(7201));
+  REQUIRE(missed.size() == 1);
+  CHECK(missed[0].waited_ == Milliseconds(1201));
+}
+
 }  // namespace laburnumledge::dispatch
