Bound urgent headroom by what the configuration guarantees

The upper bound of the GPUs that are kept for urgent work was 0.6 of all GPUs, "the fraction that the platform's sites guarantee to all organisations together": a property of some configurations, written into the code. A site that guarantees less kept more idle than any guarantee can ask for, one that guarantees more kept less.

The bound is the sum of the guarantees; 0.6 remains where nobody has one.

--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -94,7 +94,8 @@
          .guarantees_ = &guarantees_,
          .unexplained_wait_ =
              time.now_ < next_capacity_log_ ? core::Milliseconds::max() : kUnexplainedGuaranteeWait,
-         .urgent_headroom_gpus_ = UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_),
+         .urgent_headroom_gpus_ =
+             UrgentHeadroomGpus(urgent_headroom_, fleet.gpus_, GuaranteedGpus(organisations_)),
          .interference_ = avoids ? &interference_ : nullptr,
          .calm_since_ = calm_since_,
          .trial_room_ = TrialRoom(fleet_),
--- a/src/laburnumledge/dispatch/explanation.cpp
+++ b/src/laburnumledge/dispatch/explanation.cpp
@@ -316,7 +316,8 @@
                             .guarantees_ = &guarantees,
                             .unexplained_wait_ = core::Milliseconds(-1),
                             .urgent_headroom_gpus_ = UrgentHeadroomGpus(
-                                snapshot.urgent_headroom_, CountListedGpus(snapshot.fleet_)),
+                                snapshot.urgent_headroom_, CountListedGpus(snapshot.fleet_),
+                                GuaranteedGpus(snapshot.organisations_)),
                             .interference_ = snapshot.interference_,
                             .time_ = time,
                             .before_step_ = [&run](const Planner& planner, const ReadyStep& step) {
--- a/src/laburnumledge/dispatch/organisations.cpp
+++ b/src/laburnumledge/dispatch/organisations.cpp
@@ -40,6 +40,14 @@
   }
 }
 
+std::int64_t GuaranteedGpus(const Organisations& organisations) noexcept {
+  std::int64_t gpus = 0;
+  for (const OrganisationLimits& limits : organisations.all_) {
+    gpus += limits.guaranteed_gpus_;
+  }
+  return gpus;
+}
+
 bool FitsQuota(const site::Resources& needs, const site::Resources& used,
                const site::Resources& quota) noexcept {
   const auto fits = [](std::int64_t needed, std::int64_t in_use, std::int64_t limit) {
--- a/src/laburnumledge/dispatch/organisations.hpp
+++ b/src/laburnumledge/dispatch/organisations.hpp
@@ -57,6 +57,9 @@
   site::Resources stopping_;  ///< Part of `assigned_` that is being stopped.
 };
 
+/** @brief GPUs that are guaranteed to all organisations together. */
+[[nodiscard]] std::int64_t GuaranteedGpus(const Organisations& organisations) noexcept;
+
 /** @brief Whether an organisation's use, which includes a start's needs, keeps the quota in every
  * kind of resource that the start needs. A kind that was overdrawn before by a lower quota does not
  * keep a start from running that needs none of it. */
--- a/src/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.cpp
@@ -15,8 +15,7 @@
 constexpr double kLullHalfLifeSeconds = 2.0;
 /** Headroom as a multiple of the demand; the surplus is for gangs that must fit into one rack. */
 constexpr double kHeadroomFactor = 1.2;
-/** Upper bound of the headroom as a fraction of all GPUs: the fraction that the platform's sites
- * guarantee to all organisations together. */
+/** Upper bound of the headroom as a fraction of all GPUs where nothing is guaranteed. */
 constexpr double kMaxGpuFraction = 0.6;
 
 }  // namespace
@@ -63,9 +62,11 @@
   headroom.updated_at_ = now;
 }
 
-std::int64_t UrgentHeadroomGpus(const UrgentHeadroom& headroom, std::int64_t all_gpus) noexcept {
+std::int64_t UrgentHeadroomGpus(const UrgentHeadroom& headroom, std::int64_t all_gpus,
+                                std::int64_t guaranteed_gpus) noexcept {
   const double wanted = headroom.demand_gpus_ * kHeadroomFactor;
-  const double most = static_cast<double>(all_gpus) * kMaxGpuFraction;
+  const double most = guaranteed_gpus > 0 ? static_cast<double>(std::min(guaranteed_gpus, all_gpus))
+                                          : static_cast<double>(all_gpus) * kMaxGpuFraction;
   return static_cast<std::int64_t>(std::min(wanted, most));
 }
 
--- a/src/laburnumledge/dispatch/urgent_headroom.hpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.hpp
@@ -38,8 +38,14 @@
 void UpdateUrgentHeadroom(UrgentHeadroom& headroom, std::int64_t demand,
                           core::TimePoint now) noexcept;
 
-/** @brief Number of GPUs to keep for urgent jobs, including those that urgent jobs already use. */
-[[nodiscard]] std::int64_t UrgentHeadroomGpus(const UrgentHeadroom& headroom,
-                                              std::int64_t all_gpus) noexcept;
+/**
+ * @brief Number of GPUs to keep for urgent jobs, including those that urgent jobs already use.
+ * @param headroom Recent demand.
+ * @param all_gpus GPUs of all listed workers.
+ * @param guaranteed_gpus What all organisations together are guaranteed, which bounds the headroom;
+ * 0 if nobody has a guarantee.
+ */
+[[nodiscard]] std::int64_t UrgentHeadroomGpus(const UrgentHeadroom& headroom, std::int64_t all_gpus,
+                                              std::int64_t guaranteed_gpus = 0) noexcept;
 
 }  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/test/laburnumledge/dispatch/urgent_headroom.cpp
@@ -19,6 +19,8 @@
   CHECK(UrgentHeadroomGpus(headroom, 1000) == 0);
   UpdateUrgentHeadroom(headroom, 100000, kNow + std::chrono::minutes(6));
   CHECK(UrgentHeadroomGpus(headroom, 1000) <= 600);
+  CHECK(UrgentHeadroomGpus(headroom, 1000, 350) == 350);
+  CHECK(UrgentHeadroomGpus(headroom, 300, 350) == 300);
 }
 
 TEST_CASE("headroom falls faster once no urgent work runs or waits") {
