Count withdrawn starts of waiting tasks once in claims on guarantees

A start that is withdrawn while its record is being stored stays assigned, and its task waits already. The claims took it off the organisation's running tasks once more, so that of a step with single tasks less counted as held than was: work beyond a guarantee could count as within it until the record was stored. Found by reading the change as a whole; the test shows it (running 0, not 1).

A run corrects a claim only while it is its task's newest and the task is placed.

--- a/src/laburnumledge/dispatch/guarantee.cpp
+++ b/src/laburnumledge/dispatch/guarantee.cpp
@@ -50,16 +50,24 @@
   }
 }
 
+const std::vector<Task>& TasksOf(const JobTable& table, const StepId& step) {
+  return table.jobs_.at(step.job_).occurrences_.at(step.occurrence_).steps_[step.step_].tasks_;
+}
+
 /** Corrects the claims, which count placed tasks, by the phases of the runs. */
-void CountPhases(const Fleet& fleet, std::vector<GuaranteeClaim>& claims) {
+void CountPhases(const JobTable& table, const Fleet& fleet, std::vector<GuaranteeClaim>& claims) {
   for (const auto& [id, worker] : fleet.workers_) {
     for (const auto& [run, assigned] : worker.assigned_runs_) {
       if (assigned.priority_ != 0 || assigned.phase_ == RunPhase::kRunning) {
         continue;
       }
       const auto claim = FindClaimOf(claims, run.task_);
-      // Runs of tasks that wait already have nothing to correct.
-      if (claim == claims.end() || claim->begun_ == 0) {
+      if (claim == claims.end()) {
+        continue;
+      }
+      // A run that was given up may still be assigned while its task waits.
+      const Task& task = TasksOf(table, claim->step_)[run.task_.index_];
+      if (task.phase_ != TaskPhase::kPlaced || task.run_ != run.run_) {
         continue;
       }
       --claim->begun_;
@@ -87,8 +95,7 @@
 
 /** Index of the first of a step's tasks that are beyond a number of tasks with a run. */
 std::uint32_t FirstTaskBeyond(const JobTable& table, const StepId& step, std::int64_t tasks) {
-  const Occurrence& occurrence = table.jobs_.at(step.job_).occurrences_.at(step.occurrence_);
-  const std::vector<Task>& all = occurrence.steps_[step.step_].tasks_;
+  const std::vector<Task>& all = TasksOf(table, step);
   std::uint32_t index = 0;
   for (; index < all.size() && tasks > 0; ++index) {
     tasks -= all[index].phase_ == TaskPhase::kPlaced ? 1 : 0;
@@ -175,7 +182,7 @@
       CollectClaims(job, now, wall, guarantees.claims_);
     }
   }
-  CountPhases(fleet, guarantees.claims_);
+  CountPhases(table, fleet, guarantees.claims_);
   guarantees.held_gpus_.resize(organisations.all_.size());
   for (const GuaranteeClaim& claim : guarantees.claims_) {
     guarantees.held_gpus_[claim.organisation_] += claim.task_gpus_ * claim.running_;
@@ -220,9 +227,10 @@
     if (waiting.within_since_.has_value()) {
       const bool misses = !begun && !waiting.late_ && wall > LatestBegin(waiting, bounds);
       if (begun || misses) {
+        const ledger::WallTime since = std::max(waiting.due_, *waiting.within_since_);
         news.push_back({.step_ = claim.step_,
                         .organisation_ = claim.organisation_,
-                        .waited_ = wall - std::max(waiting.due_, *waiting.within_since_),
+                        .waited_ = std::max(core::Milliseconds{}, wall - since),
                         .begun_ = begun,
                         .late_ = waiting.late_});
       }
--- a/src/laburnumledge/dispatch/guarantee.hpp
+++ b/src/laburnumledge/dispatch/guarantee.hpp
@@ -28,11 +28,6 @@
   [[nodiscard]] auto operator<=>(const StepId&) const = default;
 };
 
-/** @brief Step that a task belongs to. */
-[[nodiscard]] inline StepId StepOf(const ledger::TaskId& task) {
-  return {.job_ = task.job_, .occurrence_ = task.occurrence_, .step_ = task.step_};
-}
-
 /** @brief Urgent step that can run and is not done, and its place in its organisation's guarantee.
  */
 struct GuaranteeClaim {
--- a/test/laburnumledge/dispatch/guarantee.cpp
+++ b/test/laburnumledge/dispatch/guarantee.cpp
@@ -59,6 +59,11 @@
   CHECK(claim.waiting_ == 1);
   CHECK(claim.running_ == 1);
   CHECK(claim.begun_ == 0);
+  // A start that was withdrawn stays assigned while its task waits already.
+  run("r1w1").phase_ = RunPhase::kWithdrawn;
+  MarkWaiting(*FindStep(harness.table_, {.job_ = JobId(1)}),
+              *FindTask(harness.table_, {.job_ = JobId(1)}));
+  CHECK(FindClaim(harness.Collect(), {.job_ = JobId(1)})->running_ == 1);
 }
 
 TEST_CASE("a missed guarantee is told once, and how late the job has begun at last") {
