Report GPUs beyond guarantees by the runs that can be taken back

`guarantee.waiting` counted GPUs beyond guarantees by organisation, as held less guaranteed; preemption goes by runs, and a gang or a task that is within a guarantee only in part is beyond it. The line showed less than could be taken back. Both ask the claims now.

--- a/src/laburnumledge/dispatch/guarantee_wait.cpp
+++ b/src/laburnumledge/dispatch/guarantee_wait.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <map>
-#include <vector>
 
 #include "laburnumledge/dispatch/internal.hpp"
 #include "laburnumledge/dispatch/planner.hpp"
@@ -20,16 +19,6 @@
 
 namespace {
 
-/** GPUs of each organisation's urgent work beyond its guarantee. */
-std::vector<std::int64_t> CollectExcess(const PlanContext& context) {
-  std::vector<std::int64_t> excess = context.guarantees_->held_gpus_;
-  for (std::size_t index = 0; index < excess.size(); ++index) {
-    excess[index] = std::max<std::int64_t>(
-        0, excess[index] - context.organisations_->all_[index].guaranteed_gpus_);
-  }
-  return excess;
-}
-
 /** Resources that the plan reserves on a worker for a step. */
 site::Resources ReservedFor(const Planner& planner, const CandidateWorker& candidate,
                             const ReadyStep& step) {
@@ -47,19 +36,16 @@
 }
 
 /** Counts the runs on a worker that could make room for the step. */
-void CountRuns(const CandidateWorker& candidate, const ReadyStep& step,
-               std::vector<std::int64_t>& excess, GuaranteeWait& wait) {
+void CountRuns(const Planner& planner, const CandidateWorker& candidate, GuaranteeWait& wait) {
   for (const auto& [run, assigned] : candidate.worker_->assigned_runs_) {
-    if (IsBeingStopped(assigned) || assigned.organisation_ == step.job_->organisation_) {
+    if (IsBeingStopped(assigned)) {
       continue;
     }
     if (assigned.priority_ > 0) {
       wait.less_urgent_gpus_ += assigned.needs_.gpus_;
-      continue;
+    } else if (IsBeyondGuarantee(*planner.context_.guarantees_, run.task_)) {
+      wait.beyond_gpus_ += assigned.needs_.gpus_;
     }
-    const std::int64_t beyond = std::min(excess[assigned.organisation_], assigned.needs_.gpus_);
-    excess[assigned.organisation_] -= beyond;
-    wait.beyond_gpus_ += beyond;
   }
 }
 
@@ -89,13 +75,12 @@
   GuaranteeWait wait{
       .step_ = {.job_ = step.job_->id_, .occurrence_ = step.occurrence_, .step_ = step.index_},
       .tasks_ = static_cast<std::uint32_t>(step.tasks_.size())};
-  std::vector<std::int64_t> excess = CollectExcess(planner.context_);
   std::map<std::string_view, std::uint64_t> racks;
   for (const CandidateWorker& candidate : planner.candidates_) {
     if (!CanHost(planner, candidate, step)) {
       continue;
     }
-    CountRuns(candidate, step, excess, wait);
+    CountRuns(planner, candidate, wait);
     const site::Resources free = ElementwiseMin(
         candidate.free_, candidate.free_after_stops_ + ReservedFor(planner, candidate, step));
     wait.free_gpus_ += std::max<std::int64_t>(0, free.gpus_);
--- a/test/laburnumledge/dispatch/guarantee_wait.cpp
+++ b/test/laburnumledge/dispatch/guarantee_wait.cpp
@@ -36,7 +36,7 @@
     harness.AddRunning(2, "other", MakeStep(4, 4), {"r1w1", "r1w2", "r2w1", "r2w2"});
     const GuaranteeWait wait = expect(GuaranteeObstacle::kFragments);
     CHECK(wait.free_gpus_ == 16);
-    CHECK(wait.beyond_gpus_ == 14);
+    CHECK(wait.beyond_gpus_ == 16);  // No single task is within 2 GPUs.
   }
   SUBCASE("occupied") {
     harness.Add(1, "crew", MakeStep(1, 1));
--- a/test/support/world_guarantees.cpp
+++ b/test/support/world_guarantees.cpp
@@ -60,14 +60,16 @@
   const std::int64_t rack = std::min(size_.workers_, size_.workers_per_rack_) * kWorkerGpus;
   const std::int64_t most = greedy ? rack : std::min(rack, organisation.guaranteed_gpus_);
   const std::int64_t gpus = std::min(most, kTaskGpus.at(guarantee_random_(kTaskGpus.size())));
-  const double width = -5.0 * std::log((1.0 + guarantee_random_(1000)) / 1001.0);
+  const double width =
+      -5.0 * std::log((1.0 + static_cast<double>(guarantee_random_(1000))) / 1001.0);
   ledger::Step step = fixture::MakeStep(std::clamp(1 + static_cast<std::uint32_t>(width), 1U,
                                                    static_cast<std::uint32_t>(most / gpus)),
                                         gpus);
   step.gang_ = urgent || chance(50);
   step.same_rack_ = step.gang_ && chance(80);
   const auto length = core::Milliseconds(1000 + static_cast<int>(guarantee_random_(8000)));
-  const double error = std::pow(10.0, guarantee_random_(1001) / 1000.0 - (greedy ? 1.0 : 0.0));
+  const double error =
+      std::pow(10.0, static_cast<double>(guarantee_random_(1001)) / 1000.0 - (greedy ? 1.0 : 0.0));
   step.estimate_ =
       core::Milliseconds(static_cast<int>(static_cast<double>(length.count()) * error));
   const std::string id = fixture::JobId(number);
