--- a/review/stand-in-2/http.hpp
+++ b/review/stand-in-2/http.hpp
@@ -156,17 +156,23 @@
   return address;
 }
 
-/** A free loopback port. It is closed again: whoever asked has to bind it soon. */
+/** A free loopback port below those that the kernel gives to outgoing connections. It is not held:
+ * whoever asked has to bind it soon. */
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = Loopback(0);
-  socklen_t size = sizeof(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-    throw std::runtime_error("no free port");
+  constexpr int kFirst = 14000;
+  constexpr int kCount = 17000;
+  static int next = static_cast<int>(getpid() * 61L % kCount);
+  for (int tries = 0; tries < kCount; ++tries) {
+    next = (next + 1) % kCount;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = Loopback(kFirst + next);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (free) {
+      return kFirst + next;
+    }
   }
-  close(fd);
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 /**
