Show that an order in doubt outlives the leader that sent it

A start without an answer is in doubt; the leader that sent it is killed before it has noted that. Its successor runs the task to its end and takes note of it. The worker crashes idle and starts again, the order is carried out there, and the task of a completed job runs once more (TWICE). An entry of the tracker that had no case.

--- a/review/stand-in-2/cases.cpp
+++ b/review/stand-in-2/cases.cpp
@@ -275,59 +275,78 @@
 }
 
 /**
- * The worker of a task that lasts is lost for good, silently, and so is the leader at the same
- * moment. The task is not started again for longer than the rule allows.
+ * A start gets no answer, and the leader is killed right after it. The next leader runs the task
+ * elsewhere in time, without knowing that the first start is in doubt. The first worker crashes,
+ * idle; when it is back the first start is carried out there, after the task has ended.
  */
-int WorkerAndLeaderLost(Site& site, bool disturb) {
-  constexpr std::int64_t kDarkMs = 3500;
-  constexpr std::int64_t kCalmMs = 4000;
-  constexpr std::int64_t kWatchMs = 30000;
+int StartAfterTakeover(Site& site, bool disturb) {
   if (!StartSite(site)) {
     return kCannotRun;
   }
-  const std::string id = JobId(0x600);
-  const Json job = {{"spec", "1000000"},
-                    {"long_running", true},
-                    {"steps",
-                     {{{"count", 1}, {"cpu", 1000}, {"mem_mb", 256}, {"estimate_ms", 1000},
-                       {"long_running", true}}}}};
-  if (!site.Submit(id, job) || !Await(5000, [&] { return site.Runs(id); })) {
+  const std::string id = JobId(0x700);
+  // Other work: one order of 31 is carried out late.
+  std::vector<std::string> others;
+  for (unsigned number = 0; number < 30; ++number) {
+    others.push_back(JobId(0x710 + number));
+    const Json other = {{"spec", "100"},
+                        {"steps",
+                         {{{"count", 1}, {"cpu", 1000}, {"mem_mb", 256}, {"estimate_ms", 100}}}}};
+    if (!site.Submit(others.back(), other)) {
+      return kCannotRun;
+    }
+  }
+  if (!Await(15000, [&] { return site.State(others.back()) == "completed"; })) {
     return kCannotRun;
   }
-  SleepMs(5000);
+  SleepMs(1000);
+  const Json job = {{"spec", "1000"},
+                    {"steps",
+                     {{{"count", 1}, {"cpu", 1000}, {"mem_mb", 256}, {"estimate_ms", 1000}}}}};
   Node* const leader = site.Leader();
   if (leader == nullptr) {
     return kCannotRun;
   }
   if (disturb) {
     for (const auto& worker : site.workers_) {
-      if (worker->Runs(id)) {
-        worker->Vanish();
-        break;
+      worker->DelayNextStart();
+    }
+  }
+  if (!site.Submit(id, job)) {
+    return kCannotRun;
+  }
+  Worker* first = nullptr;
+  if (disturb) {
+    Await(3000, [&] {
+      for (const auto& worker : site.workers_) {
+        first = worker->HoldsStart() ? worker.get() : first;
       }
+      return first != nullptr;
+    });
+    if (first == nullptr) {
+      return kCannotRun;
     }
     leader->Signal(SIGKILL, "SIGKILL");
     leader->Reap();
-  }
-  const std::int64_t lost_at = NowMs();
-  bool back = !disturb;
-  std::int64_t ran_at = lost_at;
-  std::int64_t longest = 0;
-  const std::int64_t end = NowMs() + kWatchMs;
-  while (NowMs() < end) {
-    if (site.Runs(id)) {
-      ran_at = NowMs();
-    }
-    longest = std::max(longest, NowMs() - ran_at);
-    if (!back && NowMs() >= lost_at + kDarkMs) {
-      back = true;
-      leader->Start();
+    for (const auto& worker : site.workers_) {
+      worker->DelayNextStart(false);
     }
-    SleepMs(10);
+    SleepMs(3500);
+    leader->Start();
+  }
+  if (!Await(15000, [&] { return site.State(id) == "completed"; })) {
+    return kCannotRun;
   }
+  SleepMs(1000);
+  if (disturb) {
+    first->Crash();
+    SleepMs(2500);
+    first->Boot();
+  }
+  SleepMs(6000);
   NoteTally(site, id);
-  Note("check: the task was " + std::to_string(longest) + " ms without a run");
-  return longest > kDarkMs + kCalmMs + kNothingRunsMs ? kBroken : kHeld;
+  const std::optional<std::string> twice = FindTwice(site);
+  Note("check: " + twice.value_or("no task began after its end"));
+  return twice.has_value() ? kBroken : kHeld;
 }
 
 /** Makes the times in a stored record older by a number of ms; returns how many there were. Times
@@ -459,7 +478,7 @@
       {"day-of-jobs", DayOfJobs},
       {"failing-service", FailingService},
       {"gang-fails-once", GangFailsOnce},
-      {"worker-and-leader-lost", WorkerAndLeaderLost},
+      {"start-after-takeover", StartAfterTakeover},
   };
   return cases;
 }
--- a/review/stand-in-2/platform.hpp
+++ b/review/stand-in-2/platform.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "http.hpp"
@@ -287,6 +288,15 @@
     server_.Start();
     Beat();
     Note("worker " + options_.id_ + ": up");
+    std::thread([this] {
+      constexpr std::int64_t kDeliveryMs = 5;
+      SleepMs(kDeliveryMs);
+      const std::lock_guard lock(mutex_);
+      if (const std::optional<Json> body = std::exchange(delayed_start_, std::nullopt)) {
+        Note("worker " + options_.id_ + ": the delayed start arrives");
+        Execute(*body);
+      }
+    }).detach();
   }
 
   /** Ends the process: connections are reset, and all that ran has ended. */
@@ -309,21 +319,12 @@
     Note("worker " + options_.id_ + ": down");
   }
 
-  /** Ends the process for good without a word: its connections stay silent. Its entry is removed
-   * after three heartbeats of silence. */
-  void Vanish() {
-    server_.cut_ = true;
+  /** Leaves the next start unanswered. It is carried out when the worker starts again. */
+  void DelayNextStart(bool delay = true) { delay_next_start_ = delay; }
+
+  [[nodiscard]] bool HoldsStart() {
     const std::lock_guard lock(mutex_);
-    up_ = false;
-    for (const auto& [task, run] : runs_) {
-      book_.Add(options_.id_, task, run.number_, "crashed");
-    }
-    runs_.clear();
-    Note("worker " + options_.id_ + ": gone, silently");
-    std::thread([this] {
-      SleepMs(3 * kHeartbeatMs);
-      store_.Put("keyed.servers", options_.id_, "");
-    }).detach();
+    return delayed_start_.has_value();
   }
 
   void Cut(bool cut) {
@@ -375,6 +376,7 @@
 
   static constexpr std::int64_t kMaxHoldMs = 6000;
   static constexpr std::int64_t kHeartbeatMs = 1500;
+  static constexpr std::int64_t kSilenceMs = 3000;
   static constexpr std::size_t kMaxEndsListed = 500;
 
   [[nodiscard]] std::int64_t ClockMs() const {
@@ -448,14 +450,22 @@
     if (expected != request.headers_.end() && expected->second != options_.id_) {
       return {.status_ = 421, .body_ = "{}"};
     }
+    if (request.path_ == "/-/run-start" && delay_next_start_.exchange(false)) {
+      Note("worker " + options_.id_ + ": start of " + body.at("task").get<std::string>() + " run " +
+           body.at("run").dump() + " gets no answer");
+      delayed_start_ = body;
+      lock.unlock();
+      SleepMs(kSilenceMs);
+      return {.status_ = 0, .body_ = {}};
+    }
     const std::uint64_t fence = body.value("fencing_token", std::uint64_t{0});
+    if (request.path_ == "/-/run-start") {
+      return Execute(body);
+    }
     if (fence < fence_) {
       return Refusal("fence");
     }
     fence_ = fence;
-    if (request.path_ == "/-/run-start") {
-      return Start(body);
-    }
     if (request.path_ == "/-/run-stop") {
       return Stop(body);
     }
@@ -474,6 +484,16 @@
     lease_end_ = std::max(lease_end_, std::min(deadline, ClockMs() + kMaxHoldMs));
   }
 
+  /** Carries out a start unless a call with a higher fencing token has come before. */
+  Reply Execute(const Json& body) {
+    const std::uint64_t fence = body.value("fencing_token", std::uint64_t{0});
+    if (fence < fence_) {
+      return Refusal("fence");
+    }
+    fence_ = fence;
+    return Start(body);
+  }
+
   Reply Start(const Json& body) {
     const std::string task = body.at("task");
     const std::uint64_t run = body.at("run");
@@ -575,6 +595,8 @@
   std::deque<int> lapses_before_;  ///< Of each end in `finished_`, the lapses of the lease before it.
   int lapses_{};
   bool was_lapsed_{true};
+  std::atomic<bool> delay_next_start_{};
+  std::optional<Json> delayed_start_;
   Server server_;
 };
 
