Use and acknowledge results of runs whose lease had passed

Cause: the end of a run that has a newer one was neither used nor acknowledged, and so held back all later ends of its worker.

Now a task's record names the runs that lapsed (the latest eight). Their late success completes the task, whether it waits or runs again; a newer run is stopped, and logged as task.done_earlier. Their ends are acknowledged. Ends of runs that were given up otherwise are treated as before.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -90,7 +90,8 @@
           .failed_run_ = task.failed_run_,
           .crashed_run_ = task.crashed_run_,
           .worker_address_ = config::ToString(address),
-          .crashes_ = task.crashes_};
+          .crashes_ = task.crashes_,
+          .lapsed_runs_ = task.lapsed_runs_};
 }
 
 Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
@@ -166,6 +167,7 @@
   task->failed_run_ = record.failed_run_;
   task->crashes_ = record.crashes_;
   task->crashed_run_ = record.crashed_run_;
+  task->lapsed_runs_ = record.lapsed_runs_;
   for (const ledger::Crash& crash : record.crashes_) {
     if (crash.cause_ == ledger::CrashCause::kUndecided) {
       undecided_crashes_.push_back({.task_ = id, .run_ = crash.run_});
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -283,6 +283,8 @@
   void FinishRun(Worker& worker, const RunId& run, platform::RunResult end,
                  const std::string& checkpoint, RecordBatch& batch, core::TimePoint now);
   void RecordRunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
+  void RecordTaskDone(const RunId& run, RecordBatch& batch);
+  void CompleteByEarlierRun(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RecordRunFailed(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RequeueTask(const RunId& run, platform::RunResult end, const std::string& checkpoint,
                    RecordBatch& batch, core::TimePoint now);
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -171,6 +171,7 @@
     caused += crash.cause_ == CrashCause::kTask ? 1 : 0;
   }
   message.set_crashes(caused);
+  message.mutable_lapsed_run()->Add(record.lapsed_runs_.begin(), record.lapsed_runs_.end());
   return message.SerializeAsString();
 }
 
@@ -194,6 +195,7 @@
       .worker_address_ = message->worker_address(),
       .doubtful_worker_ = message->doubtful_worker(),
       .doubtful_address_ = message->doubtful_address(),
+      .lapsed_runs_ = {message->lapsed_run().begin(), message->lapsed_run().end()},
   };
   for (const wire::Crash& row : message->crash()) {
     // A cause that a later version has added is taken for one that doesn't count.
