Don't take runs for lost that a full list of results can't show

Cause: a worker lists 500 results at once. Runs whose ends are beyond them are in neither of its lists, and were taken for lost.

Now nothing is concluded from an answer that lists as many results as fit into one. The results follow once the first ones are acknowledged.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -273,7 +273,7 @@
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
                                        RecordBatch& batch, core::TimePoint now);
   void ProcessRunningRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
-                          core::TimePoint sent, core::TimePoint now);
+                          bool complete, core::TimePoint sent, core::TimePoint now);
   void StopOrphanedRun(Worker& worker, const RunId& run, core::TimePoint now);
   [[nodiscard]] ProgressVerdict UpdateRunProgress(const RunId& run, AssignedRun& assigned,
                                                   const platform::ActiveRun& row,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -146,8 +146,10 @@
   }
 }
 
+/** Processes the runs that a worker lists. Unless its list of results is complete, a run that it
+ * doesn't list may have ended there. */
 void Dispatcher::ProcessRunningRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
-                                    core::TimePoint sent, core::TimePoint now) {
+                                    bool complete, core::TimePoint sent, core::TimePoint now) {
   std::set<RunId> listed;
   std::vector<RunId> slow_runs;
   std::uint32_t normal = 0;
@@ -178,7 +180,9 @@
   if (worker.health_.slow_) {
     MoveSlowRuns(worker, slow_runs, now);
   }
-  MarkUnlistedRunsLost(worker, listed, sent, now);
+  if (complete) {
+    MarkUnlistedRunsLost(worker, listed, sent, now);
+  }
 }
 
 void Dispatcher::FinishRun(Worker& worker, const RunId& run, RunResult end,
--- a/test/laburnumledge/dispatch/late_results.cpp
+++ b/test/laburnumledge/dispatch/late_results.cpp
@@ -177,4 +177,26 @@
   CHECK(harness.dispatcher_.Jobs().jobs_.at(JobId(1)).state_ == ledger::JobState::kRunning);
 }
 
+// Guards against runs that have ended and are taken for lost, since their results are beyond those
+// that one answer lists (TWICE).
+TEST_CASE("a run that is not listed is not lost while the worker has more results than it lists") {
+  Harness harness;
+  harness.Submit(JobId(1), {MakeStep(1, 8)});
+  const std::vector<StartAction> starts = harness.StartWaitingTasks();
+  REQUIRE(starts.size() == 1);
+  platform::LeaseResult result{.outcome_ = CommandOutcome::kDone, .incarnation_ = 1000};
+  for (std::uint64_t number = 1; number <= platform::kMaxListedResults; ++number) {
+    result.finished_.push_back({.sequence_number_ = number,
+                                .task_ = {.job_ = JobId(2)},
+                                .run_ = number,
+                                .result_ = RunResult::kStopped});
+  }
+  ListRuns(harness, starts);
+  AnswerLease(harness, result);
+  CHECK(harness.dispatcher_.Counts().runs_lost_ == 0);
+  result.finished_.clear();
+  AnswerLease(harness, result);
+  CHECK(harness.dispatcher_.Counts().runs_lost_ == 1);
+}
+
 }  // namespace laburnumledge::dispatch
