Don't suspect a worker for failures of tasks that have lasted

What callers saw: three tasks that last failed once at one moment, after 10 s of work.

Cause: each failure of a task that lasts counted against its worker, as failures of such tasks are not counted and so each was the first. The second in a row suspends the worker, the third for twice as long; then it gets one run as a probe.

Now a task that lasts counts against its worker only with its first failure, and only if the run hadn't been at work for 7 s, which outlasts the disruptions of workers that the platform names; the same time ends a worker's probation. The newest failed run is noted for such tasks as well; their count of failures stays 0.

Tasks that last and fail within 7 s of their start still suspend their worker, by the first failure of each.

--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -282,6 +282,8 @@
                             core::TimePoint now);
   void FinishRun(Worker& worker, const RunId& run, platform::RunResult end,
                  const std::string& checkpoint, RecordBatch& batch, core::TimePoint now);
+  [[nodiscard]] bool IsEvidenceAgainstWorker(const RunId& run, const AssignedRun& assigned,
+                                             core::TimePoint now);
   void RecordRunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RecordTaskDone(const RunId& run, RecordBatch& batch);
   void CompleteByEarlierRun(const RunId& run, RecordBatch& batch, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -192,6 +192,16 @@
   }
 }
 
+/** Whether a failure may be the worker's fault. A task fails by its own fault as well, so that only
+ * its first failure counts. One that lasts may fail at any time: a worker on which it has been at
+ * work for long is sound. */
+bool Dispatcher::IsEvidenceAgainstWorker(const RunId& run, const AssignedRun& assigned,
+                                         core::TimePoint now) {
+  const Task* task = FindTask(job_table_, run.task_);
+  const bool first = task == nullptr || task->failed_run_ == 0;
+  return first && !(IsLongRunning(run) && OutlastsDisruption(assigned, now));
+}
+
 void Dispatcher::FinishRun(Worker& worker, const RunId& run, RunResult end,
                            const std::string& checkpoint, RecordBatch& batch, core::TimePoint now) {
   const AssignedRun assigned = worker.assigned_runs_.at(run);
@@ -215,12 +225,10 @@
                    job->submission_->steps_[run.task_.step_].estimate_,
                    std::chrono::duration_cast<core::Milliseconds>(now - assigned.started_));
   }
-  if (end == RunResult::kDone || end == RunResult::kFailed) {
-    const Task* task = FindTask(job_table_, run.task_);
-    const bool first_failure = task == nullptr || task->failures_ == 0;
-    if (end == RunResult::kDone || first_failure) {
-      UpdateHealth(worker, end == RunResult::kDone, now);
-    }
+  if (end == RunResult::kDone) {
+    UpdateHealth(worker, true, now);
+  } else if (end == RunResult::kFailed && IsEvidenceAgainstWorker(run, assigned, now)) {
+    UpdateHealth(worker, false, now);
   }
   switch (end) {
     case RunResult::kDone:
@@ -278,13 +286,10 @@
   }
   const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
   ++counts_.runs_failed_;
-  if (!spec.long_running_) {
-    StepState& step = *FindStep(job_table_, run.task_);
-    for (Task& member : step.tasks_) {
-      if (spec.gang_ || &member == task) {
-        ++member.failures_;
-        member.failed_run_ = run.run_;
-      }
+  for (Task& member : FindStep(job_table_, run.task_)->tasks_) {
+    if (spec.gang_ || &member == task) {
+      member.failures_ += spec.long_running_ ? 0 : 1;
+      member.failed_run_ = run.run_;
     }
   }
   RequeueTask(run, RunResult::kFailed, {}, batch, now);
