Remove finished jobs, and load them without all their records

Cause: nothing removed finished jobs, status_s was read and used nowhere. A load held every record of the stream beside the jobs made of them, all steps and texts included, and a new leader took all finished jobs into its table.

Now the leader removes a job's records status_s and 10 s after it has learned of the job's end, up to 1,000 jobs every 10 s in one append, once the dispatcher has forgotten the job. Nodes load the jobs record by record; of jobs that have been final for longer than status_s (2 minutes at least) they keep route and organisation. A new leader passes over finished jobs without records of tasks.

--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -59,6 +59,7 @@
 
   void LoadPage(const std::string& after);
   void OnPage(platform::NewestResult result, bool first);
+  void PassOnLoading(bool first);
   void CompleteSnapshot();
   void RetryLoading();
   void FinishLoading();
@@ -145,6 +146,7 @@
   } else {
     AddPage(snapshot_, std::move(result));
   }
+  PassOnLoading(first);
   if (after.empty()) {
     CompleteSnapshot();
   } else {
@@ -152,6 +154,12 @@
   }
 }
 
+void Follower::Implementation::PassOnLoading(bool first) {
+  if (events_.loading_) {
+    events_.loading_(TakeAdded(snapshot_), first);
+  }
+}
+
 void Follower::Implementation::CompleteSnapshot() {
   if (IsComplete(snapshot_)) {
     FinishLoading();
@@ -180,6 +188,7 @@
                    return;
                  }
                  AddRead(self->snapshot_, result);
+                 self->PassOnLoading(false);
                  self->CompleteSnapshot();
                });
 }
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -136,7 +136,7 @@
   return message.SerializeAsString();
 }
 
-std::optional<JobState> DecodeStatus(std::string_view bytes) {
+std::optional<JobStatus> DecodeStatus(std::string_view bytes) {
   const auto message = Parse<wire::JobStatus>(bytes, "job status");
   if (!message.has_value()) {
     return std::nullopt;
@@ -144,7 +144,8 @@
   if (!wire::JobStatus::State_IsValid(message->state())) {
     return core::Fail("job state {} is not known", static_cast<int>(message->state()));
   }
-  return static_cast<JobState>(message->state());
+  return JobStatus{.state_ = static_cast<JobState>(message->state()),
+                   .since_ = FromUnixMs(message->unix_ms())};
 }
 
 std::string Encode(const TaskRecord& record) {
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -130,7 +130,7 @@
   std::int64_t incarnation_{};
   std::uint32_t failures_{};
   std::string checkpoint_;
-  std::uint64_t failed_run_{};   ///< Newest run that has failed.
+  std::uint64_t failed_run_{};   ///< Newest run that is counted in failures_.
   std::uint64_t crashed_run_{};  ///< Newest run that was counted as a crash.
   std::string worker_address_;   ///< Of `worker_`, which may be gone from the platform's list.
   std::vector<Crash> crashes_;   ///< Since the task was last cleared, oldest first.
