Count each early failure of a task that lasts against its worker

Workers that fail all that they start would get such tasks again and again, since their second failures told nothing.

--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -193,13 +193,13 @@
 }
 
 /** Whether a failure may be the worker's fault. A task fails by its own fault as well, so that only
- * its first failure counts. One that lasts may fail at any time: a worker on which it has been at
- * work for long is sound. */
+ * its first failure counts. One that lasts may fail at any time, any number of times: a worker on
+ * which it has been at work for long is sound. */
 bool Dispatcher::IsEvidenceAgainstWorker(const RunId& run, const AssignedRun& assigned,
                                          core::TimePoint now) {
   const Task* task = FindTask(job_table_, run.task_);
-  const bool first = task == nullptr || task->failed_run_ == 0;
-  return first && !(IsLongRunning(run) && OutlastsDisruption(assigned, now));
+  return IsLongRunning(run) ? !OutlastsDisruption(assigned, now)
+                            : task == nullptr || task->failures_ == 0;
 }
 
 void Dispatcher::FinishRun(Worker& worker, const RunId& run, RunResult end,
@@ -286,10 +286,13 @@
   }
   const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
   ++counts_.runs_failed_;
-  for (Task& member : FindStep(job_table_, run.task_)->tasks_) {
-    if (spec.gang_ || &member == task) {
-      member.failures_ += spec.long_running_ ? 0 : 1;
-      member.failed_run_ = run.run_;
+  if (!spec.long_running_) {
+    StepState& step = *FindStep(job_table_, run.task_);
+    for (Task& member : step.tasks_) {
+      if (spec.gang_ || &member == task) {
+        ++member.failures_;
+        member.failed_run_ = run.run_;
+      }
     }
   }
   RequeueTask(run, RunResult::kFailed, {}, batch, now);
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -25,12 +25,12 @@
 /** @brief One task of one occurrence. */
 struct Task {
   TaskPhase phase_{TaskPhase::kWaiting};
-  std::uint64_t run_{};                 ///< Highest run number ever recorded for this task.
-  std::string worker_;                  ///< Worker of the newest run; set only while kPlaced.
-  std::uint32_t failures_{};            ///< Number of runs that failed.
-  std::uint64_t failed_run_{};          ///< Newest run that has failed, also of a task that lasts.
-  std::vector<ledger::Crash> crashes_;  ///< Crashes of workers since the task was last cleared.
-  std::uint64_t crashed_run_{};         ///< Newest run that was counted as a crash.
+  std::uint64_t run_{};                     ///< Highest run number ever recorded for this task.
+  std::string worker_;                      ///< Worker of the newest run; set only while kPlaced.
+  std::uint32_t failures_{};                ///< Number of runs that failed.
+  std::uint64_t failed_run_{};              ///< Newest run that was counted as a failure.
+  std::vector<ledger::Crash> crashes_;      ///< Crashes of workers since the task was last cleared.
+  std::uint64_t crashed_run_{};             ///< Newest run that was counted as a crash.
   std::vector<std::uint64_t> lapsed_runs_;  ///< Latest runs given up when their lease had passed.
   std::string checkpoint_;
   std::uint32_t outstanding_runs_{};  ///< Runs that may still exist on workers, of any age.
