Take back that crashes of one worker don't convict a task

The task avoids the workers that have crashed under it only while another one can take work at that moment, so that in a fleet that recovers it meets the same ones again, and those no longer convict it.

--- a/src/laburnumledge/dispatch/crash_evidence.cpp
+++ b/src/laburnumledge/dispatch/crash_evidence.cpp
@@ -160,9 +160,7 @@
   for (auto crash = crashes.begin(); crash != crashes.end(); ++crash) {
     const bool agrees = std::any_of(crashes.begin(), crash, [&](const ledger::Crash& earlier) {
       const bool early = crash->age_ <= kEarlyAge && earlier.age_ <= kEarlyAge;
-      // A worker that fails under load crashes under each task.
-      return IsCaused(earlier) && earlier.worker_ != crash->worker_ &&
-             (HaveSameAge(earlier, *crash) || (has_trial && early));
+      return IsCaused(earlier) && (HaveSameAge(earlier, *crash) || (has_trial && early));
     });
     if (IsCaused(*crash) && agrees) {
       return true;
--- a/src/laburnumledge/dispatch/crash_evidence.hpp
+++ b/src/laburnumledge/dispatch/crash_evidence.hpp
@@ -84,9 +84,9 @@
 /**
  * @brief Whether a task has crashed its workers for certain.
  *
- * Two crashes of different workers that nothing else explains are enough if they came at the same
- * age of the run, as a task that crashes its workers does so each time at the same point, or, once
- * a crash came on trial, if both came early.
+ * Two crashes that nothing else explains are enough if they came at the same age of the run, as a
+ * task that crashes its workers does so each time at the same point, or, once a crash came on
+ * trial, if both came early.
  */
 [[nodiscard]] bool CrashesItsWorkers(const std::vector<ledger::Crash>& crashes) noexcept;
 
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -190,11 +190,6 @@
   step.crash_suspect_ =
       std::any_of(step.tasks_.begin(), step.tasks_.end(),
                   [&state](std::uint32_t task) { return !state.tasks_[task].crashes_.empty(); });
-  for (const std::uint32_t task : step.tasks_) {
-    for (const ledger::Crash& crash : state.tasks_[task].crashes_) {
-      step.crashed_workers_.insert(crash.worker_);
-    }
-  }
   if (!bindings.empty()) {
     step.bindings_ = BindingsOfStep(
         bindings, {.job_ = job.id_, .occurrence_ = number, .step_ = index, .index_ = 0});
@@ -354,26 +349,6 @@
   return shared || (candidate.planned_job_ != nullptr && *candidate.planned_job_ != job);
 }
 
-/** Whether a worker has crashed under one of the tasks, and one that has not is waited for: another
- * crash of the same worker would tell nothing about the task. */
-bool HasCrashedBefore(const Planner& planner, const CandidateWorker& candidate,
-                      const ReadyStep& step) {
-  const core::TimePoint since =
-      step.on_trial_ ? TrialSince(step, planner.context_) : step.state_->retry_at_;
-  if (step.crashed_workers_.empty() || planner.context_.time_.now_ >= since + kMaxTrialWait) {
-    return false;
-  }
-  const auto has_crashed = [&step](const CandidateWorker& other) {
-    return step.crashed_workers_.contains(config::ToString(other.worker_->entry_.address_));
-  };
-  return has_crashed(candidate) &&
-         std::any_of(planner.candidates_.begin(), planner.candidates_.end(),
-                     [&](const CandidateWorker& other) {
-                       return !has_crashed(other) &&
-                              FindStepObstacle(*other.worker_, *step.job_, *step.spec_).empty();
-                     });
-}
-
 }  // namespace
 
 bool CanHost(const Planner& planner, const CandidateWorker& candidate,
@@ -388,7 +363,7 @@
   const bool bound_elsewhere = !step.spec_->gang_ && !step.bindings_.empty() &&
                                step.bindings_.front().worker_ != candidate.worker_;
   return !bound_elsewhere && (!beside_suspect || ExceedsIdleWait(planner, step)) &&
-         !DisturbsTrial(planner, candidate, step) && !HasCrashedBefore(planner, candidate, step) &&
+         !DisturbsTrial(planner, candidate, step) &&
          (!candidate.urgent_headroom_ || IsUrgent(step) || ExceedsIdleWait(planner, step)) &&
          !(avoids_failed && (candidate.recently_failed_ || candidate.probe_only_)) &&
          FindStepObstacle(*candidate.worker_, *step.job_, *step.spec_).empty();
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "laburnumledge/dispatch/doubtful_starts.hpp"
@@ -65,7 +64,6 @@
   bool avoids_failed_workers_{};
   std::vector<TaskBinding> bindings_;  ///< Of its tasks; of the only task if the step is no gang.
   bool crash_suspect_{};               ///< A worker has crashed under one of the tasks.
-  std::set<std::string> crashed_workers_;  ///< Addresses of the workers that have.
   bool on_trial_{};  ///< One of the tasks is on trial: none of another job runs beside it.
   ShareBand band_{};
   bool within_guarantee_{};         ///< See GuaranteeClaim::within_.
--- a/test/laburnumledge/dispatch/crash_evidence.cpp
+++ b/test/laburnumledge/dispatch/crash_evidence.cpp
@@ -125,34 +125,17 @@
 }
 
 TEST_CASE("a task crashes its workers if it does so twice, at one age or on trial") {
-  const auto crash = [](CrashCause cause, int age, const std::string& worker) {
-    Crash made = MakeCrash(cause, age);
-    made.worker_ = worker;
-    return made;
-  };
-  const Crash early = crash(CrashCause::kTask, 400, "10.0.0.1:8000");
-  const Crash early_elsewhere = crash(CrashCause::kTask, 400, "10.0.0.2:8000");
-  const Crash late = crash(CrashCause::kTask, 5000, "10.0.0.3:8000");
-  const Crash unknown = crash(CrashCause::kTask, 0, "10.0.0.4:8000");
-  const Crash other = crash(CrashCause::kOther, 400, "10.0.0.5:8000");
+  const Crash early = MakeCrash(CrashCause::kTask, 400);
+  const Crash late = MakeCrash(CrashCause::kTask, 5000);
+  const Crash unknown = MakeCrash(CrashCause::kTask, 0);
+  const Crash other = MakeCrash(CrashCause::kOther, 400);
   CHECK(!CrashesItsWorkers({early}));
   CHECK(!CrashesItsWorkers({early, other, other, other, other, other}));
   CHECK(!CrashesItsWorkers({early, late}));
-  CHECK(CrashesItsWorkers({early, other, early_elsewhere}));
+  CHECK(CrashesItsWorkers({early, other, early}));
   CHECK(CrashesItsWorkers({late, unknown}));
   CHECK(CrashesItsWorkers({other, early, late}));
-  CHECK(!CrashesItsWorkers({other, early, crash(CrashCause::kTask, 15000, "10.0.0.6:8000")}));
-}
-
-// Guards against a job that is shown as failed since one worker crashes by itself again and again
-// under its task (LOST).
-TEST_CASE("crashes of one worker don't convict a task") {
-  Crash crash = MakeCrash(CrashCause::kTask, 400);
-  crash.worker_ = "10.0.0.1:8000";
-  CHECK(!CrashesItsWorkers({crash, crash, crash, crash}));
-  Crash elsewhere = crash;
-  elsewhere.worker_ = "10.0.0.2:8000";
-  CHECK(CrashesItsWorkers({crash, crash, elsewhere}));
+  CHECK(!CrashesItsWorkers({other, early, MakeCrash(CrashCause::kTask, 15000)}));
 }
 
 TEST_CASE("after two crashes a task is on trial, and waits while a cause is undecided") {
--- a/test/laburnumledge/dispatch/crashes.cpp
+++ b/test/laburnumledge/dispatch/crashes.cpp
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <set>
 #include <string>
 #include <vector>
 
@@ -125,39 +124,4 @@
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kRunning);
 }
 
-// Guards against a second crash of the same worker under a task, which tells nothing about the
-// task.
-TEST_CASE(
-    "a task under which a worker has crashed starts on another one, or there if it is the only "
-    "one") {
-  const auto worker_of_task = [](CrashHarness& harness, int seconds) {
-    harness.Advance(std::chrono::seconds(seconds));
-    const std::vector<std::string> workers = harness.WorkersOf(JobId(1));
-    return workers.empty() ? std::string() : workers.front();
-  };
-  SUBCASE("others are there, also for the third start") {
-    CrashHarness harness(12);
-    harness.Submit(JobId(1), {MakeStep(1, 8)});
-    std::set<std::string> crashed;
-    for (int crash = 0; crash < 2; ++crash) {
-      const std::string worker = worker_of_task(harness, 8);
-      REQUIRE_FALSE(worker.empty());
-      CHECK(crashed.insert(worker).second);
-      harness.Crash({worker});
-      harness.Crash({"w12"});  // Not by the task alone.
-      harness.Crash({"w11"});
-    }
-    const std::string third = worker_of_task(harness, 8);
-    CHECK_FALSE(third.empty());
-    CHECK_FALSE(crashed.contains(third));
-  }
-  SUBCASE("it is the only one") {
-    CrashHarness harness(1);
-    harness.Submit(JobId(1), {MakeStep(1, 8)});
-    REQUIRE(worker_of_task(harness, 1) == "w1");
-    harness.Crash({"w1"});
-    CHECK(worker_of_task(harness, 3) == "w1");
-  }
-}
-
 }  // namespace laburnumledge::dispatch
