--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -145,8 +145,7 @@
   for (const RunId& run : lost) {
     const AssignedRun& assigned = worker.assigned_runs_.at(run);
     const bool by_earlier_leader = assigned.decided_at_ == core::TimePoint{};
-    const bool same_process = assigned.incarnation_ == worker.incarnation_;
-    if (by_earlier_leader && same_process && assigned.phase_ == RunPhase::kStartSent) {
+    if (by_earlier_leader && assigned.phase_ == RunPhase::kStartSent) {
       NoteEarlierStart(fleet_, worker, run.task_, internal::AddressOf(worker, assigned).address_,
                        begun_at_);
     }
