Take back the doubt about unlisted starts of the last leader

Its cost is too high. A leader that the store doesn't answer has recorded starts that it never sends; after the takeover each of their tasks was bound to its worker for up to 15 s, with its gang.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -209,7 +209,6 @@
 
 void Dispatcher::Begin(core::TimePoint now, core::TimePoint earlier_leases_end) {
   begun_ = true;
-  begun_at_ = now;
   BeginDoubts(fleet_, now);
   std::size_t unresolved = 0;
   for (auto& [id, worker] : fleet_.workers_) {
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -362,7 +362,6 @@
   PlanTime latest_run_;                   ///< Time of the latest call of Run.
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
   bool begun_{};
-  core::TimePoint begun_at_{};                             ///< Begin of the term.
   std::set<UpdateOrder::Entry, UpdateOrder> due_updates_;  ///< All workers by next_update_.
   bool plan_due_{};
   core::TimePoint next_plan_{};    ///< When to plan again even without an event.
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
-#include "laburnumledge/dispatch/doubtful_starts.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -143,12 +142,6 @@
         std::max(worker.health_.suspected_until_, now + kMinSuspectedTime);
   }
   for (const RunId& run : lost) {
-    const AssignedRun& assigned = worker.assigned_runs_.at(run);
-    const bool by_earlier_leader = assigned.decided_at_ == core::TimePoint{};
-    if (by_earlier_leader && assigned.phase_ == RunPhase::kStartSent) {
-      NoteEarlierStart(fleet_, worker, run.task_, internal::AddressOf(worker, assigned).address_,
-                       begun_at_);
-    }
     MarkRunLost(worker, run, "the worker does not list the run", now);
   }
 }
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -41,11 +41,6 @@
   Extend(fleet, worker, task, address, now);
 }
 
-void NoteEarlierStart(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
-                      const config::Address& address, core::TimePoint term_begun) {
-  Extend(fleet, worker, task, address, term_begun).unanswered_ = 1;
-}
-
 void NoteStartAnswered(Worker& worker, const ledger::TaskId& task) {
   const auto start = worker.doubtful_starts_.find(task);
   if (start != worker.doubtful_starts_.end() && start->second.unanswered_ == 0) {
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -47,11 +47,6 @@
 void NoteStartInFlight(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
                        const config::Address& address, core::TimePoint now);
 
-/** @brief Notes that a run of an earlier leader is not listed by its worker: its start may have
- * been sent just before this term began. */
-void NoteEarlierStart(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
-                      const config::Address& address, core::TimePoint term_begun);
-
 /** @brief Drops the doubt about a start that was noted only because its answer had not come. */
 void NoteStartAnswered(Worker& worker, const ledger::TaskId& task);
 
