Remove no finished job where the settings don't say for how long to keep it

Without status_s the retention was read as zero, and a job would have been forgotten a minute after its end. No test of its own: process_platform_finished_jobs and process_platform_whole_path passed with the change.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -385,12 +385,15 @@
 /** Removes the records of jobs that have been final for as long as clients may ask for them. */
 void Leadership::Implementation::RemoveFinishedJobs() {
   const core::TimePoint now = context_.loop_.Now();
+  const core::Milliseconds retention = context_.deployment_.bounds_.status_retention_;
   if (jobs_writer_.PendingAppends() > 0) {
     return;  // Changes of states come first.
   }
   next_removal_ = now + kRemovalInterval;
-  const core::TimePoint final_before =
-      now - context_.deployment_.bounds_.status_retention_ - kRemovalReserve;
+  if (retention.count() == 0) {
+    return;  // The settings don't say for how long clients may ask.
+  }
+  const core::TimePoint final_before = now - retention - kRemovalReserve;
   const std::vector<ledger::JobId> removed = ledger::FindFinishedJobs(
       context_.jobs_, final_before, kMaxRemovedJobs,
       [this](const ledger::JobId& id) { return !dispatcher_->Jobs().jobs_.contains(id); });
