--- a/src/laburnumledge/control/follower.cpp
+++ b/src/laburnumledge/control/follower.cpp
@@ -59,7 +59,6 @@
 
   void LoadPage(const std::string& after);
   void OnPage(platform::NewestResult result, bool first);
-  void PassOnLoading(bool first);
   void CompleteSnapshot();
   void RetryLoading();
   void FinishLoading();
@@ -146,7 +145,6 @@
   } else {
     AddPage(snapshot_, std::move(result));
   }
-  PassOnLoading(first);
   if (after.empty()) {
     CompleteSnapshot();
   } else {
@@ -154,12 +152,6 @@
   }
 }
 
-void Follower::Implementation::PassOnLoading(bool first) {
-  if (events_.loading_) {
-    events_.loading_(TakeAdded(snapshot_), first);
-  }
-}
-
 void Follower::Implementation::CompleteSnapshot() {
   if (IsComplete(snapshot_)) {
     FinishLoading();
@@ -188,7 +180,6 @@
                    return;
                  }
                  AddRead(self->snapshot_, result);
-                 self->PassOnLoading(false);
                  self->CompleteSnapshot();
                });
 }
--- a/src/laburnumledge/control/follower.hpp
+++ b/src/laburnumledge/control/follower.hpp
@@ -25,12 +25,6 @@
   std::function<void(std::vector<platform::StoredRecord>)> loaded_;
   /** Records that were appended to the stream. */
   std::function<void(std::vector<platform::StoredRecord>)> added_;
-  /**
-   * Some of the records of a load, tombstones included; the first call of a load has true. If set,
-   * `loaded_` gets no records: these are all. Records of one key come from the oldest to the
-   * newest.
-   */
-  std::function<void(std::vector<platform::StoredRecord>, bool)> loading_{};
   /** A read has reached the end of the stream; the argument is the time at which it was sent. */
   std::function<void(core::TimePoint)> caught_up_;
 };
--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,15 +31,6 @@
  * again. The platform takes about two seconds, which leaves a worker a second heartbeat. */
 constexpr core::Milliseconds kWorkerEntryReturnTime{2000};
 
-/** Interval at which records of finished jobs are removed, and how many jobs at once. Few appends,
- * since each call to the store is paid for; more jobs than any deployment finishes in that time. */
-constexpr core::Milliseconds kRemovalInterval{10000};
-constexpr std::size_t kMaxRemovedJobs = 1000;
-
-/** Time beyond the platform's for which finished jobs stay known: other nodes learn of a job's end
- * later. */
-constexpr core::Milliseconds kRemovalReserve{10000};
-
 /** Longest reason in a log line about an entry; a reason may quote the entry. */
 constexpr std::size_t kMaxReasonBytes = 200;
 
@@ -75,7 +65,6 @@
   std::map<std::string, std::uint64_t>
       ignored_entries_;  ///< Offsets of the newest entries that name no worker, by key.
   std::uint64_t ignored_count_{};
-  core::TimePoint next_removal_{};
 
   Implementation(const LeadershipContext& context, std::uint64_t term,
                  core::TimePoint earlier_leases_end, std::function<void()> superseded);
@@ -95,7 +84,6 @@
   void ExecuteActions(const dispatch::Actions& actions);
   void Store(const dispatch::RecordBatch& batch);
   void Store(const dispatch::StatusChange& change);
-  void RemoveFinishedJobs();
 };
 
 Leadership::Implementation::Implementation(const LeadershipContext& context, std::uint64_t term,
@@ -298,15 +286,8 @@
   dispatcher_ = std::make_unique<dispatch::Dispatcher>(context_.deployment_.bounds_, term_,
                                                        context_.deployment_.interference_);
   dispatcher_->SetRules(context_.rules_);
-  std::set<ledger::JobId> with_tasks;
-  for (const auto& [id, record] : loaded_tasks_) {
-    with_tasks.insert(id.job_);
-  }
   for (const auto& [id, entry] : context_.jobs_.entries_) {
-    // Of a finished job without task records nothing is left to do.
-    if (!ledger::IsFinal(entry.state_) || with_tasks.contains(id)) {
-      dispatcher_->OnJob(id, &entry, now);
-    }
+    dispatcher_->OnJob(id, &entry, now);
   }
   for (const auto& [id, record] : loaded_tasks_) {
     dispatcher_->LoadTask(id, record);
@@ -346,9 +327,6 @@
   }
   const core::TimePoint next = dispatcher_->Run({.now_ = context_.loop_.Now(), .wall_ = WallNow()});
   const dispatch::Actions actions = dispatcher_->TakeActions();
-  if (context_.loop_.Now() >= next_removal_) {
-    RemoveFinishedJobs();
-  }
   const bool superseded = actions.superseded_;
   ExecuteActions(actions);
   if (superseded) {
@@ -382,34 +360,6 @@
   });
 }
 
-/** Removes the records of jobs that have been final for as long as clients may ask for them. */
-void Leadership::Implementation::RemoveFinishedJobs() {
-  const core::TimePoint now = context_.loop_.Now();
-  const core::Milliseconds retention = context_.deployment_.bounds_.status_retention_;
-  if (jobs_writer_.PendingAppends() > 0) {
-    return;  // Changes of states come first.
-  }
-  next_removal_ = now + kRemovalInterval;
-  if (retention.count() == 0) {
-    return;  // The settings don't say for how long clients may ask.
-  }
-  const core::TimePoint final_before = now - retention - kRemovalReserve;
-  const std::vector<ledger::JobId> removed = ledger::FindFinishedJobs(
-      context_.jobs_, final_before, kMaxRemovedJobs,
-      [this](const ledger::JobId& id) { return !dispatcher_->Jobs().jobs_.contains(id); });
-  if (removed.empty()) {
-    return;
-  }
-  std::vector<platform::KeyedRecord> records;
-  for (const ledger::JobId& id : removed) {
-    for (const ledger::JobRecordKind kind : ledger::kJobRecordKinds) {
-      records.push_back({.key_ = ledger::JobKey(kind, id), .value_ = std::nullopt});
-    }
-  }
-  core::LogEvent(Level::kInfo, EventPriority::kLow, "jobs.removed", {{"jobs", removed.size()}});
-  jobs_writer_.Append(std::move(records), [] {});
-}
-
 void Leadership::Implementation::Store(const dispatch::StatusChange& change) {
   std::vector<platform::KeyedRecord> records;
   records.push_back({.key_ = ledger::JobKey(ledger::JobRecordKind::kStatus, change.job_),
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -48,10 +48,6 @@
 constexpr core::Milliseconds kShutdownReserve{800};
 constexpr core::Milliseconds kShutdownPollInterval{50};
 
-/** Least time after its end for which all of a job is loaded: a new leader accounts for runs that
- * are still being stopped. */
-constexpr core::Milliseconds kMinFullEntryTime{120000};
-
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
@@ -63,16 +59,6 @@
 /** File descriptors that are kept free for the node's own connections. */
 constexpr unsigned kReservedDescriptors = 1200;
 
-ledger::WallTime WallNow() {
-  return std::chrono::time_point_cast<core::Milliseconds>(std::chrono::system_clock::now());
-}
-
-void LogUnreadable(const platform::StoredRecord& record) {
-  core::LogEvent(
-      Level::kError, EventPriority::kHigh, "store.record_unreadable",
-      {{"stream", "jobs"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
-}
-
 }  // namespace
 
 struct Node::Implementation : std::enable_shared_from_this<Node::Implementation> {
@@ -85,7 +71,6 @@
   platform::Workers workers_;
   site::Rules rules_;
   ledger::Jobs jobs_;
-  ledger::JobsLoad jobs_load_;  ///< Replaces `jobs_` once it is complete.
   TermState term_;
   Follower rules_follower_;
   Follower jobs_follower_;
@@ -107,9 +92,7 @@
   Implementation(loop::Loop& loop, site::Deployment deployment);
 
   void ApplyRuleRecords(const std::vector<platform::StoredRecord>& records, bool reloaded);
-  void LoadJobRecords(const std::vector<platform::StoredRecord>& records, bool first);
-  void FinishLoadingJobs();
-  void ApplyJobRecords(const std::vector<platform::StoredRecord>& records);
+  void ApplyJobRecords(const std::vector<platform::StoredRecord>& records, bool reloaded);
   void RecordJobState(const ledger::JobId& id);
   [[nodiscard]] http::Reply MetricsReply();
   [[nodiscard]] KnownLeader FindLeader() const;
@@ -137,12 +120,11 @@
                       {.loaded_ = [this](const auto& records) { ApplyRuleRecords(records, true); },
                        .added_ = [this](const auto& records) { ApplyRuleRecords(records, false); },
                        .caught_up_ = {}}),
-      jobs_follower_(
-          loop, store_, {.stream_ = Stream::kJobs, .wait_ = {}, .interval_ = kJobsPollInterval},
-          {.loaded_ = [this](const auto& /*records*/) { FinishLoadingJobs(); },
-           .added_ = [this](const auto& records) { ApplyJobRecords(records); },
-           .loading_ = [this](const auto& records, bool first) { LoadJobRecords(records, first); },
-           .caught_up_ = {}}),
+      jobs_follower_(loop, store_,
+                     {.stream_ = Stream::kJobs, .wait_ = {}, .interval_ = kJobsPollInterval},
+                     {.loaded_ = [this](const auto& records) { ApplyJobRecords(records, true); },
+                      .added_ = [this](const auto& records) { ApplyJobRecords(records, false); },
+                      .caught_up_ = {}}),
       term_follower_(loop, store_,
                      {.stream_ = Stream::kTerm, .wait_ = kLongPollWait, .interval_ = {}},
                      {.loaded_ = [this](const auto& records) { ApplyTermRecords(records); },
@@ -208,52 +190,21 @@
   }
 }
 
-void Node::Implementation::LoadJobRecords(const std::vector<platform::StoredRecord>& records,
-                                          bool first) {
-  if (first) {
-    jobs_load_ = {};
-  }
-  for (const platform::StoredRecord& record : records) {
-    if (!ledger::Apply(jobs_load_, record.record_.key_, record.record_.value_).has_value()) {
-      LogUnreadable(record);
-    }
-  }
-}
-
-void Node::Implementation::FinishLoadingJobs() {
-  // The records of tasks of older jobs have been removed, so that nobody needs their steps.
-  const ledger::WallTime final_before =
-      WallNow() - std::max(deployment_.bounds_.status_retention_, kMinFullEntryTime);
-  const ledger::Jobs earlier = std::exchange(
-      jobs_, ledger::FinishLoad(std::exchange(jobs_load_, {}), final_before, loop_.Now()));
-  if (leadership_ == nullptr) {
-    return;
-  }
-  for (const auto& [id, entry] : jobs_.entries_) {
-    const ledger::JobEntry* known = ledger::FindJob(earlier, id);
-    if (known == nullptr || known->state_ != entry.state_) {
-      RecordJobState(id);
-    }
-    leadership_->OnJobChanged(id);
-  }
-  for (const auto& [id, entry] : earlier.entries_) {
-    if (!jobs_.entries_.contains(id)) {
-      leadership_->OnJobChanged(id);
-    }
+void Node::Implementation::ApplyJobRecords(const std::vector<platform::StoredRecord>& records,
+                                           bool reloaded) {
+  if (reloaded) {
+    jobs_ = {};
   }
-}
-
-void Node::Implementation::ApplyJobRecords(const std::vector<platform::StoredRecord>& records) {
   for (const platform::StoredRecord& record : records) {
     const std::optional<ledger::JobChange> change =
         ledger::Apply(jobs_, record.record_.key_, record.record_.value_);
     if (!change.has_value()) {
-      LogUnreadable(record);
+      core::LogEvent(
+          Level::kError, EventPriority::kHigh, "store.record_unreadable",
+          {{"stream", "jobs"}, {"key", record.record_.key_}, {"reason", core::LastReason()}});
       continue;
     }
     if (change->state_changed_) {
-      ledger::JobEntry& entry = jobs_.entries_.at(change->job_);
-      entry.final_since_ = ledger::IsFinal(entry.state_) ? loop_.Now() : core::TimePoint{};
       RecordJobState(change->job_);
     }
     if (leadership_ != nullptr) {
--- a/src/laburnumledge/control/snapshot.cpp
+++ b/src/laburnumledge/control/snapshot.cpp
@@ -10,10 +10,6 @@
 void Merge(Snapshot& snapshot, std::vector<platform::StoredRecord> records) {
   for (platform::StoredRecord& record : records) {
     snapshot.end_ = std::max(snapshot.end_, record.offset_ + 1);
-    const auto taken = snapshot.taken_.find(record.record_.key_);
-    if (taken != snapshot.taken_.end() && taken->second > record.offset_) {
-      continue;
-    }
     const auto [known, added] = snapshot.newest_.try_emplace(record.record_.key_);
     if (added || known->second.offset_ <= record.offset_) {
       known->second = std::move(record);
@@ -24,7 +20,7 @@
 }  // namespace
 
 Snapshot BeginSnapshot(platform::NewestResult page) {
-  Snapshot snapshot{.next_ = page.end_, .end_ = page.end_, .newest_ = {}, .begin_ = page.end_};
+  Snapshot snapshot{.next_ = page.end_, .end_ = page.end_, .newest_ = {}};
   Merge(snapshot, std::move(page.records_));
   return snapshot;
 }
@@ -44,17 +40,6 @@
 
 bool IsComplete(const Snapshot& snapshot) noexcept { return snapshot.next_ >= snapshot.end_; }
 
-std::vector<platform::StoredRecord> TakeAdded(Snapshot& snapshot) {
-  std::vector<platform::StoredRecord> records;
-  for (auto& [key, record] : std::exchange(snapshot.newest_, {})) {
-    if (record.offset_ >= snapshot.begin_) {
-      snapshot.taken_[key] = record.offset_;
-    }
-    records.push_back(std::move(record));
-  }
-  return records;
-}
-
 std::vector<platform::StoredRecord> TakeRecords(Snapshot snapshot) {
   std::vector<platform::StoredRecord> records;
   auto newest = std::move(snapshot.newest_);
--- a/src/laburnumledge/control/snapshot.hpp
+++ b/src/laburnumledge/control/snapshot.hpp
@@ -20,9 +20,6 @@
   std::uint64_t next_{};  ///< Offset of the next record to read from the log.
   std::uint64_t end_{};   ///< Offset up to which the log is read.
   std::map<std::string, platform::StoredRecord> newest_;  ///< Tombstones included, by key.
-  /** Offsets of taken records that the log may show older ones of the same key after. */
-  std::map<std::string, std::uint64_t> taken_;
-  std::uint64_t begin_{};  ///< End of the stream as of the first page.
 };
 
 /** @brief Starts a snapshot with the first page. */
@@ -38,10 +35,6 @@
 /** @brief Whether the snapshot is the state of the stream before next_. */
 [[nodiscard]] bool IsComplete(const Snapshot& snapshot) noexcept;
 
-/** @brief Takes the records that were added since the last call, tombstones included. Records of
- * one key are taken from the oldest to the newest. */
-[[nodiscard]] std::vector<platform::StoredRecord> TakeAdded(Snapshot& snapshot);
-
 /** @brief Newest record of each key that is not deleted, in the order of the keys. */
 [[nodiscard]] std::vector<platform::StoredRecord> TakeRecords(Snapshot snapshot);
 
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -29,34 +29,21 @@
  * list has to be up to date. */
 constexpr core::Milliseconds kTakeoverDecisionDelay{3000};
 
-/** Gives all members of a gang what must agree among them: a run's end is recorded with the member
- * that it was listed for, and counts for the whole gang. */
-void ShareGangState(std::vector<Task>& members) {
-  std::uint32_t failures = 0;
-  std::uint64_t failed_run = 0;
-  const Task* latest = nullptr;  // Its record is not older than that of any other.
-  for (const Task& member : members) {
-    failures = std::max(failures, member.failures_);
-    failed_run = std::max(failed_run, member.failed_run_);
-    const bool ended = member.phase_ == TaskPhase::kWaiting;
-    if (latest == nullptr || member.run_ > latest->run_ ||
-        (member.run_ == latest->run_ && ended && latest->phase_ != TaskPhase::kWaiting)) {
-      latest = &member;
-    }
-  }
-  const std::string checkpoint = latest == nullptr ? std::string() : latest->checkpoint_;
-  for (Task& member : members) {
-    member.failures_ = failures;
-    member.failed_run_ = failed_run;
-    member.checkpoint_ = checkpoint;
-  }
-}
-
-void ShareGangStates(Job& job) {
+/** Gives all members of a gang the same count of failures: a failure counts for the whole gang,
+ * whichever member's record holds it. */
+void ShareGangCounts(Job& job) noexcept {
   for (auto& [number, occurrence] : job.occurrences_) {
     for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-      if (job.submission_->steps_[index].gang_) {
-        ShareGangState(occurrence.steps_[index].tasks_);
+      if (!job.submission_->steps_[index].gang_) {
+        continue;
+      }
+      std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
+      std::uint32_t failures = 0;
+      for (const Task& task : tasks) {
+        failures = std::max(failures, task.failures_);
+      }
+      for (Task& task : tasks) {
+        task.failures_ = failures;
       }
     }
   }
@@ -90,8 +77,7 @@
           .failed_run_ = task.failed_run_,
           .crashed_run_ = task.crashed_run_,
           .worker_address_ = config::ToString(address),
-          .crashes_ = task.crashes_,
-          .lapsed_runs_ = task.lapsed_runs_};
+          .crashes_ = task.crashes_};
 }
 
 Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
@@ -167,7 +153,6 @@
   task->failed_run_ = record.failed_run_;
   task->crashes_ = record.crashes_;
   task->crashed_run_ = record.crashed_run_;
-  task->lapsed_runs_ = record.lapsed_runs_;
   for (const ledger::Crash& crash : record.crashes_) {
     if (crash.cause_ == ledger::CrashCause::kUndecided) {
       undecided_crashes_.push_back({.task_ = id, .run_ = crash.run_});
@@ -223,7 +208,7 @@
     }
   }
   for (auto& [id, job] : job_table_.jobs_) {
-    ShareGangStates(job);
+    ShareGangCounts(job);
     if (!ledger::IsFinal(job.state_) && HasUsedUpAttempts(job)) {
       // The failed result is stored, but the job's state that follows from it is not.
       StopJob(job, ledger::JobState::kFailed, now);
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -273,7 +273,7 @@
   [[nodiscard]] bool ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
                                        RecordBatch& batch, core::TimePoint now);
   void ProcessRunningRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
-                          bool complete, core::TimePoint sent, core::TimePoint now);
+                          core::TimePoint sent, core::TimePoint now);
   void StopOrphanedRun(Worker& worker, const RunId& run, core::TimePoint now);
   [[nodiscard]] ProgressVerdict UpdateRunProgress(const RunId& run, AssignedRun& assigned,
                                                   const platform::ActiveRun& row,
@@ -282,11 +282,7 @@
                             core::TimePoint now);
   void FinishRun(Worker& worker, const RunId& run, platform::RunResult end,
                  const std::string& checkpoint, RecordBatch& batch, core::TimePoint now);
-  [[nodiscard]] bool IsEvidenceAgainstWorker(const RunId& run, const AssignedRun& assigned,
-                                             core::TimePoint now);
   void RecordRunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
-  void RecordTaskDone(const RunId& run, RecordBatch& batch);
-  void CompleteByEarlierRun(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RecordRunFailed(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RequeueTask(const RunId& run, platform::RunResult end, const std::string& checkpoint,
                    RecordBatch& batch, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -114,9 +114,6 @@
     ExpiredRun& entry = worker.expired_runs_[run];
     entry = DescribeRun(worker, run, worker.assigned_runs_.at(run), at);
     entry.asked_until_ = now + kExpiredRunRetention;
-    if (Task* task = FindTask(job_table_, run.task_)) {
-      NoteLapsed(*task, run.run_);
-    }
   }
   for (const RunId& run : expired) {
     MarkRunLost(worker, run, "its lease has passed", now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -91,6 +91,66 @@
   plan_due_ = true;
 }
 
+bool Dispatcher::ProcessLateResult(Worker& worker, const platform::FinishedRun& row,
+                                   RecordBatch& batch, core::TimePoint now) {
+  const RunId run{.task_ = row.task_, .run_ = row.run_};
+  Task* task = FindTask(job_table_, run.task_);
+  const bool newest = task == nullptr || task->run_ == run.run_;
+  const bool decisive = row.result_ == RunResult::kDone || row.result_ == RunResult::kFailed;
+  const bool counted =
+      task != nullptr && (task->phase_ == TaskPhase::kDone || task->failed_run_ >= run.run_);
+  core::LogEvent(Level::kInfo, EventPriority::kLow, "task.end_late",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"newest_run", task == nullptr ? 0 : task->run_},
+                  {"worker", worker.entry_.id_},
+                  {"end", platform::ToString(row.result_)}});
+  if (!newest) {
+    return !decisive;
+  }
+  if (task == nullptr || counted || !decisive || task->phase_ != TaskPhase::kWaiting) {
+    return true;
+  }
+  if (row.result_ == RunResult::kDone) {
+    RecordRunDone(run, batch, now);
+  } else {
+    RecordRunFailed(run, batch, now);
+  }
+  return true;
+}
+
+/** Stops a run that a worker lists but that is not assigned to the worker. */
+void Dispatcher::StopOrphanedRun(Worker& worker, const RunId& run, core::TimePoint now) {
+  const Task* task = FindTask(job_table_, run.task_);
+  const core::Milliseconds doubt_left =
+      std::chrono::duration_cast<core::Milliseconds>(worker.doubtful_until_ - now);
+  core::LogEvent(Level::kWarning, EventPriority::kHigh, "task.stray",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"newest_run", task == nullptr ? 0 : task->run_},
+                  {"newest_worker", task == nullptr ? "" : task->worker_},
+                  {"done", task != nullptr && task->phase_ == TaskPhase::kDone},
+                  {"worker", worker.entry_.id_},
+                  {"incarnation", worker.incarnation_},
+                  {"doubt_left_ms", std::max(doubt_left, core::Milliseconds{})}});
+  AssignedRun orphan{
+      .phase_ = RunPhase::kRunning, .address_ = CallAddress(worker), .settled_at_ = now};
+  if (Job* job = FindJob(job_table_, run.task_.job_)) {
+    if (run.task_.step_ < job->submission_->steps_.size()) {
+      orphan.needs_ = job->submission_->steps_[run.task_.step_].task_resources_;
+    }
+    orphan.organisation_ = job->organisation_;
+    ++job->outstanding_runs_;
+  }
+  if (Task* known = FindTask(job_table_, run.task_)) {
+    ++known->outstanding_runs_;
+  }
+  // Its lease began with a call that this leader doesn't know.
+  worker.latest_lease_end_ = std::max(worker.latest_lease_end_, now + LongestLease(bounds_));
+  AddAssignedRun(worker, run, orphan);
+  StopRun(worker, run, "the run is not assigned to the worker", now);
+}
+
 ProgressVerdict Dispatcher::UpdateRunProgress(const RunId& run, AssignedRun& assigned,
                                               const platform::ActiveRun& row, core::TimePoint now) {
   if (assigned.phase_ == RunPhase::kStartSent && !assigned.command_in_flight_) {
@@ -146,10 +206,8 @@
   }
 }
 
-/** Processes the runs that a worker lists. Unless its list of results is complete, a run that it
- * doesn't list may have ended there. */
 void Dispatcher::ProcessRunningRuns(Worker& worker, const std::vector<platform::ActiveRun>& rows,
-                                    bool complete, core::TimePoint sent, core::TimePoint now) {
+                                    core::TimePoint sent, core::TimePoint now) {
   std::set<RunId> listed;
   std::vector<RunId> slow_runs;
   std::uint32_t normal = 0;
@@ -180,19 +238,7 @@
   if (worker.health_.slow_) {
     MoveSlowRuns(worker, slow_runs, now);
   }
-  if (complete) {
-    MarkUnlistedRunsLost(worker, listed, sent, now);
-  }
-}
-
-/** Whether a failure may be the worker's fault. A task fails by its own fault as well, so that only
- * its first failure counts. One that lasts may fail at any time, any number of times: a worker on
- * which it has been at work for long is sound. */
-bool Dispatcher::IsEvidenceAgainstWorker(const RunId& run, const AssignedRun& assigned,
-                                         core::TimePoint now) {
-  const Task* task = FindTask(job_table_, run.task_);
-  return IsLongRunning(run) ? !OutlastsDisruption(assigned, now)
-                            : task == nullptr || task->failures_ == 0;
+  MarkUnlistedRunsLost(worker, listed, sent, now);
 }
 
 void Dispatcher::FinishRun(Worker& worker, const RunId& run, RunResult end,
@@ -218,10 +264,12 @@
                    job->submission_->steps_[run.task_.step_].estimate_,
                    std::chrono::duration_cast<core::Milliseconds>(now - assigned.started_));
   }
-  if (end == RunResult::kDone) {
-    UpdateHealth(worker, true, now);
-  } else if (end == RunResult::kFailed && IsEvidenceAgainstWorker(run, assigned, now)) {
-    UpdateHealth(worker, false, now);
+  if (end == RunResult::kDone || end == RunResult::kFailed) {
+    const Task* task = FindTask(job_table_, run.task_);
+    const bool first_failure = task == nullptr || task->failures_ == 0;
+    if (end == RunResult::kDone || first_failure) {
+      UpdateHealth(worker, end == RunResult::kDone, now);
+    }
   }
   switch (end) {
     case RunResult::kDone:
@@ -241,18 +289,11 @@
   if (task == nullptr || task->run_ != run.run_ || task->phase_ == TaskPhase::kDone) {
     return;
   }
-  if (job.submission_->steps_[run.task_.step_].long_running_) {
+  const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
+  if (spec.long_running_) {
     RequeueTask(run, RunResult::kDone, task->checkpoint_, batch, now);
     return;
   }
-  RecordTaskDone(run, batch);
-}
-
-/** Marks a task as done, or all members of its gang, and records it with its newest run. */
-void Dispatcher::RecordTaskDone(const RunId& run, RecordBatch& batch) {
-  Job& job = job_table_.jobs_.at(run.task_.job_);
-  Task* task = FindTask(job_table_, run.task_);
-  const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
   ++counts_.runs_done_;
   Occurrence& occurrence = job.occurrences_.at(run.task_.occurrence_);
   batch.tasks_.emplace_back(run.task_, ledger::TaskRecord{.outcome_ = ledger::TaskOutcome::kDone,
@@ -320,8 +361,7 @@
                                                           .checkpoint_ = task->checkpoint_,
                                                           .failed_run_ = task->failed_run_,
                                                           .crashed_run_ = task->crashed_run_,
-                                                          .crashes_ = task->crashes_,
-                                                          .lapsed_runs_ = task->lapsed_runs_});
+                                                          .crashes_ = task->crashes_});
   if (end != RunResult::kStopped) {
     step->retry_at_ = std::max(step->retry_at_, now + kRetryDelay);
   }
--- a/src/laburnumledge/dispatch/dispatcher_leases.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_leases.cpp
@@ -115,8 +115,7 @@
     worker->last_answer_ = now;
     worker->last_lease_answer_ = now;
     ProcessResults(*worker, result.finished_, now);
-    const bool complete = result.finished_.size() < platform::kMaxListedResults;
-    ProcessRunningRuns(*worker, result.running_, complete, worker->lease_sent_, now);
+    ProcessRunningRuns(*worker, result.running_, worker->lease_sent_, now);
     return;
   }
   if (result.outcome_ == CommandOutcome::kFenced) {
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -15,19 +15,15 @@
 
 /** Time at work that ends a worker's probation. The platform specifies that disruptions of workers
  * last five to seven seconds. */
-constexpr core::Milliseconds kLongestDisruption{7000};
+constexpr core::Milliseconds kProbationTime{7000};
 
 }  // namespace
 
-bool OutlastsDisruption(const AssignedRun& assigned, core::TimePoint now) noexcept {
-  return assigned.started_ != core::TimePoint{} && now >= assigned.started_ + kLongestDisruption;
-}
-
 bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
                        core::TimePoint now) noexcept {
   return health.times_suspected_ > 0 && assigned.phase_ == RunPhase::kRunning &&
          assigned.started_ != core::TimePoint{} &&
-         now >= std::max(assigned.started_, health.suspected_until_) + kLongestDisruption;
+         now >= std::max(assigned.started_, health.suspected_until_) + kProbationTime;
 }
 
 core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept {
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -166,9 +166,6 @@
  */
 [[nodiscard]] core::Clock::duration LongestLease(const site::Bounds& bounds) noexcept;
 
-/** @brief Whether a run has been at work for longer than disruptions of workers last. */
-[[nodiscard]] bool OutlastsDisruption(const AssignedRun& assigned, core::TimePoint now) noexcept;
-
 /** @brief Whether a run has been at work on a suspected worker for so long after the worker's pause
  * that whatever disturbed the worker has passed. */
 [[nodiscard]] bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
--- a/src/laburnumledge/dispatch/job_table.cpp
+++ b/src/laburnumledge/dispatch/job_table.cpp
@@ -10,10 +10,6 @@
  */
 constexpr std::size_t kMaxOpenOccurrences = 64;
 
-/** Runs of a task that are noted as lapsed. Earlier ones are on workers that have been away since,
- * while as many later ones began and lapsed. */
-constexpr std::size_t kMaxLapsedRuns = 8;
-
 Occurrence MakeOccurrence(const ledger::Submission& submission) {
   Occurrence occurrence;
   for (const ledger::Step& step : submission.steps_) {
@@ -140,21 +136,6 @@
   task.worker_ = worker;
 }
 
-void NoteLapsed(Task& task, std::uint64_t run) {
-  if (HasLapsed(task, run)) {
-    return;
-  }
-  if (task.lapsed_runs_.size() == kMaxLapsedRuns) {
-    task.lapsed_runs_.erase(task.lapsed_runs_.begin());
-  }
-  task.lapsed_runs_.push_back(run);
-}
-
-bool HasLapsed(const Task& task, std::uint64_t run) noexcept {
-  return std::find(task.lapsed_runs_.begin(), task.lapsed_runs_.end(), run) !=
-         task.lapsed_runs_.end();
-}
-
 void MarkWaiting(StepState& step, Task& task) noexcept {
   step.waiting_ += task.phase_ == TaskPhase::kPlaced ? 1 : 0;
   task.phase_ = TaskPhase::kWaiting;
--- a/src/laburnumledge/dispatch/job_table.hpp
+++ b/src/laburnumledge/dispatch/job_table.hpp
@@ -25,13 +25,12 @@
 /** @brief One task of one occurrence. */
 struct Task {
   TaskPhase phase_{TaskPhase::kWaiting};
-  std::uint64_t run_{};                     ///< Highest run number ever recorded for this task.
-  std::string worker_;                      ///< Worker of the newest run; set only while kPlaced.
-  std::uint32_t failures_{};                ///< Number of runs that failed.
-  std::uint64_t failed_run_{};              ///< Newest run that was counted as a failure.
-  std::vector<ledger::Crash> crashes_;      ///< Crashes of workers since the task was last cleared.
-  std::uint64_t crashed_run_{};             ///< Newest run that was counted as a crash.
-  std::vector<std::uint64_t> lapsed_runs_;  ///< Latest runs given up when their lease had passed.
+  std::uint64_t run_{};                 ///< Highest run number ever recorded for this task.
+  std::string worker_;                  ///< Worker of the newest run; set only while kPlaced.
+  std::uint32_t failures_{};            ///< Number of runs that failed.
+  std::uint64_t failed_run_{};          ///< Newest run that was counted as a failure.
+  std::vector<ledger::Crash> crashes_;  ///< Crashes of workers since the task was last cleared.
+  std::uint64_t crashed_run_{};         ///< Newest run that was counted as a crash.
   std::string checkpoint_;
   std::uint32_t outstanding_runs_{};  ///< Runs that may still exist on workers, of any age.
   std::uint32_t preemptions_{};       ///< Runs that were preempted in this term.
@@ -126,12 +125,6 @@
 /** @brief Marks a task as placed on a worker with the given run number. */
 void MarkPlaced(StepState& step, Task& task, std::uint64_t run, const std::string& worker);
 
-/** @brief Notes that a run was given up when its lease had passed. */
-void NoteLapsed(Task& task, std::uint64_t run);
-
-/** @brief Whether a run is noted as given up when its lease had passed. */
-[[nodiscard]] bool HasLapsed(const Task& task, std::uint64_t run) noexcept;
-
 /** @brief Returns a placed task to phase kWaiting. */
 void MarkWaiting(StepState& step, Task& task) noexcept;
 
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -136,7 +136,7 @@
   return message.SerializeAsString();
 }
 
-std::optional<JobStatus> DecodeStatus(std::string_view bytes) {
+std::optional<JobState> DecodeStatus(std::string_view bytes) {
   const auto message = Parse<wire::JobStatus>(bytes, "job status");
   if (!message.has_value()) {
     return std::nullopt;
@@ -144,8 +144,7 @@
   if (!wire::JobStatus::State_IsValid(message->state())) {
     return core::Fail("job state {} is not known", static_cast<int>(message->state()));
   }
-  return JobStatus{.state_ = static_cast<JobState>(message->state()),
-                   .since_ = FromUnixMs(message->unix_ms())};
+  return static_cast<JobState>(message->state());
 }
 
 std::string Encode(const TaskRecord& record) {
@@ -172,7 +171,6 @@
     caused += crash.cause_ == CrashCause::kTask ? 1 : 0;
   }
   message.set_crashes(caused);
-  message.mutable_lapsed_run()->Add(record.lapsed_runs_.begin(), record.lapsed_runs_.end());
   return message.SerializeAsString();
 }
 
@@ -196,7 +194,6 @@
       .worker_address_ = message->worker_address(),
       .doubtful_worker_ = message->doubtful_worker(),
       .doubtful_address_ = message->doubtful_address(),
-      .lapsed_runs_ = {message->lapsed_run().begin(), message->lapsed_run().end()},
   };
   for (const wire::Crash& row : message->crash()) {
     // A cause that a later version has added is taken for one that doesn't count.
--- a/src/laburnumledge/ledger/codec.hpp
+++ b/src/laburnumledge/ledger/codec.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,21 +11,12 @@
 /** @brief Kind of a record in the jobs stream. Its letter is the first byte of the record's key. */
 enum class JobRecordKind : char { kSubmission = 'j', kCancellation = 'c', kStatus = 's' };
 
-inline constexpr std::array kJobRecordKinds{JobRecordKind::kSubmission,
-                                            JobRecordKind::kCancellation, JobRecordKind::kStatus};
-
 /** @brief Key of a record in the jobs stream: the letter of its kind, then the job's identifier. */
 [[nodiscard]] std::string JobKey(JobRecordKind kind, std::string_view job);
 
 /** @brief Key of every record in the term stream: the newest record holds the current term. */
 inline constexpr std::string_view kTermKey = "term";
 
-/** @brief Value of a status record. */
-struct JobStatus {
-  JobState state_{};
-  WallTime since_{};  ///< When it was recorded.
-};
-
 /**
  * @name Values of records
  * Serialised protobuf messages. A decoder returns empty and sets the last reason if the bytes are
@@ -37,7 +27,7 @@
 [[nodiscard]] std::optional<Submission> DecodeSubmission(std::string_view bytes);
 [[nodiscard]] std::string EncodeCancellation(WallTime time);
 [[nodiscard]] std::string EncodeStatus(JobState state, WallTime time);
-[[nodiscard]] std::optional<JobStatus> DecodeStatus(std::string_view bytes);
+[[nodiscard]] std::optional<JobState> DecodeStatus(std::string_view bytes);
 [[nodiscard]] std::string Encode(const TaskRecord& record);
 [[nodiscard]] std::optional<TaskRecord> DecodeTask(std::string_view bytes);
 [[nodiscard]] std::string Encode(const Term& term);
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -137,7 +137,6 @@
   /** Worker on which a start of the task was in doubt as of writing, and where it was sent. */
   std::string doubtful_worker_;
   std::string doubtful_address_;
-  std::vector<std::uint64_t> lapsed_runs_;  ///< Latest runs given up when their lease had passed.
 };
 
 /** @brief Term: period in which one node is the leader. */
--- a/src/laburnumledge/ledger/jobs.cpp
+++ b/src/laburnumledge/ledger/jobs.cpp
@@ -1,6 +1,5 @@
 #include "laburnumledge/ledger/jobs.hpp"
 
-#include <map>
 #include <utility>
 
 #include "laburnumledge/core/reason.hpp"
@@ -55,13 +54,9 @@
       entry.cancelled_ = true;
       return true;
     case JobRecordKind::kStatus: {
-      const std::optional<JobStatus> status = DecodeStatus(value);
-      if (!status.has_value()) {
-        return false;
-      }
-      entry.state_ = status->state_;
-      entry.state_since_ = status->since_;
-      return true;
+      const std::optional<JobState> state = DecodeStatus(value);
+      entry.state_ = state.value_or(entry.state_);
+      return state.has_value();
     }
   }
   core::SetLastReason("unknown kind of job record");
@@ -95,69 +90,6 @@
   return JobChange{.job_ = job, .dropped_ = false, .state_changed_ = entry.state_ != before};
 }
 
-std::optional<JobChange> Apply(JobsLoad& load, std::string_view key,
-                               std::optional<std::string_view> value) {
-  if (key.size() < 2 || key.front() != static_cast<char>(JobRecordKind::kSubmission) ||
-      !IsJobId(key.substr(1))) {
-    return Apply(load.jobs_, key, value);
-  }
-  const JobId job(key.substr(1));
-  if (value.has_value()) {
-    if (!DecodeSubmission(*value).has_value()) {
-      return std::nullopt;
-    }
-    load.submissions_.try_emplace(job, *value);
-    return JobChange{.job_ = job};
-  }
-  const bool dropped = load.submissions_.erase(job) > 0;
-  load.jobs_.entries_.erase(job);
-  return JobChange{.job_ = job, .dropped_ = dropped};
-}
-
-Jobs FinishLoad(JobsLoad load, WallTime final_before, core::TimePoint now) {
-  Jobs jobs = std::move(load.jobs_);
-  std::map<std::pair<std::string, std::string>, std::shared_ptr<const Submission>> shared;
-  for (auto entry = load.submissions_.begin(); entry != load.submissions_.end();
-       entry = load.submissions_.erase(entry)) {
-    std::optional<Submission> submission = DecodeSubmission(entry->second);
-    if (!submission.has_value()) {
-      continue;
-    }
-    JobEntry& job = jobs.entries_[entry->first];
-    if (!IsFinal(job.state_) || job.state_since_ >= final_before) {
-      job.submission_ = std::make_shared<const Submission>(*std::move(submission));
-      AdjustWaitingCount(jobs, job, 1);
-    } else {
-      std::shared_ptr<const Submission>& known =
-          shared[{submission->route_, submission->organisation_}];
-      if (known == nullptr) {
-        known = std::make_shared<const Submission>(
-            Submission{.route_ = submission->route_, .organisation_ = submission->organisation_});
-      }
-      job.submission_ = known;
-    }
-  }
-  for (auto& [id, job] : jobs.entries_) {
-    job.final_since_ = IsFinal(job.state_) ? now : core::TimePoint{};
-  }
-  return jobs;
-}
-
-std::vector<JobId> FindFinishedJobs(const Jobs& jobs, core::TimePoint final_before,
-                                    std::size_t most,
-                                    const std::function<bool(const JobId&)>& may_remove) {
-  std::vector<JobId> found;
-  for (const auto& [id, entry] : jobs.entries_) {
-    if (found.size() == most) {
-      break;
-    }
-    if (IsFinal(entry.state_) && entry.final_since_ < final_before && may_remove(id)) {
-      found.push_back(id);
-    }
-  }
-  return found;
-}
-
 const JobEntry* FindJob(const Jobs& jobs, std::string_view job) {
   const auto found = jobs.entries_.find(JobId(job));
   return found == jobs.entries_.end() ? nullptr : &found->second;
--- a/src/laburnumledge/platform/workers.hpp
+++ b/src/laburnumledge/platform/workers.hpp
@@ -113,10 +113,6 @@
   core::TimePoint deadline_;
 };
 
-/** @brief Results that a worker lists in one answer, the lowest numbers first; it has more beyond
- * them. */
-inline constexpr std::size_t kMaxListedResults = 500;
-
 /** @brief Result of a lease call. */
 struct LeaseResult {
   CommandOutcome outcome_{CommandOutcome::kUnknown};
--- a/test/laburnumledge/control/follower.cpp
+++ b/test/laburnumledge/control/follower.cpp
@@ -234,45 +234,6 @@
   CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
 }
 
-// A load that is passed on page by page needs no room for all records, and must end in the same
-// state.
-TEST_CASE("a load that is passed on in parts ends in the newest record of each key") {
-  ScriptedStore store;
-  store.Append("a", "1");
-  store.Append("b", "1");
-  store.Append("c", "1");
-  store.Append("d", "1");
-  store.before_page_[2] = {{.key_ = "c", .value_ = "2"},
-                           {.key_ = "a", .value_ = std::nullopt},
-                           {.key_ = "d", .value_ = "2"}};
-  store.before_page_[4] = {{.key_ = "d", .value_ = "3"},
-                           {.key_ = "b", .value_ = std::nullopt},
-                           {.key_ = "e", .value_ = "1"},
-                           {.key_ = "e", .value_ = std::nullopt}};
-  store.read_limit_ = 1;
-  const platform::Store calls = store.Make();
-  Consumer loading;
-  Consumer consumer;
-  int begun = 0;
-  FollowerEvents events = consumer.Events();
-  events.loading_ = [&](const auto& records, bool first) {
-    begun += first ? 1 : 0;
-    loading.Apply(records);
-  };
-  events.loaded_ = [&](const auto& records) {
-    CHECK(records.empty());
-    consumer.state_ = loading.state_;
-    consumer.newest_ = loading.newest_;
-  };
-  Follower follower(store.loop_, calls, {.stream_ = platform::Stream::kJobs}, events);
-  follower.Start();
-  RunUntilCaughtUp(store, follower);
-  CHECK(begun == 1);
-  CHECK(loading.returned_.empty());
-  CHECK(consumer.returned_.empty());
-  CHECK(Offsets(consumer.state_) == Offsets(store.Newest(store.log_.size())));
-}
-
 // A newer record of a key whose page came first would never be read.
 TEST_CASE("a first page without readable records does not move the start of the log") {
   ScriptedStore store;
--- a/test/process/platform.sh
+++ b/test/process/platform.sh
@@ -39,7 +39,7 @@
 {"node_name":"node-$1",${acceptance:+"\"acceptance\":\"$acceptance\","}"zone":"zone-a","ip":"127.0.0.1","internal_ports":[$5,$5],
  "listen":{"front":"127.0.0.1:$3","ready":"127.0.0.1:$4"},
  "limits":{"max_fds":4100},"bounds":{"max_hold_ms":6000,"stop_grace_ms":400,"grace_s":6,
- "status_s":${status_s:-120},"gang_wait_ms":3000,"remote_penalty":3},"heartbeat_ms":500,
+ "status_s":120,"gang_wait_ms":3000,"remote_penalty":3},"heartbeat_ms":500,
  "platform":{"address":"127.0.0.1:$2","max_record_bytes":262144,"max_call_bytes":2097152}}
 S
 }
--- a/test/randomised/dispatch/lines.cpp
+++ b/test/randomised/dispatch/lines.cpp
@@ -55,8 +55,7 @@
     if (end != "done" && end != "stopped") {
       decisions.stops_.insert(job_and_run);
     }
-  } else if (event == "task.preempted" || event == "task.moved" || event == "task.stray" ||
-             event == "task.done_earlier") {
+  } else if (event == "task.preempted" || event == "task.moved" || event == "task.stray") {
     decisions.stops_.insert(job_and_run);
   }
 }
--- a/test/standin/worker.cpp
+++ b/test/standin/worker.cpp
@@ -252,7 +252,7 @@
     SetFaults(request, respond);
   } else if (request.path_ == "/starts") {
     respond(http::JsonReply(200, json{{"starts", starts_}}.dump()));
-  } else if (faults_.paused_) {
+  } else if (faults_.paused_ || faults_.gone_) {
     unanswered_.push_back(respond);
   } else if (request.path_ == "/v1/exchange") {
     Exchange(request, respond);
@@ -300,9 +300,10 @@
   }
   faults_.fail_everything_ = body.value("fail_everything", faults_.fail_everything_);
   faults_.paused_ = body.value("paused", faults_.paused_);
+  faults_.gone_ = body.value("gone", faults_.gone_);
   faults_.checkpoint_takes_ =
       core::Milliseconds(body.value("checkpoint_takes_ms", faults_.checkpoint_takes_.count()));
-  if (body.value("restarted", false)) {
+  if (faults_.gone_) {
     LoseTasks();
   }
   respond(http::JsonReply(200, "{}"));
--- a/test/standin/worker.hpp
+++ b/test/standin/worker.hpp
@@ -42,6 +42,7 @@
 struct WorkerFaults {
   bool fail_everything_{};
   bool paused_{};                          ///< Answers nothing; its clock and its tasks go on.
+  bool gone_{};                            ///< Answers nothing and has lost every task.
   core::Milliseconds checkpoint_takes_{};  ///< Time that a checkpoint takes.
 };
 
--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -254,7 +254,6 @@
     while (!worker.runs_.empty()) {
       EndRun(field, worker, worker.runs_.begin()->first, RunResult::kLeaseExpired, now);
     }
-    worker.lapsed_ = worker.ends_;
   }
 }
 
@@ -396,15 +395,10 @@
   }
   for (const platform::FinishedRun& row : worker.finished_) {
     if (row.sequence_number_ <= call.acknowledged_ && row.sequence_number_ > worker.forgotten_) {
-      // RULES: "taken note of [...] unless the minion's lease lapsed between the two". A task is
-      // nevertheless not started again once an end as done was acknowledged.
-      const bool counts = row.sequence_number_ > worker.lapsed_;
       field.noted_.push_back(row);
-      if (counts) {
-        CheckNotedEnd(field, row, now);
-      }
+      CheckNotedEnd(field, row, now);
       field.noted_done_[row.task_] += row.result_ == RunResult::kDone ? 1 : 0;
-      field.noted_failed_[row.task_] += counts && row.result_ == RunResult::kFailed ? 1 : 0;
+      field.noted_failed_[row.task_] += row.result_ == RunResult::kFailed ? 1 : 0;
     }
   }
   worker.forgotten_ = std::max(worker.forgotten_, call.acknowledged_);
--- a/test/support/fake_workers.hpp
+++ b/test/support/fake_workers.hpp
@@ -45,7 +45,6 @@
   std::vector<platform::FinishedRun> finished_;
   std::uint64_t ends_{};
   std::uint64_t forgotten_{};  ///< Ends up to this one were taken note of.
-  std::uint64_t lapsed_{};     ///< Since the ends up to this one the lease has lapsed.
 };
 
 /** @brief How a run goes if it is left alone. */
