Log whether a failed run counts, and gangs whose records differ at a takeover

The log couldn't tell the hypotheses apart: `task.ended` doesn't say whether the end is counted, nor against which count, and nothing says what a new leader reads of a gang. `task.failed` now has the failures until then, the newest run among them and the limit; `takeover.gang_mixed` tells of a gang whose members' records differ.

unit_dispatch and randomised_dispatch pass.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -29,15 +29,45 @@
  * list has to be up to date. */
 constexpr core::Milliseconds kTakeoverDecisionDelay{3000};
 
+/** Logs a gang whose members' records tell different things about its newest run. */
+void LogMixedRecords(const ledger::TaskId& step, const std::vector<Task>& members) {
+  std::uint64_t newest = 0;
+  std::uint64_t counted = 0;
+  for (const Task& member : members) {
+    newest = std::max(newest, member.run_);
+    counted = std::max(counted, member.failed_run_);
+  }
+  const auto matching = [&members](auto matches) {
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), matches));
+  };
+  const std::size_t placed =
+      matching([](const Task& member) { return member.phase_ == TaskPhase::kPlaced; });
+  const std::size_t older = matching([&](const Task& member) { return member.run_ < newest; });
+  const std::size_t uncounted =
+      matching([&](const Task& member) { return member.failed_run_ < counted; });
+  const bool mixed = (placed > 0 && placed < members.size()) || older > 0 || uncounted > 0;
+  if (mixed && members.front().phase_ != TaskPhase::kDone) {
+    core::LogEvent(Level::kInfo, EventPriority::kHigh, "takeover.gang_mixed",
+                   {{"step", ledger::ToString(step)},
+                    {"run", newest},
+                    {"members", members.size()},
+                    {"placed", placed},
+                    {"older", older},
+                    {"counted_run", counted},
+                    {"uncounted", uncounted}});
+  }
+}
+
 /** Gives all members of a gang the same count of failures: a failure counts for the whole gang,
  * whichever member's record holds it. */
 void ShareGangCounts(Job& job) noexcept {
   for (auto& [number, occurrence] : job.occurrences_) {
-    for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+    for (std::uint32_t index = 0; index < occurrence.steps_.size(); ++index) {
       if (!job.submission_->steps_[index].gang_) {
         continue;
       }
       std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
+      LogMixedRecords({.job_ = job.id_, .occurrence_ = number, .step_ = index}, tasks);
       std::uint32_t failures = 0;
       for (const Task& task : tasks) {
         failures = std::max(failures, task.failures_);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -315,7 +315,16 @@
 void Dispatcher::RecordRunFailed(const RunId& run, RecordBatch& batch, core::TimePoint now) {
   Job& job = job_table_.jobs_.at(run.task_.job_);
   Task* task = FindTask(job_table_, run.task_);
-  if (task == nullptr || task->phase_ == TaskPhase::kDone || task->failed_run_ >= run.run_) {
+  if (task == nullptr) {
+    return;
+  }
+  core::LogEvent(Level::kInfo, EventPriority::kHigh, "task.failed",
+                 {{"task", ledger::ToString(run.task_)},
+                  {"run", run.run_},
+                  {"failures_before", task->failures_},
+                  {"counted_run", task->failed_run_},
+                  {"max_attempts", job.treatment_.max_attempts_}});
+  if (task->phase_ == TaskPhase::kDone || task->failed_run_ >= run.run_) {
     return;
   }
   const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
