Make the members of a gang agree after a takeover, and record each one's end

Cause: a run of a gang ends for all members in the leader's memory, and for one of them in the store: the record is written with the member whose end is read first. A new leader read the records member by member. It gave all members the highest count of failures, but not the run which that counts, so that another member's `failed` of the same run counted again; and it took that member's run for one that goes on. The second half is the graver one: without the first it ends in a job that hangs. A failure that is counted returned early, before the member waits again, so that the gang had a member that was placed without a run and was never started again. A member whose end was passed over that way was never recorded either: a later restart of its worker would count as a crash under the task.

Change: once all records are loaded, the members of each gang agree (ReconcileGang): on the failures and the run that they count, on the checkpoint of the newest record, and on the phase. A run goes on only if all records tell of its start; else all members wait, and what may be left on workers is stopped. Each member's `failed` is recorded with its own record, also where the gang's failure is counted. Records keep their form, so that nodes of both versions read each other's.

Why this works: a start is sent only when the records of all members are stored, and none of them is replaced before its run has ended. Any other mix therefore tells of a run that has ended or never began.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "laburnumledge/dispatch/doubtful_starts.hpp"
+#include "laburnumledge/dispatch/gang_state.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
 
 namespace laburnumledge::dispatch {
@@ -29,56 +30,6 @@
  * list has to be up to date. */
 constexpr core::Milliseconds kTakeoverDecisionDelay{3000};
 
-/** Logs a gang whose members' records tell different things about its newest run. */
-void LogMixedRecords(const ledger::TaskId& step, const std::vector<Task>& members) {
-  std::uint64_t newest = 0;
-  std::uint64_t counted = 0;
-  for (const Task& member : members) {
-    newest = std::max(newest, member.run_);
-    counted = std::max(counted, member.failed_run_);
-  }
-  const auto matching = [&members](auto matches) {
-    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), matches));
-  };
-  const std::size_t placed =
-      matching([](const Task& member) { return member.phase_ == TaskPhase::kPlaced; });
-  const std::size_t older = matching([&](const Task& member) { return member.run_ < newest; });
-  const std::size_t uncounted =
-      matching([&](const Task& member) { return member.failed_run_ < counted; });
-  const bool mixed = (placed > 0 && placed < members.size()) || older > 0 || uncounted > 0;
-  if (mixed && members.front().phase_ != TaskPhase::kDone) {
-    core::LogEvent(Level::kInfo, EventPriority::kHigh, "takeover.gang_mixed",
-                   {{"step", ledger::ToString(step)},
-                    {"run", newest},
-                    {"members", members.size()},
-                    {"placed", placed},
-                    {"older", older},
-                    {"counted_run", counted},
-                    {"uncounted", uncounted}});
-  }
-}
-
-/** Gives all members of a gang the same count of failures: a failure counts for the whole gang,
- * whichever member's record holds it. */
-void ShareGangCounts(Job& job) noexcept {
-  for (auto& [number, occurrence] : job.occurrences_) {
-    for (std::uint32_t index = 0; index < occurrence.steps_.size(); ++index) {
-      if (!job.submission_->steps_[index].gang_) {
-        continue;
-      }
-      std::vector<Task>& tasks = occurrence.steps_[index].tasks_;
-      LogMixedRecords({.job_ = job.id_, .occurrence_ = number, .step_ = index}, tasks);
-      std::uint32_t failures = 0;
-      for (const Task& task : tasks) {
-        failures = std::max(failures, task.failures_);
-      }
-      for (Task& task : tasks) {
-        task.failures_ = failures;
-      }
-    }
-  }
-}
-
 bool HasUsedUpAttempts(const Job& job) noexcept {
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
@@ -222,6 +173,31 @@
   }
 }
 
+/** Makes the members of each gang of a job agree, and stops what is left of gangs that have ended.
+ */
+void Dispatcher::ReconcileGangs(Job& job, core::TimePoint now) {
+  for (auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t index = 0; index < occurrence.steps_.size(); ++index) {
+      if (!job.submission_->steps_[index].gang_) {
+        continue;
+      }
+      ledger::TaskId task{.job_ = job.id_, .occurrence_ = number, .step_ = index};
+      const std::vector<LeftoverMember> leftovers = ReconcileGang(occurrence.steps_[index]);
+      for (const LeftoverMember& member : leftovers) {
+        task.index_ = member.index_;
+        core::LogEvent(Level::kInfo, EventPriority::kHigh, "takeover.gang_ended",
+                       {{"task", ledger::ToString(task)},
+                        {"run", member.run_},
+                        {"worker", member.worker_},
+                        {"left", leftovers.size()},
+                        {"members", occurrence.steps_[index].tasks_.size()}});
+        StopRun(FindOrAddWorker(member.worker_), {.task_ = task, .run_ = member.run_},
+                "the gang's run has ended", now);
+      }
+    }
+  }
+}
+
 void Dispatcher::Begin(core::TimePoint now, core::TimePoint earlier_leases_end) {
   begun_ = true;
   BeginDoubts(fleet_, now);
@@ -238,7 +214,7 @@
     }
   }
   for (auto& [id, job] : job_table_.jobs_) {
-    ShareGangCounts(job);
+    ReconcileGangs(job, now);
     if (!ledger::IsFinal(job.state_) && HasUsedUpAttempts(job)) {
       // The failed result is stored, but the job's state that follows from it is not.
       StopJob(job, ledger::JobState::kFailed, now);
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -209,6 +209,7 @@
 
   Worker& FindOrAddWorker(const std::string& id);
   [[nodiscard]] bool IsTaskDone(const ledger::TaskId& id);
+  void ReconcileGangs(Job& job, core::TimePoint now);
   void StopJob(Job& job, ledger::JobState state, core::TimePoint now);
   void SetState(Job& job, ledger::JobState state);
   void RetireJob(const ledger::JobId& id, core::TimePoint now);
@@ -284,6 +285,7 @@
                  const std::string& checkpoint, RecordBatch& batch, core::TimePoint now);
   void RecordRunDone(const RunId& run, RecordBatch& batch, core::TimePoint now);
   void RecordRunFailed(const RunId& run, RecordBatch& batch, core::TimePoint now);
+  void CountFailure(const RunId& run, const ledger::Step& spec);
   void RequeueTask(const RunId& run, platform::RunResult end, const std::string& checkpoint,
                    RecordBatch& batch, core::TimePoint now);
   void MarkRunLost(Worker& worker, const RunId& run, std::string_view reason, core::TimePoint now);
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -324,20 +324,14 @@
                   {"failures_before", task->failures_},
                   {"counted_run", task->failed_run_},
                   {"max_attempts", job.treatment_.max_attempts_}});
-  if (task->phase_ == TaskPhase::kDone || task->failed_run_ >= run.run_) {
+  if (task->phase_ == TaskPhase::kDone) {
     return;
   }
   const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
-  ++counts_.runs_failed_;
-  if (!spec.long_running_) {
-    StepState& step = *FindStep(job_table_, run.task_);
-    for (Task& member : step.tasks_) {
-      if (spec.gang_ || &member == task) {
-        ++member.failures_;
-        member.failed_run_ = run.run_;
-      }
-    }
+  if (task->failed_run_ < run.run_) {
+    CountFailure(run, spec);
   }
+  // A member whose gang's failure is counted already has ended as well, and a successor must know.
   RequeueTask(run, RunResult::kFailed, {}, batch, now);
   if (!spec.long_running_ && task->failures_ >= job.treatment_.max_attempts_ &&
       !ledger::IsFinal(job.state_)) {
@@ -345,6 +339,21 @@
   }
 }
 
+/** Counts a failed run of a task, or of its gang as a whole. */
+void Dispatcher::CountFailure(const RunId& run, const ledger::Step& spec) {
+  ++counts_.runs_failed_;
+  if (spec.long_running_) {
+    return;
+  }
+  std::vector<Task>& tasks = FindStep(job_table_, run.task_)->tasks_;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    if (spec.gang_ || index == run.task_.index_) {
+      ++tasks[index].failures_;
+      tasks[index].failed_run_ = run.run_;
+    }
+  }
+}
+
 void Dispatcher::RequeueTask(const RunId& run, RunResult end, const std::string& checkpoint,
                              RecordBatch& batch, core::TimePoint now) {
   Job& job = job_table_.jobs_.at(run.task_.job_);
--- a/test/exhaustive/takeover/search.cpp
+++ b/test/exhaustive/takeover/search.cpp
@@ -53,7 +53,8 @@
     finding = SearchSchedules(faults, defect,
                               {.cancels_ = defect == Defect::kCancellationsLost,
                                .quota_ = defect == Defect::kRestoredRunsUncounted,
-                               .answers_checks_at_once_ = answers_checks_at_once},
+                               .answers_checks_at_once_ = answers_checks_at_once,
+                               .gang_ = defect == Defect::kCountedRunsLost},
                               rule);
   }
   CAPTURE(finding.schedule_);
@@ -84,6 +85,12 @@
   CheckNoViolation({.quota_ = true});
 }
 
+// Guards against an end of a gang that one member's record tells of and that a new leader counts
+// again for another member, or after which it leaves a member without a run (LOST).
+TEST_CASE("no schedule of faults violates a rule while a gang fails and runs again") {
+  CheckNoViolation({.gang_ = true});
+}
+
 // Leases and fencing tokens have to hold by themselves: a check before each start makes most faults
 // harmless that would show that one of them is missing.
 TEST_CASE("no schedule of faults violates a rule while checks are answered at once") {
@@ -108,6 +115,10 @@
   CheckDefectFound(Defect::kFailureCountsLost, "BUDGET");
 }
 
+TEST_CASE("the search finds a takeover that loses which failures are counted") {
+  CheckDefectFound(Defect::kCountedRunsLost, "LOST");
+}
+
 TEST_CASE("the search finds cancellations that a takeover loses") {
   CheckDefectFound(Defect::kCancellationsLost, "UNASKED");
 }
--- a/test/exhaustive/takeover/simulation.cpp
+++ b/test/exhaustive/takeover/simulation.cpp
@@ -41,6 +41,27 @@
   return std::make_shared<const ledger::Submission>(std::move(submission));
 }
 
+/** Adds the jobs of the course. A second failed run of a task fails its job. */
+void Simulation::AddJobs() {
+  if (course_.gang_) {
+    ledger::Step gang = WholeWorkerStep({});
+    gang.count_ = 2;
+    gang.gang_ = true;
+    auto submission = *fixture::MakeSubmission({gang});
+    submission.scheduling_.max_attempts_ = 2;
+    jobs_.entries_[kGangJob].submission_ =
+        std::make_shared<const ledger::Submission>(std::move(submission));
+    return;
+  }
+  jobs_.entries_[kChainJob].submission_ = MakeChainSubmission(true);
+  At(now_ + kSecondJobDelay, [this] {
+    auto single = *fixture::MakeSubmission({WholeWorkerStep({})});
+    single.scheduling_.max_attempts_ = 2;
+    jobs_.entries_[kSingleTaskJob].submission_ =
+        std::make_shared<const ledger::Submission>(std::move(single));
+  });
+}
+
 Simulation::Simulation(Schedule& schedule, Defect defect, Course course)
     : schedule_(schedule),
       defect_(defect),
@@ -59,13 +80,7 @@
   for (const char* id : {"w1", "w2"}) {
     support::Add(fake_workers_, id, now_ - std::chrono::seconds(30));
   }
-  jobs_.entries_[kChainJob].submission_ = MakeChainSubmission(true);
-  At(now_ + kSecondJobDelay, [this] {
-    auto single = *fixture::MakeSubmission({WholeWorkerStep({})});
-    single.scheduling_.max_attempts_ = 2;
-    jobs_.entries_[kSingleTaskJob].submission_ =
-        std::make_shared<const ledger::Submission>(std::move(single));
-  });
+  AddJobs();
   if (course.quota_) {
     site::Organisation crew{.name_ = "crew"};
     crew.quota_.gpus_ = fixture::kWorkerCapacity.gpus_;
@@ -210,7 +225,8 @@
 }
 
 bool Simulation::AllJobsEnded() const {
-  return jobs_.entries_.size() == 2 &&
+  const std::size_t jobs = course_.gang_ ? 1 : 2;
+  return jobs_.entries_.size() == jobs &&
          std::all_of(jobs_.entries_.begin(), jobs_.entries_.end(),
                      [](const auto& entry) { return ledger::IsFinal(entry.second.state_); });
 }
--- a/test/exhaustive/takeover/simulation.hpp
+++ b/test/exhaustive/takeover/simulation.hpp
@@ -26,11 +26,12 @@
   kDependenciesLost,          ///< ORDER: steps are loaded without their dependencies.
   kRestoredRunsUncounted,     ///< QUOTA: a new leader counts only what it has started itself.
   kUnstoredStatesLost,        ///< LOST: a job state that was not stored in time is never stored.
+  kCountedRunsLost,           ///< LOST: which failures of earlier terms are counted is not known.
 };
 
 /**
  * @brief Simulates two nodes that compete for the term, two workers, a store, and two jobs of three
- * tasks in all.
+ * tasks in all, or one gang.
  *
  * The nodes run the program's own term state machine and dispatcher; network, store and workers are
  * modelled in virtual time. Each call of a node is a choice point: the call succeeds, or one fault
@@ -43,6 +44,7 @@
     bool cancels_{};                 ///< The first job is cancelled while it runs.
     bool quota_{};                   ///< The organisation's quota holds one run at a time.
     bool answers_checks_at_once_{};  ///< Checks before starts cost no time and never fail.
+    bool gang_{};  ///< One job instead of two: a gang on both workers that fails once of two times.
   };
 
   Simulation(Schedule& schedule, Defect defect, Course course);
@@ -109,6 +111,7 @@
   void RefreshLeaders();
   void CheckCompleted(const ledger::JobId& id);
   void CheckFinalStates();
+  void AddJobs();
   [[nodiscard]] bool AllJobsEnded() const;
 
   Schedule& schedule_;
--- a/test/exhaustive/takeover/simulation_parts.hpp
+++ b/test/exhaustive/takeover/simulation_parts.hpp
@@ -34,6 +34,7 @@
 
 inline const ledger::JobId kChainJob = "00000000000000aa";
 inline const ledger::JobId kSingleTaskJob = "00000000000000bb";
+inline const ledger::JobId kGangJob = "00000000000000cc";
 
 /** @brief Submission of the first job: two steps, of which the second depends on the first. */
 std::shared_ptr<const ledger::Submission> MakeChainSubmission(bool with_dependencies);
--- a/test/exhaustive/takeover/simulation_store.cpp
+++ b/test/exhaustive/takeover/simulation_store.cpp
@@ -213,6 +213,9 @@
     if (defect_ == Defect::kFailureCountsLost) {
       read.failures_ = 0;
     }
+    if (defect_ == Defect::kCountedRunsLost) {
+      read.failed_run_ = 0;
+    }
     dispatcher.LoadTask(id, read);
   }
   for (const auto& [id, worker] : fake_workers_.workers_) {
