Report steps that nothing will start, in the log, as a gauge and in dry runs

Nothing told an operator: `step.waiting` lists it with one waiting task and no run to wait for, which reads as a want of resources.

Cause of the silence: the state was a contradiction that nobody looks for: a task counted as placed without a run, and its gang as partly waiting.

Change: FindStalledSteps looks for both, once a second at the leader. `step.stalled` (error) names them, `laburnumledge_stalled_steps` counts them, and `job where` prints them. It reports only: repairing the table would hide the fault that led there. The randomised worlds and exhaustive_succession check at each reading of the workers' list, or each step, that there are none.

--- a/src/laburnumledge/control/metrics.cpp
+++ b/src/laburnumledge/control/metrics.cpp
@@ -106,6 +106,8 @@
         runs_(MakeCounter(registry, "laburnumledge_runs_total",
                           "Runs of tasks in this term, by outcome.")),
         jobs_(MakeGauge(registry, "laburnumledge_jobs", "Jobs that have not ended, by priority.")),
+        stalled_steps_(MakeGauge(registry, "laburnumledge_stalled_steps",
+                                 "Steps that nothing will start, by a fault of this program.")),
         gpus_(MakeGauge(registry, "laburnumledge_gpus", "GPUs of workers, by zone and use.")),
         capacity_(MakeGauge(registry, "laburnumledge_capacity_gpus",
                             "GPUs as the latest plan found them, by use, and GPUs waited for.")),
@@ -147,6 +149,7 @@
   Family<Histogram>& job_seconds_;
   Family<Counter>& runs_;
   Family<Gauge>& jobs_;
+  Family<Gauge>& stalled_steps_;
   Family<Gauge>& gpus_;
   Family<Gauge>& capacity_;
   Family<Gauge>& organisations_;
@@ -310,6 +313,7 @@
   for (const auto& [priority, count] : jobs) {
     families_->jobs_.Add({{"priority", std::to_string(priority)}}).Set(count);
   }
+  families_->stalled_steps_.Add({}).Set(static_cast<double>(dispatcher.StalledSteps().size()));
   std::map<std::string, std::pair<double, double>> gpus;
   std::map<std::string, double> workers;
   for (const auto& [id, worker] : dispatcher.Workers().workers_) {
--- a/src/laburnumledge/control/where_answer.cpp
+++ b/src/laburnumledge/control/where_answer.cpp
@@ -79,12 +79,17 @@
                          {"worker", run.worker_},
                          {"gang", run.gang_}});
   }
+  Json stalled = Json::array();
+  for (const ledger::TaskId& task : explanation.stalled_steps_) {
+    stalled.push_back(ledger::ToString(task));
+  }
   const dispatch::QuotaExplanation& quota = explanation.quota_;
   return {{"prospect", ToString(explanation.prospect_)},
           {"at_ms", explanation.at_.time_since_epoch().count()},
           {"configuration_version", explanation.configuration_version_},
           {"priority", explanation.priority_},
           {"planning_paused", explanation.planning_paused_},
+          {"stalled", std::move(stalled)},
           {"organisation",
            {{"name", quota.organisation_},
             {"used", ToJson(quota.used_)},
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -152,6 +152,10 @@
   [[nodiscard]] std::int64_t WaitingForUnresolvedRuns() const noexcept {
     return waiting_unresolved_gpus_;
   }
+  /** @brief Steps that the latest look, once a second, found to hang; see FindStalledSteps. */
+  [[nodiscard]] const std::vector<ledger::TaskId>& StalledSteps() const noexcept {
+    return stalled_steps_;
+  }
   [[nodiscard]] const Fleet& Workers() const noexcept { return fleet_; }
   [[nodiscard]] const Organisations& KnownOrganisations() const noexcept { return organisations_; }
   /** @brief Use by organisation index as the latest plan found it; empty before the first plan. */
@@ -328,6 +332,7 @@
   void FollowGuarantees(PlanTime time);
   void LogGuaranteeWaits(const std::vector<GuaranteeWait>& waits, PlanTime time) const;
   void LogWaitingSteps(core::TimePoint now);
+  void LogStalledSteps();
   [[nodiscard]] Plan MakeFairPlan(PlanTime time,
                                   const std::vector<OrganisationUse>& organisation_use);
   void WithdrawStartsOverQuota(const Starts& starts, core::TimePoint now);
@@ -376,6 +381,7 @@
   std::vector<GuaranteeNews> guarantee_news_;  ///< See TakeGuaranteeNews.
   core::TimePoint next_capacity_log_{};
   std::int64_t waiting_unresolved_gpus_{};  ///< See WaitingForUnresolvedRuns.
+  std::vector<ledger::TaskId> stalled_steps_;
   DispatchCounts counts_;
 };
 
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -3,6 +3,7 @@
 
 #include "laburnumledge/dispatch/dispatcher.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/dispatch/stalled_steps.hpp"
 #include "laburnumledge/dispatch/waiting_steps.hpp"
 
 namespace laburnumledge::dispatch {
@@ -189,6 +190,7 @@
                   {"waiting_other", capacity_use_.waiting_other_}});
   LogQuotas();
   LogWaitingSteps(now);
+  LogStalledSteps();
 }
 
 /** Logs what the steps wait for that have waited for long: a run that may still exist keeps its
@@ -223,6 +225,21 @@
   }
 }
 
+void Dispatcher::LogStalledSteps() {
+  stalled_steps_ = FindStalledSteps(job_table_);
+  for (std::size_t index = 0; index < std::min(kReportedSteps, stalled_steps_.size()); ++index) {
+    const ledger::TaskId& id = stalled_steps_[index];
+    const Task* task = FindTask(job_table_, id);
+    core::LogEvent(Level::kError, EventPriority::kHigh, "step.stalled",
+                   {{"task", ledger::ToString(id)},
+                    {"run", task->run_},
+                    {"worker", task->worker_},
+                    {"runs_left", task->outstanding_runs_},
+                    {"waiting", FindStep(job_table_, id)->waiting_},
+                    {"stalled", stalled_steps_.size()}});
+  }
+}
+
 void Dispatcher::RunPlan(PlanTime time) {
   OpenReadySteps(job_table_, time.now_, time.wall_);
   plan_due_ = false;
@@ -276,6 +293,7 @@
   Explanation explanation =
       ExplainPlacement(std::move(snapshot), rules_, bounds_, durations_, submission, time);
   explanation.planning_paused_ = !IsStoreAnswering(time.now_);
+  explanation.stalled_steps_ = FindStalledSteps(job_table_);
   return explanation;
 }
 
--- a/src/laburnumledge/dispatch/explanation.hpp
+++ b/src/laburnumledge/dispatch/explanation.hpp
@@ -106,6 +106,7 @@
   std::uint64_t configuration_version_{};
   std::uint32_t priority_{};
   bool planning_paused_{};  ///< The store does not answer: nothing starts before it does.
+  std::vector<ledger::TaskId> stalled_steps_;  ///< Of other jobs; see FindStalledSteps.
   QuotaExplanation quota_;
   std::vector<StepExplanation> steps_;  ///< By index of the step.
   std::vector<PreemptedRun> preempted_;
--- a/src/laburnumledge/operators/job_where.cpp
+++ b/src/laburnumledge/operators/job_where.cpp
@@ -127,7 +127,12 @@
                                     MemberText(run, "worker"),
                                     run.value("gang", false) ? " with its gang" : ""));
   }
-  return text + fmt::format("preempted      {}\n", JoinFirst(preempted));
+  text += fmt::format("preempted      {}\n", JoinFirst(preempted));
+  std::vector<std::string> stalled;
+  for (const Json& task : ListOf(answer, "stalled")) {
+    stalled.push_back(task.is_string() ? task.get<std::string>() : task.dump());
+  }
+  return stalled.empty() ? text : text + fmt::format("stalled        {}\n", JoinFirst(stalled));
 }
 
 ExitCode ShowPlacement(const WhereCommand& command) {
--- a/test/exhaustive/succession/succession.cpp
+++ b/test/exhaustive/succession/succession.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "laburnumledge/dispatch/fixture.hpp"
+#include "laburnumledge/dispatch/stalled_steps.hpp"
 
 namespace laburnumledge::exhaustive {
 
@@ -163,6 +164,9 @@
   }
   (void)leader_->Run({.now_ = now_, .wall_ = support::WallAt(now_)});
   Perform(leader_->TakeActions());
+  for (const ledger::TaskId& task : dispatch::FindStalledSteps(leader_->Jobs())) {
+    support::Break(workers_, now_, "LOST nothing will start " + ledger::ToString(task));
+  }
   now_ += kStep;
 }
 
--- a/test/laburnumledge/control/where.cpp
+++ b/test/laburnumledge/control/where.cpp
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <vector>
 
+#include "laburnumledge/control/where_answer.hpp"
 #include "laburnumledge/operators/job_where.hpp"
 
 namespace laburnumledge::control {
@@ -89,6 +91,17 @@
   CHECK(harness.explained_ == 2);
 }
 
+// Guards against a job that hangs and that no answer to an operator names (issue 62).
+TEST_CASE("a dry run names the stalled steps of other jobs") {
+  dispatch::Explanation explanation;
+  CHECK(operators::PlacementText(ToJson(explanation)).find("stalled") == std::string::npos);
+  explanation.stalled_steps_.push_back({.job_ = "00000000000000aa", .step_ = 1, .index_ = 2});
+  const nlohmann::json answer = ToJson(explanation);
+  CHECK(answer.at("stalled") == nlohmann::json({"00000000000000aa.0.1.2"}));
+  const std::string text = operators::PlacementText(answer);
+  CHECK(text.find("stalled        00000000000000aa.0.1.2\n") != std::string::npos);
+}
+
 TEST_CASE("a malformed dry run is refused and does not use up the second") {
   // Guards against an answer for a job that the same node would not accept.
   Harness harness;
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -131,6 +131,7 @@
   [[nodiscard]] const ledger::Step* FindUndoneStep(const ledger::JobId& job) const;
   [[nodiscard]] bool HasRoom(const ledger::Step& step) const;
   void CheckIdleJobs();
+  void CheckStalledSteps();
   void PublishQuotas(bool calm);
   void PublishGuarantees();
   void SubmitGuaranteedJob(int number);
--- a/test/support/world_list.cpp
+++ b/test/support/world_list.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "laburnumledge/dispatch/fixture.hpp"
+#include "laburnumledge/dispatch/stalled_steps.hpp"
 #include "support/world.hpp"
 
 namespace laburnumledge::support {
@@ -70,8 +71,19 @@
   }
 }
 
+/** No job may hang by what its leader takes for granted, at any moment. */
+void World::CheckStalledSteps() {
+  if (leader_ == nullptr) {
+    return;
+  }
+  for (const ledger::TaskId& task : dispatch::FindStalledSteps(leader_->dispatcher_->Jobs())) {
+    Break(fake_workers_, now_, "LOST nothing will start " + ledger::ToString(task));
+  }
+}
+
 /** Workers that are up write their entries, and the leader reads those of workers on its side. */
 void World::ReadWorkerList() {
+  CheckStalledSteps();
   for (auto& [id, worker] : fake_workers_.workers_) {
     Advance(fake_workers_, worker, now_);
     if (now_ >= worker.down_until_ && now_ >= overwritten_until_[id]) {
