Store what a crash is put down to, and that a task is cleared, when it is decided

In the same way crashes that a run has outlived came back, and a crash that shows after its run was given up was known to one leader only.

Change: the task's record is written again once a crash is decided, once a task is cleared, and once a crash counts for a run whose end is stored. RecordDoubt becomes RecordAgain, which also writes a task that waits, unless a run of it is still to end: then the record has to tell where that may be.

Shown: three tests in dispatch/crashes.cpp failed before.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -61,6 +61,18 @@
           .crashes_ = task.crashes_};
 }
 
+ledger::TaskRecord DescribeEnd(const Task& task) {
+  return {.outcome_ = ledger::TaskOutcome::kWaiting,
+          .run_ = task.run_,
+          .worker_ = {},
+          .incarnation_ = 0,
+          .failures_ = task.failures_,
+          .checkpoint_ = task.checkpoint_,
+          .failed_run_ = task.failed_run_,
+          .crashed_run_ = task.crashed_run_,
+          .crashes_ = task.crashes_};
+}
+
 Dispatcher::Dispatcher(const site::Bounds& bounds, std::uint64_t term,
                        site::InterferenceMode interference)
     : bounds_(bounds),
@@ -321,18 +333,30 @@
   }
 }
 
-/** Records that a start is in doubt: the next leader would not know. */
-void Dispatcher::RecordDoubt(const Worker& worker, const RunId& run, core::TimePoint now) {
-  const Task* task = FindTask(job_table_, run.task_);
-  const auto assigned = worker.assigned_runs_.find(run);
-  if (task == nullptr || task->phase_ != TaskPhase::kPlaced || task->run_ != run.run_ ||
-      assigned == worker.assigned_runs_.end()) {
-    return;  // Only the record of a task's newest run can be written again.
+/** Writes the record of a task again, with what the leader has learned since: the next leader would
+ * not know. If the newest run has ended for the task's gang only, the record of its own end
+ * follows: until then the record has to tell where it may be at work. */
+void Dispatcher::RecordAgain(const ledger::TaskId& id, core::TimePoint now) {
+  const Task* task = FindTask(job_table_, id);
+  if (task == nullptr || task->phase_ == TaskPhase::kDone) {
+    return;
   }
   RecordBatch batch;
-  batch.tasks_.emplace_back(run.task_,
-                            DescribeStart(*task, worker, run.run_, assigned->second.incarnation_,
-                                          internal::AddressOf(worker, assigned->second).address_));
+  if (task->phase_ == TaskPhase::kWaiting) {
+    if (task->run_ == 0 || task->outstanding_runs_ > 0) {
+      return;
+    }
+    batch.tasks_.emplace_back(id, DescribeEnd(*task));
+  } else {
+    const Worker* worker = FindWorker(fleet_, task->worker_);
+    const RunId run{.task_ = id, .run_ = task->run_};
+    if (worker == nullptr || !worker->assigned_runs_.contains(run)) {
+      return;
+    }
+    const AssignedRun& assigned = worker->assigned_runs_.at(run);
+    batch.tasks_.emplace_back(id, DescribeStart(*task, *worker, run.run_, assigned.incarnation_,
+                                                internal::AddressOf(*worker, assigned).address_));
+  }
   IssueBatch(std::move(batch), {}, now);
 }
 
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -49,6 +49,9 @@
                                                std::uint64_t run, site::Incarnation incarnation,
                                                const config::Address& address);
 
+/** @brief Record of the end of a task's newest run, after which the task waits. */
+[[nodiscard]] ledger::TaskRecord DescribeEnd(const Task& task);
+
 /**
  * @brief Decides during one term which tasks run on which workers, and tracks the workers' runs.
  *
@@ -340,7 +343,7 @@
   void ReplaceReservations(const std::vector<PlannedReservations>& planned);
   void CountPreemption(const ledger::TaskId& task, bool gang);
   void Preempt(const PlannedPreemption& preemption, core::TimePoint now);
-  void RecordDoubt(const Worker& worker, const RunId& run, core::TimePoint now);
+  void RecordAgain(const ledger::TaskId& id, core::TimePoint now);
   void IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now);
 
   site::Bounds bounds_;
--- a/src/laburnumledge/dispatch/dispatcher_crashes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_crashes.cpp
@@ -136,6 +136,7 @@
   for (const auto& [run, expired] : worker.expired_runs_) {
     if (is_crashed(expired.address_, expired.incarnation_)) {
       CountCrash(worker, run, expired, restarted, now);
+      RecordAgain(run.task_, now);  // The record of the run's end is written already.
       jobs.insert(run.task_.job_);
     }
   }
@@ -242,6 +243,8 @@
   const FleetStarts starts = CollectStarts(fleet_, now);
   for (const UndecidedCrash& crash : decided) {
     DecideCrash(crash, starts, now);
+    // The next leader knows less of what happened then, and would decide otherwise.
+    RecordAgain(crash.task_, now);
   }
   plan_due_ = true;
 }
@@ -298,6 +301,7 @@
   task->crashes_.clear();
   assigned.crash_suspect_ = false;
   assigned.on_trial_ = false;
+  RecordAgain(run.task_, now);
 }
 
 void Dispatcher::GiveUpCrashingTask(Job& job, const ledger::TaskId& task, core::TimePoint now) {
--- a/src/laburnumledge/dispatch/dispatcher_orders.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_orders.cpp
@@ -115,7 +115,10 @@
   const RunId run{.task_ = action.command_.task_, .run_ = action.command_.run_};
   if (result.outcome_ == CommandOutcome::kUnknown) {
     NoteDoubtfulStart(fleet_, *worker, action, now);
-    RecordDoubt(*worker, run, now);
+    const Task* task = FindTask(job_table_, run.task_);
+    if (task != nullptr && task->phase_ == TaskPhase::kPlaced && task->run_ == run.run_) {
+      RecordAgain(run.task_, now);
+    }
   } else {
     NoteStartAnswered(*worker, run.task_);
   }
--- a/src/laburnumledge/dispatch/dispatcher_outcomes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_outcomes.cpp
@@ -108,15 +108,7 @@
     }
   }
   MarkWaiting(*step, *task);
-  batch.tasks_.emplace_back(run.task_, ledger::TaskRecord{.outcome_ = ledger::TaskOutcome::kWaiting,
-                                                          .run_ = run.run_,
-                                                          .worker_ = {},
-                                                          .incarnation_ = 0,
-                                                          .failures_ = task->failures_,
-                                                          .checkpoint_ = task->checkpoint_,
-                                                          .failed_run_ = task->failed_run_,
-                                                          .crashed_run_ = task->crashed_run_,
-                                                          .crashes_ = task->crashes_});
+  batch.tasks_.emplace_back(run.task_, DescribeEnd(*task));
   if (end != RunResult::kStopped) {
     step->retry_at_ = std::max(step->retry_at_, now + kRetryDelay);
   }
--- a/test/laburnumledge/dispatch/crashes.cpp
+++ b/test/laburnumledge/dispatch/crashes.cpp
@@ -124,4 +124,52 @@
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kRunning);
 }
 
+// Guards against a crash that a successor decides anew, with less evidence: a job was shown as
+// failed for crashes that had been put down to an outage (issue 62, LOST).
+TEST_CASE("the cause of a crash is stored once it is decided") {
+  CrashHarness harness(12);
+  harness.Submit(JobId(1), {MakeStep(1, 8)});
+  harness.Advance(std::chrono::seconds(2));
+  const std::vector<std::string> hit = harness.WorkersOf(JobId(1));
+  REQUIRE(hit.size() == 1);
+  harness.Crash({"w1", "w2", "w3", "w4", "w5", "w6", hit.front()});
+  harness.Advance(std::chrono::seconds(4));
+  const ledger::TaskRecord& record = harness.records_.at({.job_ = JobId(1)});
+  REQUIRE(record.crashes_.size() == 1);
+  CHECK(record.crashes_[0].cause_ == ledger::CrashCause::kOther);
+  CHECK(record.outcome_ == ledger::TaskOutcome::kStarted);
+}
+
+// Guards against crashes that count again after a takeover though a run has outlived them (LOST).
+TEST_CASE("a task that a run has cleared is cleared for the next leader too") {
+  CrashHarness harness(12);
+  harness.Submit(JobId(1), {MakeStep(1, 8)});
+  for (int outage = 0; outage < 2; ++outage) {
+    harness.Advance(std::chrono::seconds(4));
+    const std::vector<std::string> hit = harness.WorkersOf(JobId(1));
+    REQUIRE(hit.size() == 1);
+    harness.Crash({"w1", "w2", "w3", "w4", "w5", "w6", hit.front()});
+  }
+  const ledger::TaskId task{.job_ = JobId(1)};
+  CHECK(harness.records_.at(task).crashes_.size() == 2);
+  harness.Advance(std::chrono::seconds(30));
+  CHECK(harness.records_.at(task).outcome_ == ledger::TaskOutcome::kStarted);
+  CHECK(harness.records_.at(task).crashes_.empty());
+}
+
+// Guards against a crash that the next leader doesn't know of, as the run's end was stored before
+// the worker came back (BUDGET).
+TEST_CASE("a crash that shows after the run was given up is stored") {
+  CrashHarness harness(12);
+  harness.Submit(JobId(1), {MakeStep(1, 8)});
+  harness.Advance(std::chrono::seconds(2));
+  const std::vector<std::string> hit = harness.WorkersOf(JobId(1));
+  REQUIRE(hit.size() == 1);
+  harness.Replace(hit.front(), core::Milliseconds(9000));
+  harness.Advance(core::Milliseconds(500));
+  const ledger::TaskRecord& record = harness.records_.at({.job_ = JobId(1)});
+  CHECK(record.run_ == 2);
+  CHECK(record.crashes_.size() == 1);
+}
+
 }  // namespace laburnumledge::dispatch
