Record a failure of an older run with the run that goes on

What callers could see: one more run than `max_attempts` allows. Not seen on a site.

A run that nobody had counted, such as a start that was carried out late, can be listed as failed while a newer run of its task is at work. The failure counted in memory and was acknowledged, and no record told of it until the newer run's end: a successor began without it.

Change: the record of the newer run is written again with the count.

Shown: the new test in dispatch/takeover.cpp, which fails without the change (no record is written).

--- a/src/laburnumledge/dispatch/dispatcher_outcomes.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_outcomes.cpp
@@ -67,6 +67,9 @@
   const ledger::Step& spec = job.submission_->steps_[run.task_.step_];
   if (task->failed_run_ < run.run_) {
     CountFailure(run, spec);
+    if (task->run_ != run.run_) {
+      RecordAgain(run.task_, now);  // No end of the newest run tells of it yet.
+    }
   }
   // A member whose gang's failure is counted already has ended as well, and a successor must know.
   RequeueTask(run, RunResult::kFailed, {}, batch, now);
--- a/test/laburnumledge/dispatch/takeover.cpp
+++ b/test/laburnumledge/dispatch/takeover.cpp
@@ -20,9 +20,9 @@
   return {.job_ = JobId(1), .occurrence_ = 0, .step_ = 0, .index_ = index};
 }
 
-ledger::TaskRecord StartedOn(const std::string& worker) {
+ledger::TaskRecord StartedOn(const std::string& worker, std::uint64_t run = 1) {
   return {.outcome_ = ledger::TaskOutcome::kStarted,
-          .run_ = 1,
+          .run_ = run,
           .worker_ = worker,
           .incarnation_ = 1000,
           .worker_address_ = config::ToString(MakeEntry(worker).address_)};
@@ -35,6 +35,7 @@
   std::map<std::string, std::vector<platform::FinishedRun>> finished_;  ///< Listed by worker.
   std::map<std::string, std::vector<platform::ActiveRun>> running_;
   std::map<ledger::TaskId, ledger::TaskRecord> ended_;  ///< Records of ends that it wrote.
+  std::map<ledger::TaskId, ledger::TaskRecord> begun_;  ///< Records of starts that it wrote.
   std::vector<StartAction> starts_;
   std::vector<StopAction> stops_;
   std::vector<StatusChange> statuses_;
@@ -76,9 +77,7 @@
       }
       for (const RecordBatch& batch : actions.records_) {
         for (const auto& [id, record] : batch.tasks_) {
-          if (record.outcome_ == ledger::TaskOutcome::kWaiting) {
-            ended_[id] = record;
-          }
+          (record.outcome_ == ledger::TaskOutcome::kWaiting ? ended_ : begun_)[id] = record;
         }
         next_.OnRecorded(batch.number_, now_);
       }
@@ -147,4 +146,21 @@
   }
 }
 
+// Guards against a failure that one leader has counted and acknowledged, and the next doesn't know.
+TEST_CASE("a failure of an older run is recorded with the run that goes on") {
+  GangTakeover takeover(StartedOn("w1", 2), StartedOn("w2", 2));
+  takeover.running_["w1"] = {{.task_ = MemberOf(0), .run_ = 2}};
+  takeover.running_["w2"] = {{.task_ = MemberOf(1), .run_ = 2}, {.task_ = MemberOf(0), .run_ = 1}};
+  takeover.Advance(3 * kStep);
+  takeover.running_["w2"].pop_back();
+  takeover.ListEnd("w2", 0, RunResult::kFailed);
+  takeover.Advance(core::Milliseconds(2000));
+  CHECK(takeover.ended_.empty());
+  REQUIRE(takeover.begun_.contains(MemberOf(0)));
+  const ledger::TaskRecord& record = takeover.begun_.at(MemberOf(0));
+  CHECK(record.run_ == 2);
+  CHECK(record.failures_ == 1);
+  CHECK(record.failed_run_ == 1);
+}
+
 }  // namespace laburnumledge::dispatch
