--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -235,4 +235,53 @@
   });
 }
 
+void PlayTimes(World& world, bool trouble) {
+  static const std::string kJob = "00000000000000e1";
+  static constexpr int kFewerMinions = 18;  // The last one is alone in its rack.
+  static constexpr Ms kInterval{250};
+  static core::TimePoint first;
+  world.AddMinions(kFewerMinions, kMinion);
+  for (int node = 0; node < kNodes; ++node) {
+    world.StartNode();
+  }
+  const std::string rack = world.minions_.back()->rack_;
+  world.At(Ms(2000), [&world, rack] {
+    const auto unix_ms = std::chrono::duration_cast<Ms>(
+        std::chrono::system_clock::now().time_since_epoch());
+    first = world.Now();
+    world.Submit(kJob, "ms=100",
+                 Json::array({{{"count", 1},
+                               {"cpu", 11000},
+                               {"mem_mb", 23000},
+                               {"gpus", 1},
+                               {"estimate_ms", 100}},
+                              {{"count", 1},
+                               {"cpu", 11000},
+                               {"mem_mb", 23000},
+                               {"gpus", 1},
+                               {"estimate_ms", 100},
+                               {"constraints", rack},
+                               {"after", {0}}}}),
+                 0,
+                 {{"repeats", 1000},
+                  {"start_at_ms", unix_ms.count()},
+                  {"interval_ms", kInterval.count()}});
+  });
+  world.At(Ms(6000), [&world, trouble] {
+    if (!world.IsAccepted(kJob)) {
+      world.GiveUp("the job was not accepted");
+    } else if (trouble) {
+      world.minions_.back()->Drain(Ms(2000));
+    }
+  });
+  // The traffic ends at 6 s; jobs are judged `finish_s` later. A time counts as due one interval late.
+  for (int ms = 20000; ms < 40000; ms += 50) {
+    world.At(Ms(ms), [&world] {
+      world.CheckIdleTimes(kJob, static_cast<int>((world.Now() - first) / kInterval));
+    });
+  }
+  world.At(Ms(39000), [&world] { world.Show(kJob, 1); });
+  world.At(Ms(40000), [&world] { world.Finish(); });
+}
+
 }  // namespace review
--- a/review/standins-3/cases.hpp
+++ b/review/standins-3/cases.hpp
@@ -17,4 +17,7 @@
  * and the task's minion leaves as planned. */
 void PlayDoubt(World& world, bool trouble);
 
+/** @brief The one minion that the second step of a job that repeats can use leaves. */
+void PlayTimes(World& world, bool trouble);
+
 }  // namespace review
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -11,6 +11,7 @@
       {"lasting", review::PlayLasting},
       {"schedule", review::PlaySchedule},
       {"doubt", review::PlayDoubt},
+      {"times", review::PlayTimes},
   };
   if (argc != 4 || !cases.contains(argv[1])) {
     return 2;
--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -757,6 +757,34 @@
   }
 }
 
+void World::CheckIdleTimes(const std::string& job, int due) {
+  if (!jobs_.contains(job)) {
+    return;
+  }
+  bool running = false;
+  for (const auto& minion : minions_) {
+    for (const auto& [task, run] : minion->runs_) {
+      running = running || JobOf(task) == job;
+    }
+  }
+  int waiting = 0;
+  for (int time = 0; time < due; ++time) {
+    waiting += done_.contains(fmt::format("{}.{}.0.0", job, time)) ? 0 : 1;
+  }
+  const bool idle =
+      !running && waiting > 0 && CountFits(jobs_.at(job).front()) >= 2 * waiting && IsUnderHalf();
+  if (!idle) {
+    idle_since_.erase(job);
+    return;
+  }
+  const core::TimePoint since = idle_since_.try_emplace(job, loop_.Now()).first->second;
+  if (loop_.Now() - since >= Ms(3000)) {
+    Broken(fmt::format("LOST: job {} has had nothing running for 3 s; {} of its {} times that are due "
+                       "have not begun, with room for them twice over",
+                       job, waiting, due));
+  }
+}
+
 void World::CheckLastingTasks() {
   for (const auto& [task, ended] : last_end_) {
     const StepSpec* step = FindStep(task);
--- a/review/standins-3/world.hpp
+++ b/review/standins-3/world.hpp
@@ -189,6 +189,9 @@
   /** @brief Checks the last part of LOST for a job that doesn't last: called often from the end of
    * the traffic and `finish_s` on. */
   void CheckIdleJob(const std::string& job);
+  /** @brief The same for the first step, of one task, of a job that repeats.
+   * @param due Number of its times that are due. */
+  void CheckIdleTimes(const std::string& job, int due);
   /** @brief Checks the part of LOST for each task that lasts: called often at any time. */
   void CheckLastingTasks();
 
