--- a/review/standins-3/world.cpp
+++ b/review/standins-3/world.cpp
@@ -29,11 +29,21 @@
 
 std::string JobOf(const std::string& task) { return task.substr(0, task.find('.')); }
 
-/** A free loopback port: that of a server that is closed again at once. */
+/** A free loopback port, below those that the kernel gives to outgoing connections, so that it stays
+ * free until its node listens. Scripts that run beside each other begin at different ports. */
 std::uint16_t FreePort(laburnumledge::loop::Loop& loop) {
-  const auto server = http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = 0}, {},
-                                          [](const http::Request&, const http::Respond&) {});
-  return server->Port();
+  constexpr int kFirst = 11000;
+  constexpr int kPorts = 20000;
+  constexpr int kStride = 37;
+  static int next = getpid() * kStride;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kPorts);
+    const auto server = http::Server::Start(loop, {.ip_ = "127.0.0.1", .port_ = port}, {},
+                                            [](const http::Request&, const http::Respond&) {});
+    if (server != nullptr) {
+      return port;
+    }
+  }
 }
 
 }  // namespace
@@ -441,6 +451,7 @@
 
 void World::Terminate(Node& node) {
   Note(node.name_ + " gets SIGTERM");
+  node.stops_ = true;
   kill(node.pid_, SIGTERM);
   const auto timer = std::make_shared<laburnumledge::loop::Handle>();
   *timer = loop_.CallEvery(Ms(20), [this, raw = &node, timer] {
@@ -734,7 +745,7 @@
 }
 
 void World::CheckIdleJob(const std::string& job) {
-  if (!jobs_.contains(job)) {
+  if (!IsAccepted(job)) {
     return;
   }
   const std::vector<StepSpec>& steps = jobs_.at(job);
@@ -758,7 +769,7 @@
 }
 
 void World::CheckIdleTimes(const std::string& job, int due) {
-  if (!jobs_.contains(job)) {
+  if (!IsAccepted(job)) {
     return;
   }
   bool running = false;
@@ -791,7 +802,8 @@
     if (step == nullptr || !step->lasting_) {
       continue;
     }
-    const bool idle = loop_.Now() >= ended + Ms(6000) && CountFits(*step) >= 2;
+    const bool idle =
+        IsAccepted(JobOf(task)) && loop_.Now() >= ended + Ms(6000) && CountFits(*step) >= 2;
     if (!idle) {
       idle_since_.erase(task);
       continue;
@@ -815,6 +827,15 @@
 void World::Finish() { loop_.Stop(); }
 
 int World::Run() {
+  // A node that ends by itself, as for a port that is taken, spoils the case.
+  loop_.CallEvery(Ms(200), [this] {
+    for (const auto& node : nodes_) {
+      if (node->pid_ > 0 && !node->stops_ && waitpid(node->pid_, nullptr, WNOHANG) == node->pid_) {
+        node->pid_ = 0;
+        GiveUp(node->name_ + " has ended by itself");
+      }
+    }
+  });
   loop_.OnSignal(SIGTERM, [this] { GiveUp("ended from outside"); });
   loop_.OnSignal(SIGINT, [this] { GiveUp("ended from outside"); });
   loop_.Run();
--- a/review/standins-3/world.hpp
+++ b/review/standins-3/world.hpp
@@ -123,6 +123,7 @@
   std::uint16_t front_{};
   std::uint64_t peak_mb_{};   ///< Highest memory in use that was seen.
   int killed_for_memory_{};
+  bool stops_{};  ///< It was told to end.
 };
 
 /** @brief All parts of the deployment, the record of what was seen, and the checks. */
