Don't count the processors of tasks that use idle ones against workers

Cause: one field of a step stood for what its tasks ask for and for what counts against their worker. `fills` was read and stored, and used for pacing alone; every place that counts room took the request.

A unit test without any failure, in which nothing is noted about workers, shows the same, so that it is the planner's count that finds no room.

Change: SetRequestedResources splits a request into `task_resources_`, which counts against a worker, and `idle_cpu_millis_`, which doesn't, for parsed and for stored jobs; records stay as they were. Quotas, refusals by quota and lost work go by the request, all else by what counts. Best fit would have gathered such tasks on the fullest worker, so they go to the most idle processors, away from serving tasks, gangs task by task. Their progress counts against a worker only where it leaves what they ask for. A run is stopped only for a resource that it holds. ReserveUrgentHeadroom moves to urgent_headroom.cpp.

--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -163,6 +163,8 @@
         worker, {.task_ = id, .run_ = record.run_},
         {.phase_ = RunPhase::kStartSent,
          .needs_ = spec.task_resources_,
+         .idle_cpu_millis_ = spec.idle_cpu_millis_,
+         .serves_ = spec.response_target_.count() > 0,
          .organisation_ = job->organisation_,
          .priority_ = job->treatment_.priority_,
          .command_attempts_ = internal::kMaxStartAttempts,
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -285,7 +285,7 @@
   void StopOrphanedRun(Worker& worker, const RunId& run, core::TimePoint now);
   [[nodiscard]] ProgressVerdict UpdateRunProgress(const RunId& run, AssignedRun& assigned,
                                                   const platform::ActiveRun& row,
-                                                  core::TimePoint now);
+                                                  bool lacks_idle_cpus, core::TimePoint now);
   void MarkUnlistedRunsLost(Worker& worker, const std::set<RunId>& listed, core::TimePoint sent,
                             core::TimePoint now);
   void FinishRun(Worker& worker, const RunId& run, platform::RunResult end,
--- a/src/laburnumledge/dispatch/dispatcher_ends.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_ends.cpp
@@ -134,7 +134,9 @@
       .phase_ = RunPhase::kRunning, .address_ = CallAddress(worker), .settled_at_ = now};
   if (Job* job = FindJob(job_table_, run.task_.job_)) {
     if (run.task_.step_ < job->submission_->steps_.size()) {
-      orphan.needs_ = job->submission_->steps_[run.task_.step_].task_resources_;
+      const ledger::Step& spec = job->submission_->steps_[run.task_.step_];
+      orphan.needs_ = spec.task_resources_;
+      orphan.idle_cpu_millis_ = spec.idle_cpu_millis_;
     }
     orphan.organisation_ = job->organisation_;
     ++job->outstanding_runs_;
@@ -149,7 +151,8 @@
 }
 
 ProgressVerdict Dispatcher::UpdateRunProgress(const RunId& run, AssignedRun& assigned,
-                                              const platform::ActiveRun& row, core::TimePoint now) {
+                                              const platform::ActiveRun& row, bool lacks_idle_cpus,
+                                              core::TimePoint now) {
   if (assigned.phase_ == RunPhase::kStartSent && !assigned.command_in_flight_) {
     assigned.phase_ = RunPhase::kRunning;
     assigned.settled_at_ = now;
@@ -161,7 +164,7 @@
     assigned.checkpoint_ = row.checkpoint_;
     assigned.checkpointed_ = now;
   }
-  if (IsPaced(assigned.pace_)) {
+  if (IsPaced(assigned.pace_) || (lacks_idle_cpus && assigned.idle_cpu_millis_ > 0)) {
     // The progress of a slowed run says nothing about its worker.
     StartProgressMeasurement(assigned.progress_rate_, now);
     assigned.progress_rate_.progress_percent_ = static_cast<double>(row.progress_percent_);
@@ -208,6 +211,7 @@
   std::set<RunId> listed;
   std::vector<RunId> slow_runs;
   std::uint32_t normal = 0;
+  const bool lacks_idle_cpus = LacksIdleCpus(worker);
   for (const platform::ActiveRun& row : rows) {
     const RunId run{.task_ = row.task_, .run_ = row.run_};
     listed.insert(run);
@@ -223,7 +227,8 @@
       UpdateHealth(worker, true, now);  // The run does not end by itself.
     }
     BeginExposure(found->second.exposure_, found->second.progress_rate_);
-    const ProgressVerdict verdict = UpdateRunProgress(run, found->second, row, now);
+    const ProgressVerdict verdict =
+        UpdateRunProgress(run, found->second, row, lacks_idle_cpus, now);
     normal += verdict == ProgressVerdict::kNormal ? 1 : 0;
     if (verdict == ProgressVerdict::kSlow) {
       slow_runs.push_back(run);
--- a/src/laburnumledge/dispatch/dispatcher_plan.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_plan.cpp
@@ -315,6 +315,8 @@
         worker, run,
         {.phase_ = RunPhase::kRecording,
          .needs_ = spec.task_resources_,
+         .idle_cpu_millis_ = spec.idle_cpu_millis_,
+         .serves_ = spec.response_target_.count() > 0,
          .organisation_ = job.organisation_,
          .priority_ = job.treatment_.priority_,
          .gang_ = spec.gang_,
--- a/src/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -41,11 +41,12 @@
       continue;
     }
     const AssignedRun& assigned = found->second;
-    site::Resources& used = use[assigned.organisation_].assigned_;
-    if (FitsQuota(assigned.needs_, used, organisations_.all_[assigned.organisation_].quota_)) {
+    site::Resources& used = use[assigned.organisation_].requested_;
+    if (FitsQuota(RequestedResources(assigned), used,
+                  organisations_.all_[assigned.organisation_].quota_)) {
       continue;
     }
-    used -= assigned.needs_ * assigned.gang_size_;
+    used -= RequestedResources(assigned) * assigned.gang_size_;
     if (assigned.gang_) {
       StopGang(run, kOverQuota, now);
     } else {
@@ -58,9 +59,10 @@
  * first. */
 bool Dispatcher::QuotaAllowsRetry(const AssignedRun& assigned) const {
   return !organisations_.has_quotas_ ||
-         FitsQuota(assigned.needs_,
-                   MeasureOrganisationUse(organisations_, fleet_)[assigned.organisation_].assigned_,
-                   organisations_.all_[assigned.organisation_].quota_);
+         FitsQuota(
+             RequestedResources(assigned),
+             MeasureOrganisationUse(organisations_, fleet_)[assigned.organisation_].requested_,
+             organisations_.all_[assigned.organisation_].quota_);
 }
 
 /** Makes a plan. Its order follows the organisations' shares while work waits for capacity: if the
@@ -116,7 +118,7 @@
     if (limits.quota_ == site::kUnlimited) {
       continue;
     }
-    const site::Resources& used = organisation_use_[index].assigned_;
+    const site::Resources& used = organisation_use_[index].requested_;
     core::LogEvent(Level::kInfo, EventPriority::kLow, "plan.quota",
                    {{"organisation", limits.name_},
                     {"gpus", used.gpus_},
--- a/src/laburnumledge/dispatch/explanation.cpp
+++ b/src/laburnumledge/dispatch/explanation.cpp
@@ -195,17 +195,21 @@
   const OrganisationLimits& limits = snapshot.organisations_.all_[job.organisation_];
   site::Resources all;
   site::Resources used;
+  site::Resources requested;
   for (const auto& [id, worker] : snapshot.fleet_.workers_) {
     all += worker.listed_ ? worker.entry_.capacity_ : site::Resources{};
     for (const auto& [run, assigned] : worker.assigned_runs_) {
-      used += assigned.organisation_ == job.organisation_ ? assigned.needs_ : site::Resources{};
+      if (assigned.organisation_ == job.organisation_) {
+        used += assigned.needs_;
+        requested += RequestedResources(assigned);
+      }
     }
   }
   const auto share = [](std::int64_t part, std::int64_t of) {
     return of > 0 ? static_cast<double>(part) / static_cast<double>(of) : 0.0;
   };
   return {.organisation_ = limits.name_,
-          .used_ = used,
+          .used_ = requested,
           .limit_ = limits.quota_,
           .guaranteed_gpus_ = limits.guaranteed_gpus_,
           .weight_ = limits.weight_,
--- a/src/laburnumledge/dispatch/explanation_workers.cpp
+++ b/src/laburnumledge/dispatch/explanation_workers.cpp
@@ -14,7 +14,7 @@
 /** Whether a quota can never hold a single task or, for a gang, all tasks of a step. */
 bool IsBeyondQuota(const ledger::Step& spec, const site::Resources& quota) {
   const std::uint32_t wanted = spec.gang_ ? spec.count_ : 1;
-  return CountFits(spec.task_resources_, quota, wanted) < wanted;
+  return CountFits(ledger::RequestedResources(spec), quota, wanted) < wanted;
 }
 
 /** Reason that lies in the worker itself, whatever is free there. */
--- a/src/laburnumledge/dispatch/fleet.cpp
+++ b/src/laburnumledge/dispatch/fleet.cpp
@@ -51,10 +51,22 @@
          worker.results_processed_ == worker.results_acknowledged_;
 }
 
+site::Resources RequestedResources(const AssignedRun& assigned) noexcept {
+  return assigned.needs_ + site::Resources{.cpu_millis_ = assigned.idle_cpu_millis_};
+}
+
 site::Resources FreeResources(const Worker& worker) noexcept {
   return worker.entry_.capacity_ - worker.used_;
 }
 
+bool LacksIdleCpus(const Worker& worker) noexcept {
+  std::int64_t wanted = 0;
+  for (const auto& [run, assigned] : worker.assigned_runs_) {
+    wanted += assigned.idle_cpu_millis_;
+  }
+  return wanted > FreeResources(worker).cpu_millis_;
+}
+
 core::WorkerTime EstimateClock(const Worker& worker, core::TimePoint now) noexcept {
   if (!worker.clock_.has_value()) {
     return worker.entry_.clock_;
--- a/src/laburnumledge/dispatch/fleet.hpp
+++ b/src/laburnumledge/dispatch/fleet.hpp
@@ -40,7 +40,9 @@
 /** @brief Run that is, or may be, on a worker; its resources count as used there. */
 struct AssignedRun {
   RunPhase phase_{RunPhase::kRecording};
-  site::Resources needs_;
+  site::Resources needs_;           ///< Counted against the worker's capacity.
+  std::int64_t idle_cpu_millis_{};  ///< Asked for beyond that; see ledger::Step.
+  bool serves_{};                   ///< The task has a target for its response time.
   OrganisationIndex organisation_{kNoOrganisation};
   std::uint32_t priority_{};
   std::uint32_t command_attempts_{};  ///< Commands sent in the present phase.
@@ -171,9 +173,16 @@
 [[nodiscard]] bool OutlastsSuspicion(const AssignedRun& assigned, const Health& health,
                                      core::TimePoint now) noexcept;
 
+/** @brief Resources that a run's task asks for, counted against the worker's capacity or not. */
+[[nodiscard]] site::Resources RequestedResources(const AssignedRun& assigned) noexcept;
+
 /** @brief Resources of a worker that no assigned run uses. */
 [[nodiscard]] site::Resources FreeResources(const Worker& worker) noexcept;
 
+/** @brief Whether the processors that a worker's counted tasks leave are fewer than those that its
+ * other tasks ask for. The progress of the latter then says nothing about the worker. */
+[[nodiscard]] bool LacksIdleCpus(const Worker& worker) noexcept;
+
 /** @brief Lower bound of the worker's clock at a local time; the entry's clock if none was read. */
 [[nodiscard]] core::WorkerTime EstimateClock(const Worker& worker, core::TimePoint now) noexcept;
 
--- a/src/laburnumledge/dispatch/organisations.cpp
+++ b/src/laburnumledge/dispatch/organisations.cpp
@@ -68,8 +68,9 @@
     for (const auto& [run, assigned] : worker.assigned_runs_) {
       OrganisationUse& organisation = use[assigned.organisation_];
       organisation.assigned_ += assigned.needs_;
+      organisation.requested_ += RequestedResources(assigned);
       if (internal::IsBeingStopped(assigned)) {
-        organisation.stopping_ += assigned.needs_;
+        organisation.stopping_ += RequestedResources(assigned);
       }
     }
   }
--- a/src/laburnumledge/dispatch/organisations.hpp
+++ b/src/laburnumledge/dispatch/organisations.hpp
@@ -53,8 +53,9 @@
 /** @brief Resources in use by one organisation. A run counts from the decision to start it until
  * its worker has listed its end or its lease has expired for certain. */
 struct OrganisationUse {
-  site::Resources assigned_;
-  site::Resources stopping_;  ///< Part of `assigned_` that is being stopped.
+  site::Resources assigned_;   ///< Counted against the capacity of workers; makes up the share.
+  site::Resources requested_;  ///< What the tasks ask for; counts against the quota.
+  site::Resources stopping_;   ///< Part of `requested_` that is being stopped.
 };
 
 /** @brief GPUs that are guaranteed to all organisations together. */
--- a/src/laburnumledge/dispatch/planner.cpp
+++ b/src/laburnumledge/dispatch/planner.cpp
@@ -236,6 +236,8 @@
       if (IsBeingStopped(assigned)) {
         candidate.free_after_stops_ += assigned.needs_;
       }
+      candidate.serves_ = candidate.serves_ || assigned.serves_;
+      candidate.wanted_idle_cpu_millis_ += assigned.idle_cpu_millis_;
       if (assigned.crash_suspect_) {
         candidate.crash_suspect_job_ = &run.task_.job_;
       }
@@ -279,26 +281,6 @@
          idle(used.gpus_, all.gpus_);
 }
 
-void ReserveUrgentHeadroom(std::vector<CandidateWorker>& candidates, std::int64_t gpus) {
-  std::vector<CandidateWorker*> order;
-  order.reserve(candidates.size());
-  for (CandidateWorker& candidate : candidates) {
-    order.push_back(&candidate);
-  }
-  std::sort(order.begin(), order.end(),
-            [](const CandidateWorker* left, const CandidateWorker* right) {
-              return std::tie(left->worker_->entry_.rack_, left->worker_->entry_.id_) <
-                     std::tie(right->worker_->entry_.rack_, right->worker_->entry_.id_);
-            });
-  for (CandidateWorker* candidate : order) {
-    if (gpus < candidate->worker_->entry_.capacity_.gpus_ || gpus == 0) {
-      return;
-    }
-    candidate->urgent_headroom_ = true;
-    gpus -= candidate->worker_->entry_.capacity_.gpus_;
-  }
-}
-
 bool IsUrgent(const ReadyStep& step) noexcept { return step.job_->treatment_.priority_ == 0; }
 
 bool MayPreempt(const Planner& planner, const ReadyStep& step) noexcept {
--- a/src/laburnumledge/dispatch/planner.hpp
+++ b/src/laburnumledge/dispatch/planner.hpp
@@ -35,6 +35,8 @@
   site::Resources free_beside_reservation_;  ///< Free from then on beside the reserved resources.
   KindSet kinds_{};                          ///< Kinds of the runs here; empty if no pair is known.
   bool recently_failed_{};  ///< A run failed here recently, possibly by the worker's fault.
+  bool serves_{};           ///< A run here has a target for its response time.
+  std::int64_t wanted_idle_cpu_millis_{};  ///< Idle processors that the tasks here ask for.
 };
 
 /** @brief Order of steps of the same priority. The last two take part only while work waits for
--- a/src/laburnumledge/dispatch/preemption.cpp
+++ b/src/laburnumledge/dispatch/preemption.cpp
@@ -53,6 +53,17 @@
   std::vector<RunId> runs_;
 };
 
+/** Whether a run holds a kind of resource that a number of tasks lack. */
+bool HoldsMissing(const AssignedRun& assigned, const site::Resources& wanted,
+                  const site::Resources& available) noexcept {
+  const auto helps = [](std::int64_t held, std::int64_t needed, std::int64_t free) {
+    return held > 0 && needed > free;
+  };
+  return helps(assigned.needs_.cpu_millis_, wanted.cpu_millis_, available.cpu_millis_) ||
+         helps(assigned.needs_.memory_mb_, wanted.memory_mb_, available.memory_mb_) ||
+         helps(assigned.needs_.gpus_, wanted.gpus_, available.gpus_);
+}
+
 /** Selects runs of a worker to preempt, least lost work per GPU first, until the wanted tasks fit
  * or no preemptible run is left; empty if not a single task fits. */
 std::optional<WorkerPreemption> CheapestPreemption(const Planner& planner,
@@ -78,6 +89,9 @@
       break;
     }
     const AssignedRun& assigned = candidate.worker_->assigned_runs_.at(run);
+    if (!HoldsMissing(assigned, step.spec_->task_resources_ * limit, available)) {
+      continue;
+    }
     available += assigned.needs_;
     preemption.cost_ += LostWork(assigned, now);
     preemption.runs_.push_back(run);
@@ -134,7 +148,7 @@
 /** Whether an urgent step should wait, since preempting runs would throw away far more work than
  * its tasks do. */
 bool IsLossTooHigh(const ReadyStep& step, std::size_t tasks, double lost_work) noexcept {
-  const double own_work = site::WeightInCores(step.spec_->task_resources_) *
+  const double own_work = site::WeightInCores(ledger::RequestedResources(*step.spec_)) *
                           static_cast<double>(tasks) *
                           std::chrono::duration<double>(step.duration_).count();
   return IsUrgent(step) && lost_work > own_work * kMaxUrgentLoss && !step.start_due_;
@@ -255,7 +269,7 @@
   if (assigned.phase_ == RunPhase::kRunning) {
     unsaved += now - std::max(assigned.started_, assigned.checkpointed_);
   }
-  return site::WeightInCores(assigned.needs_) * assigned.gang_size_ *
+  return site::WeightInCores(RequestedResources(assigned)) * assigned.gang_size_ *
          (1.0 + assigned.preemptions_) * std::chrono::duration<double>(unsaved).count();
 }
 
--- a/src/laburnumledge/dispatch/quota.cpp
+++ b/src/laburnumledge/dispatch/quota.cpp
@@ -18,7 +18,7 @@
 /** Own run of an organisation, or a gang's runs, that an urgent step may preempt. */
 struct OwnRuns {
   double lost_work_per_gpu_{};
-  site::Resources needs_;
+  site::Resources requested_;
   std::vector<std::pair<RunId, CandidateWorker*>> runs_;
 };
 
@@ -44,7 +44,7 @@
       RunId first = run;
       first.task_.index_ = assigned.gang_ ? 0 : run.task_.index_;
       OwnRuns& unit = units[first];
-      unit.needs_ += assigned.needs_;
+      unit.requested_ += RequestedResources(assigned);
       unit.lost_work_per_gpu_ =
           std::max(unit.lost_work_per_gpu_, LostWork(assigned, planner.context_.time_.now_));
       unit.runs_.emplace_back(run, &candidate);
@@ -52,7 +52,8 @@
   }
   std::vector<OwnRuns> runs;
   for (auto& [first, unit] : units) {
-    unit.lost_work_per_gpu_ /= static_cast<double>(std::max<std::int64_t>(1, unit.needs_.gpus_));
+    unit.lost_work_per_gpu_ /=
+        static_cast<double>(std::max<std::int64_t>(1, unit.requested_.gpus_));
     runs.push_back(std::move(unit));
   }
   std::stable_sort(runs.begin(), runs.end(), [](const OwnRuns& left, const OwnRuns& right) {
@@ -75,11 +76,11 @@
  * many single tasks as can fit. Preempts nothing if that would not make room. */
 void PreemptOwnRuns(Planner& planner, const ReadyStep& step, std::uint32_t waiting) {
   QuotaRoom& room = planner.quota_rooms_[step.job_->organisation_];
-  const site::Resources& each = step.spec_->task_resources_;
+  const site::Resources each = ledger::RequestedResources(*step.spec_);
   const std::vector<OwnRuns> runs = CollectOwnRuns(planner, step);
   site::Resources most = room.free_after_stops_;
   for (const OwnRuns& unit : runs) {
-    most += unit.needs_;
+    most += unit.requested_;
   }
   const std::uint32_t count = CountFits(each, most, waiting);
   if (count == 0 || (step.spec_->gang_ && count < waiting)) {
@@ -89,7 +90,7 @@
     if (CountFits(each, room.free_after_stops_, count) == count) {
       break;
     }
-    room.free_after_stops_ += unit.needs_;
+    room.free_after_stops_ += unit.requested_;
     Preempt(planner, step, unit);
   }
   // Further urgent steps need room of their own.
@@ -106,7 +107,7 @@
   }
   rooms.reserve(organisations.all_.size());
   for (std::size_t index = 0; index < organisations.all_.size(); ++index) {
-    const site::Resources free = organisations.all_[index].quota_ - use[index].assigned_;
+    const site::Resources free = organisations.all_[index].quota_ - use[index].requested_;
     rooms.push_back({.free_ = free, .free_after_stops_ = free + use[index].stopping_});
   }
   return rooms;
@@ -118,9 +119,10 @@
     return waiting;
   }
   const QuotaRoom& room = planner.quota_rooms_[step.job_->organisation_];
-  const std::size_t fits = room.held_back_ ? 0
-                                           : CountFits(step.spec_->task_resources_, room.free_,
-                                                       static_cast<std::uint32_t>(waiting));
+  const std::size_t fits = room.held_back_
+                               ? 0
+                               : CountFits(ledger::RequestedResources(*step.spec_), room.free_,
+                                           static_cast<std::uint32_t>(waiting));
   return step.spec_->gang_ && fits < waiting ? 0 : fits;
 }
 
@@ -129,9 +131,10 @@
     return;
   }
   QuotaRoom& room = planner.quota_rooms_[step.job_->organisation_];
-  const site::Resources needs = step.spec_->task_resources_ * static_cast<std::uint32_t>(tasks);
-  room.free_ -= needs;
-  room.free_after_stops_ -= needs;
+  const site::Resources requested =
+      ledger::RequestedResources(*step.spec_) * static_cast<std::uint32_t>(tasks);
+  room.free_ -= requested;
+  room.free_after_stops_ -= requested;
 }
 
 void WaitForQuota(Planner& planner, const ReadyStep& step) {
@@ -139,7 +142,8 @@
   const OrganisationLimits& limits =
       planner.context_.organisations_->all_[step.job_->organisation_];
   const auto waiting = static_cast<std::uint32_t>(step.tasks_.size());
-  const std::uint32_t most = CountFits(step.spec_->task_resources_, limits.quota_, waiting);
+  const std::uint32_t most =
+      CountFits(ledger::RequestedResources(*step.spec_), limits.quota_, waiting);
   const std::int64_t waiting_gpus = (step.spec_->task_resources_ * waiting).gpus_;
   room.wait_.gpus_ += waiting_gpus;
   if (most == 0 || (step.spec_->gang_ && most < waiting)) {
--- a/src/laburnumledge/dispatch/start_estimate.cpp
+++ b/src/laburnumledge/dispatch/start_estimate.cpp
@@ -97,7 +97,7 @@
 /** Whether a number of tasks of the step fit, behind the tasks ahead of it. */
 bool HasRoom(const Room& room, const ReadyStep& step, std::uint64_t ahead, std::uint32_t tasks) {
   return room.total_tasks_ >= ahead + tasks &&
-         CountFits(step.spec_->task_resources_, room.quota_, tasks) >= tasks;
+         CountFits(ledger::RequestedResources(*step.spec_), room.quota_, tasks) >= tasks;
 }
 
 void NoteStarts(StartEstimate& estimate, const Room& room, const ReadyStep& step,
@@ -122,7 +122,7 @@
   const auto all = static_cast<std::uint32_t>(step.tasks_.size());
   const std::uint32_t first = step.spec_->gang_ ? all : 1;
   const std::uint64_t at_once = std::min<std::uint64_t>(
-      room.total_tasks_, CountFits(step.spec_->task_resources_, room.quota_, all));
+      room.total_tasks_, CountFits(ledger::RequestedResources(*step.spec_), room.quota_, all));
   if (at_once < first) {
     return;
   }
@@ -150,7 +150,7 @@
       return estimate;
     }
     if (end.run_->organisation_ == step.job_->organisation_) {
-      room.quota_ += end.run_->needs_;
+      room.quota_ += RequestedResources(*end.run_);
     }
     if (end.candidate_ != kNoCandidate) {
       room.free_[end.candidate_] += end.run_->needs_;
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -54,17 +54,22 @@
 
 /** Sort key of offers: workers without a recent failure first, then those that were not silent when
  * last asked, or were so longest ago, then urgent headroom (for steps that may use it), then the
- * least interference, then best fit: the fewest GPUs, then processors, left free by the tasks. */
-std::tuple<bool, core::TimePoint, bool, double, std::int64_t, std::int64_t> OfferRank(
+ * least interference, then best fit: the fewest GPUs, then processors, left free by the tasks.
+ * Tasks that use idle processors go to workers without serving tasks first, whose response times
+ * they would lengthen, and then to the most idle processors that nobody asks for. */
+std::tuple<bool, core::TimePoint, bool, double, bool, std::int64_t, std::int64_t> OfferRank(
     const Offer& offer, const ReadyStep& step, std::uint32_t wanted, double cost) noexcept {
+  const CandidateWorker& candidate = *offer.candidate_;
   const site::Resources left =
-      offer.candidate_->free_ - step.spec_->task_resources_ * std::min(offer.count_, wanted);
-  return {offer.candidate_->recently_failed_,
-          offer.candidate_->worker_->silent_at_,
-          !offer.candidate_->urgent_headroom_,
+      candidate.free_ - step.spec_->task_resources_ * std::min(offer.count_, wanted);
+  const bool spreads = step.spec_->uses_idle_cpus_;
+  return {candidate.recently_failed_,
+          candidate.worker_->silent_at_,
+          !candidate.urgent_headroom_,
           cost,
-          left.gpus_,
-          left.cpu_millis_};
+          spreads && candidate.serves_,
+          spreads && step.spec_->task_resources_.gpus_ == 0 ? 0 : left.gpus_,
+          spreads ? candidate.wanted_idle_cpu_millis_ - left.cpu_millis_ : left.cpu_millis_};
 }
 
 bool IsBetterOffer(const Planner& planner, const Offer& left, const Offer& right,
@@ -94,6 +99,8 @@
   candidate.free_after_stops_ -= step.spec_->task_resources_;
   candidate.free_beside_reservation_ -= step.spec_->task_resources_;
   ++candidate.assigned_tasks_;
+  candidate.serves_ = candidate.serves_ || step.spec_->response_target_.count() > 0;
+  candidate.wanted_idle_cpu_millis_ += step.spec_->idle_cpu_millis_;
   candidate.kinds_ |= SetOf(step.kind_);
   if (step.crash_suspect_) {
     candidate.crash_suspect_job_ = &step.job_->id_;
@@ -136,6 +143,22 @@
   return others;
 }
 
+/** Assigns each task to the offer that ranks best after the tasks before it. Precondition: the
+ * offers hold all tasks. */
+void SpreadTasks(const Planner& planner, const ReadyStep& step,
+                 const std::vector<std::uint32_t>& tasks, std::vector<Offer>& offers,
+                 PlannedGroup& planned) {
+  for (const std::uint32_t task : tasks) {
+    std::erase_if(offers, [](const Offer& offer) { return offer.count_ == 0; });
+    const auto best =
+        std::min_element(offers.begin(), offers.end(), [&](const Offer& left, const Offer& right) {
+          return IsBetterOffer(planner, left, right, step, 1);
+        });
+    AssignTask(step, task, *best->candidate_, planned);
+    --best->count_;
+  }
+}
+
 /** Assigns all tasks of a step to the offers, in order of rank, and plans their common start. */
 void AssignAllTasks(Planner& planner, const ReadyStep& step, std::vector<Offer> offers) {
   const auto wanted = static_cast<std::uint32_t>(step.tasks_.size());
@@ -145,6 +168,11 @@
   CountAvoidance(planner, offers, offers.front(), step, wanted);
   PlannedGroup planned;
   const std::vector<std::uint32_t> tasks = AssignBoundTasks(step, offers, planned);
+  if (step.spec_->uses_idle_cpus_) {
+    SpreadTasks(planner, step, tasks, offers, planned);
+    planner.plan_.starts_.push_back(std::move(planned));
+    return;
+  }
   std::size_t next = 0;
   for (const Offer& offer : offers) {
     for (std::uint32_t taken = 0; taken < offer.count_ && next < tasks.size(); ++taken) {
--- a/src/laburnumledge/dispatch/urgent_headroom.cpp
+++ b/src/laburnumledge/dispatch/urgent_headroom.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <vector>
 
 #include "laburnumledge/dispatch/planner.hpp"
 
@@ -31,7 +33,7 @@
   }
   std::vector<site::Resources> room;
   for (std::size_t index = 0; index < organisations.all_.size(); ++index) {
-    room.push_back(organisations.all_[index].quota_ - use[index].assigned_);
+    room.push_back(organisations.all_[index].quota_ - use[index].requested_);
   }
   for (const auto& [id, job] : table.jobs_) {
     if (job.treatment_.priority_ != 0 || job.cancelled_ || ledger::IsFinal(job.state_)) {
@@ -42,7 +44,7 @@
         if (!IsReady(job, occurrence, index)) {
           continue;
         }
-        const site::Resources& each = job.submission_->steps_[index].task_resources_;
+        const site::Resources each = ledger::RequestedResources(job.submission_->steps_[index]);
         const std::uint32_t tasks =
             internal::CountFits(each, room[job.organisation_], occurrence.steps_[index].waiting_);
         room[job.organisation_] -= each * tasks;
@@ -70,4 +72,28 @@
   return static_cast<std::int64_t>(std::min(wanted, most));
 }
 
+namespace internal {
+
+void ReserveUrgentHeadroom(std::vector<CandidateWorker>& candidates, std::int64_t gpus) {
+  std::vector<CandidateWorker*> order;
+  order.reserve(candidates.size());
+  for (CandidateWorker& candidate : candidates) {
+    order.push_back(&candidate);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const CandidateWorker* left, const CandidateWorker* right) {
+              return std::tie(left->worker_->entry_.rack_, left->worker_->entry_.id_) <
+                     std::tie(right->worker_->entry_.rack_, right->worker_->entry_.id_);
+            });
+  for (CandidateWorker* candidate : order) {
+    if (gpus < candidate->worker_->entry_.capacity_.gpus_ || gpus == 0) {
+      return;
+    }
+    candidate->urgent_headroom_ = true;
+    gpus -= candidate->worker_->entry_.capacity_.gpus_;
+  }
+}
+
+}  // namespace internal
+
 }  // namespace laburnumledge::dispatch
--- a/src/laburnumledge/entry/job_changes.cpp
+++ b/src/laburnumledge/entry/job_changes.cpp
@@ -86,6 +86,7 @@
                   {"tasks", first.count_},
                   {"gpus", first.task_resources_.gpus_},
                   {"cpu_millis", first.task_resources_.cpu_millis_},
+                  {"idle_cpu_millis", first.idle_cpu_millis_},
                   {"estimate_ms", first.estimate_},
                   {"gang", first.gang_},
                   {"same_rack", first.same_rack_},
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -24,9 +24,10 @@
 
 void EncodeStep(const Step& step, wire::Step& message) {
   message.set_count(step.count_);
-  message.set_cpu_millis(step.task_resources_.cpu_millis_);
-  message.set_memory_mb(step.task_resources_.memory_mb_);
-  message.set_gpus(step.task_resources_.gpus_);
+  const site::Resources requested = RequestedResources(step);
+  message.set_cpu_millis(requested.cpu_millis_);
+  message.set_memory_mb(requested.memory_mb_);
+  message.set_gpus(requested.gpus_);
   message.set_estimate_ms(step.estimate_.count());
   message.mutable_after()->Add(step.after_.begin(), step.after_.end());
   message.set_constraint(step.constraint_);
@@ -44,9 +45,8 @@
 }
 
 Step DecodeStep(const wire::Step& message) {
-  return {
+  Step step{
       .count_ = message.count(),
-      .task_resources_ = {message.cpu_millis(), message.memory_mb(), message.gpus()},
       .estimate_ = core::Milliseconds(message.estimate_ms()),
       .after_ = {message.after().begin(), message.after().end()},
       .constraint_ = message.constraint(),
@@ -62,6 +62,8 @@
       .long_running_ = message.long_running(),
       .uses_idle_cpus_ = message.fills(),
   };
+  SetRequestedResources(step, {message.cpu_millis(), message.memory_mb(), message.gpus()});
+  return step;
 }
 
 }  // namespace
--- a/src/laburnumledge/ledger/job.cpp
+++ b/src/laburnumledge/ledger/job.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "laburnumledge/core/reason.hpp"
 
@@ -28,6 +29,18 @@
 
 }  // namespace
 
+void SetRequestedResources(Step& step, const site::Resources& requested) noexcept {
+  step.task_resources_ = requested;
+  step.idle_cpu_millis_ = 0;
+  if (step.uses_idle_cpus_) {
+    step.idle_cpu_millis_ = std::exchange(step.task_resources_.cpu_millis_, 0);
+  }
+}
+
+site::Resources RequestedResources(const Step& step) noexcept {
+  return step.task_resources_ + site::Resources{.cpu_millis_ = step.idle_cpu_millis_};
+}
+
 std::string_view ToString(JobState state) noexcept {
   switch (state) {
     case JobState::kQueued:
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -25,13 +25,14 @@
 /** @brief Stage of a job: a number of identical tasks that become ready at the same time. */
 struct Step {
   std::uint32_t count_{};
-  site::Resources task_resources_;        ///< Resources that each task needs.
-  core::Milliseconds estimate_{};         ///< Duration of one task as the client estimates it.
-  std::vector<std::uint32_t> after_;      ///< Indexes of steps that must be complete first.
-  std::string constraint_;                ///< Required worker label; empty for none.
-  std::string affinity_rack_;             ///< Rack that holds the input data; empty for none.
-  std::uint32_t anti_affinity_{};         ///< Maximum tasks of the step on one worker; 0: no limit.
-  std::string image_;                     ///< Tasks with the same image behave alike.
+  site::Resources task_resources_;    ///< Counted against the capacity of each task's worker.
+  std::int64_t idle_cpu_millis_{};    ///< Asked for beyond that, of processors that others leave.
+  core::Milliseconds estimate_{};     ///< Duration of one task as the client estimates it.
+  std::vector<std::uint32_t> after_;  ///< Indexes of steps that must be complete first.
+  std::string constraint_;            ///< Required worker label; empty for none.
+  std::string affinity_rack_;         ///< Rack that holds the input data; empty for none.
+  std::uint32_t anti_affinity_{};     ///< Maximum tasks of the step on one worker; 0: no limit.
+  std::string image_;                 ///< Tasks with the same image behave alike.
   core::Milliseconds response_target_{};  ///< Tail latency target of a serving task; 0: none.
   std::uint32_t max_unavailable_{};  ///< Tasks that the scheduler may make unavailable at once.
   bool checkpointing_{};             ///< Tasks save checkpoints to resume from.
@@ -42,6 +43,17 @@
   bool uses_idle_cpus_{};            ///< Tasks use processors that other tasks leave idle.
 };
 
+/**
+ * @brief Sets the resources that each task of a step asks for. Processors of tasks that use idle
+ * ones are not counted against a worker's capacity. Thread safe.
+ * @param step The step. Precondition: `uses_idle_cpus_` is set.
+ * @param requested What the client asks for.
+ */
+void SetRequestedResources(Step& step, const site::Resources& requested) noexcept;
+
+/** @brief Resources that each task of a step asks for, counted or not. Thread safe. */
+[[nodiscard]] site::Resources RequestedResources(const Step& step) noexcept;
+
 /** @brief Start times of a job that runs repeatedly. */
 struct Schedule {
   std::uint32_t occurrences_{};
--- a/src/laburnumledge/platform/documents.cpp
+++ b/src/laburnumledge/platform/documents.cpp
@@ -170,7 +170,6 @@
   }
   ledger::Step step{
       .count_ = static_cast<std::uint32_t>(*count),
-      .task_resources_ = ResourcesOf(object),
       .estimate_ = Ms(object, "estimate_ms"),
       .after_ = {},
       .constraint_ = LabelOf(object, "constraints"),
@@ -186,9 +185,11 @@
       .long_running_ = Flag(object, "long_running"),
       .uses_idle_cpus_ = Flag(object, "fills"),
   };
-  if (!IsInRange(step.task_resources_)) {
+  const site::Resources requested = ResourcesOf(object);
+  if (!IsInRange(requested)) {
     return core::Fail("step {}: cpu, mem_mb or gpus is out of range", number);
   }
+  SetRequestedResources(step, requested);
   if (const Json* after = Member(object, "after")) {
     for (const Json& earlier : *after) {
       if (!earlier.is_number_unsigned() || earlier.get<std::uint64_t>() >= number) {
--- a/test/laburnumledge/dispatch/quota.cpp
+++ b/test/laburnumledge/dispatch/quota.cpp
@@ -94,11 +94,17 @@
   QuotaHarness harness;
   harness.rules_.configuration_.organisations_ = {{.name_ = "crew"}};
   site::Resources& quota = harness.rules_.configuration_.organisations_.front().quota_;
+  ledger::Step step = MakeStep(9, 1);
   SUBCASE("processors") { quota.cpu_millis_ = 35000; }
+  SUBCASE("processors that others leave idle") {
+    quota.cpu_millis_ = 35000;
+    step.uses_idle_cpus_ = true;
+    SetRequestedResources(step, step.task_resources_);
+  }
   SUBCASE("memory") { quota.memory_mb_ = 60000; }
   SUBCASE("GPUs") { quota.gpus_ = 3; }
   ReplaceLimits(harness.organisations_, harness.rules_.configuration_);
-  harness.Add(1, "crew", {MakeStep(9, 1)});
+  harness.Add(1, "crew", {step});
   CHECK(CountStarts(harness.Make(), 1) == 3);
 }
 
--- a/test/laburnumledge/site/quota.cpp
+++ b/test/laburnumledge/site/quota.cpp
@@ -19,4 +19,14 @@
   CHECK(StepBeyondQuota(submission, quota) == std::nullopt);
 }
 
+// Guards against a quota that tasks exceed with processors that are not counted against workers.
+TEST_CASE("processors that a task asks for of idle ones count towards the quota") {
+  ledger::Submission submission;
+  submission.steps_ = {{.count_ = 1, .uses_idle_cpus_ = true}};
+  SetRequestedResources(submission.steps_.front(), {.cpu_millis_ = 2000});
+  Resources quota = kUnlimited;
+  quota.cpu_millis_ = 1000;
+  CHECK(StepBeyondQuota(submission, quota) == 0);
+}
+
 }  // namespace laburnumledge::site
