Store when a doubt about a start is over, on a clock that leaders continue

Cause: a task's record names the worker on which a start is in doubt, and is not written again when the doubt is over. Each successor counted 15 s from its own begin, bound the task to that worker and held back the worker's ends as long, be it hours later, and anew with each leader of a rolling restart.

Change: the record holds the end of the doubt on the terms' clock. Each term record carries a reading of it, and a node counts on from the reading by its own steady clock, so that the clock is never ahead of the time that has passed: a true doubt is not cut short, and one that is over isn't loaded. Records without a time count as new, as before. Of two doubts about a task the one that ends last is stored. takeover.doubt logs each stored doubt.

No record is written beyond those that were.

--- a/src/laburnumledge/control/leadership.cpp
+++ b/src/laburnumledge/control/leadership.cpp
@@ -43,7 +43,7 @@
 struct Leadership::Implementation : std::enable_shared_from_this<Leadership::Implementation> {
   LeadershipContext context_;
   std::uint64_t term_;
-  core::TimePoint earlier_leases_end_;
+  dispatch::EarlierTerms earlier_;
   std::function<void()> superseded_;
   core::TimePoint takeover_started_at_;
   StreamWriter jobs_writer_;
@@ -67,7 +67,7 @@
   std::uint64_t ignored_count_{};
 
   Implementation(const LeadershipContext& context, std::uint64_t term,
-                 core::TimePoint earlier_leases_end, std::function<void()> superseded);
+                 const dispatch::EarlierTerms& earlier, std::function<void()> superseded);
 
   void FenceStreams();
   void OnSuperseded();
@@ -87,11 +87,11 @@
 };
 
 Leadership::Implementation::Implementation(const LeadershipContext& context, std::uint64_t term,
-                                           core::TimePoint earlier_leases_end,
+                                           const dispatch::EarlierTerms& earlier,
                                            std::function<void()> superseded)
     : context_(context),
       term_(term),
-      earlier_leases_end_(earlier_leases_end),
+      earlier_(earlier),
       superseded_(std::move(superseded)),
       takeover_started_at_(context.loop_.Now()),
       jobs_writer_(context.loop_, context.store_, Stream::kJobs, term,
@@ -295,7 +295,7 @@
   for (const auto& [id, entry] : loaded_workers_) {
     dispatcher_->OnWorker(entry, now);
   }
-  dispatcher_->Begin(now, earlier_leases_end_);
+  dispatcher_->Begin(now, earlier_);
   core::LogEvent(
       Level::kInfo, EventPriority::kHigh, "takeover.complete",
       {{"term", term_},
@@ -437,9 +437,9 @@
 }
 
 Leadership::Leadership(const LeadershipContext& context, std::uint64_t term,
-                       core::TimePoint earlier_leases_end, std::function<void()> superseded)
-    : implementation_(std::make_shared<Implementation>(context, term, earlier_leases_end,
-                                                       std::move(superseded))) {
+                       const dispatch::EarlierTerms& earlier, std::function<void()> superseded)
+    : implementation_(
+          std::make_shared<Implementation>(context, term, earlier, std::move(superseded))) {
   implementation_->FenceStreams();
 }
 
--- a/src/laburnumledge/control/leadership.hpp
+++ b/src/laburnumledge/control/leadership.hpp
@@ -39,12 +39,12 @@
   /**
    * @param context Objects to work with.
    * @param term Number of the term that this node holds.
-   * @param earlier_leases_end Time at which every lease of earlier terms has expired.
+   * @param earlier What is known of earlier terms.
    * @param superseded Called from the loop, at most once, when another node has taken over. The
    * callback may destroy the leadership.
    */
   Leadership(const LeadershipContext& context, std::uint64_t term,
-             core::TimePoint earlier_leases_end, std::function<void()> superseded);
+             const dispatch::EarlierTerms& earlier, std::function<void()> superseded);
   ~Leadership();
   Leadership(const Leadership&) = delete;
   Leadership& operator=(const Leadership&) = delete;
--- a/src/laburnumledge/control/node.cpp
+++ b/src/laburnumledge/control/node.cpp
@@ -308,7 +308,8 @@
                  {{"term", term_.newest_->number_},
                   {"from", previous_leader_},
                   {"earlier_leases_end_ms",
-                   std::chrono::duration_cast<core::Milliseconds>(leases_end - loop_.Now())}});
+                   std::chrono::duration_cast<core::Milliseconds>(leases_end - loop_.Now())},
+                  {"clock_ms", core::ToMs(core::ToTermTime(loop_.Now(), term_.clock_origin_))}});
   leadership_ = std::make_unique<Leadership>(
       LeadershipContext{.loop_ = loop_,
                         .store_ = store_,
@@ -317,7 +318,9 @@
                         .rules_ = rules_,
                         .jobs_ = jobs_,
                         .jobs_follower_ = jobs_follower_},
-      term_.newest_->number_, leases_end, [weak = weak_from_this()] {
+      term_.newest_->number_,
+      dispatch::EarlierTerms{.leases_end_ = leases_end, .clock_origin_ = term_.clock_origin_},
+      [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
           AbandonTerm(self->term_);
           self->EndLeadership("a higher epoch or fencing token was seen");
--- a/src/laburnumledge/control/term.cpp
+++ b/src/laburnumledge/control/term.cpp
@@ -19,7 +19,8 @@
           .leader_ = state.node_,
           .incarnation_ = state.incarnation_,
           .released_ = false,
-          .earlier_leases_left_ = std::max(leases_left, core::Milliseconds{})};
+          .earlier_leases_left_ = std::max(leases_left, core::Milliseconds{}),
+          .clock_ = core::ToTermTime(now, state.clock_origin_)};
 }
 
 /** Earliest time at which this node may claim the term. */
@@ -49,6 +50,9 @@
   }
   if (!is_own) {
     state.earlier_leases_end_ = now + term.earlier_leases_left_;
+    // The record was written before it was read. Leaders of earlier versions write no reading: the
+    // clock begins anew, so that it is never ahead.
+    state.clock_origin_ = now - term.clock_.time_since_epoch();
   }
   state.is_leader_ = is_own && !term.released_ && term.number_ > state.highest_abandoned_;
 }
@@ -108,6 +112,7 @@
     state.earlier_leases_end_ = std::max(state.earlier_leases_end_, last_grant + lease_length);
   } else {
     state.earlier_leases_end_ = now;
+    state.clock_origin_ = now;
   }
   if (state.claim_number_ != number) {
     state.claim_number_ = number;
--- a/src/laburnumledge/control/term.hpp
+++ b/src/laburnumledge/control/term.hpp
@@ -63,9 +63,11 @@
   core::TimePoint confirmed_at_{};  ///< Not after the send time of the last append that succeeded.
   core::TimePoint earlier_leases_end_{};  ///< End of the leases granted in terms before the newest
                                           ///< or claimed one.
-  std::uint64_t claim_number_{};          ///< Number of the term that was last claimed.
-  core::TimePoint claim_sent_at_{};       ///< When the first claim of claim_number_ was sent.
-  core::TimePoint next_append_{};         ///< Earliest time of the next append.
+  /** Local time at which the terms' clock read zero; not before the true one. */
+  core::TimePoint clock_origin_{};
+  std::uint64_t claim_number_{};     ///< Number of the term that was last claimed.
+  core::TimePoint claim_sent_at_{};  ///< When the first claim of claim_number_ was sent.
+  core::TimePoint next_append_{};    ///< Earliest time of the next append.
 };
 
 /** @brief Updates the state by a record of the term stream.
--- a/src/laburnumledge/core/time.hpp
+++ b/src/laburnumledge/core/time.hpp
@@ -42,6 +42,33 @@
 /** @brief Point in time on WorkerClock. */
 using WorkerTime = WorkerClock::time_point;
 
+/**
+ * @brief Clock of a deployment, which its leaders continue one after another.
+ *
+ * Each leader goes on from the newest reading that it knows from the store, on the steady clock of
+ * its VM. So the clock survives leaders and steps of wall clocks. It is never ahead of the time
+ * that has passed, and stands still while no node is up.
+ */
+struct TermClock {
+  using rep = std::int64_t;
+  using period = std::milli;
+  using duration = Milliseconds;
+  using time_point = std::chrono::time_point<TermClock>;
+};
+
+/** @brief Point in time on TermClock. */
+using TermTime = TermClock::time_point;
+
+/** @brief Reading of TermClock at a local time, rounded down. */
+[[nodiscard]] inline TermTime ToTermTime(TimePoint time, TimePoint origin) noexcept {
+  return TermTime(std::chrono::floor<Milliseconds>(time - origin));
+}
+
+/** @brief Local time of a reading of TermClock. */
+[[nodiscard]] inline TimePoint ToLocalTime(TermTime time, TimePoint origin) noexcept {
+  return origin + time.time_since_epoch();
+}
+
 /** @brief Converts a point in time to milliseconds since its clock's epoch. */
 template <typename Time>
 [[nodiscard]] constexpr std::int64_t ToMs(Time time) noexcept {
--- a/src/laburnumledge/dispatch/dispatcher.cpp
+++ b/src/laburnumledge/dispatch/dispatcher.cpp
@@ -213,7 +213,7 @@
 
 void Dispatcher::IssueBatch(RecordBatch batch, PendingBatch pending, core::TimePoint now) {
   for (auto& [task, record] : batch.tasks_) {
-    DescribeDoubt(fleet_, task, now, record);
+    DescribeDoubt(fleet_, task, {.origin_ = term_clock_origin_, .now_ = now}, record);
   }
   batch.number_ = next_batch_++;
   pending.overdue_at_ = now + kRecordTimeout;
--- a/src/laburnumledge/dispatch/dispatcher.hpp
+++ b/src/laburnumledge/dispatch/dispatcher.hpp
@@ -27,6 +27,12 @@
 
 namespace laburnumledge::dispatch {
 
+/** @brief What a leader knows of the terms before its own. */
+struct EarlierTerms {
+  core::TimePoint leases_end_{};    ///< No lease that was granted in them is valid from then on.
+  core::TimePoint clock_origin_{};  ///< When the terms' clock read zero, on the local clock.
+};
+
 /** @brief Counters of a dispatcher since its construction, for metrics and log lines. */
 struct DispatchCounts {
   std::uint64_t starts_{};
@@ -89,9 +95,9 @@
   /**
    * @brief Starts scheduling; Run does nothing before.
    * @param now Time of the event.
-   * @param earlier_leases_end Time after which no lease granted in an earlier term is valid.
+   * @param earlier What is known of earlier terms.
    */
-  void Begin(core::TimePoint now, core::TimePoint earlier_leases_end);
+  void Begin(core::TimePoint now, const EarlierTerms& earlier);
 
   /** @brief Adds or updates a worker from its entry in the platform's list. */
   void OnWorker(const site::WorkerEntry& entry, core::TimePoint now);
@@ -216,6 +222,7 @@
 
   Worker& FindOrAddWorker(const std::string& id);
   [[nodiscard]] bool IsTaskDone(const ledger::TaskId& id);
+  void LoadDoubts(core::TimePoint now);
   void ReconcileGangs(Job& job, core::TimePoint now);
   void StopJob(Job& job, ledger::JobState state, core::TimePoint now);
   void SetState(Job& job, ledger::JobState state);
@@ -364,6 +371,8 @@
   std::uint64_t next_check_{1};
   Starts recorded_starts_;  ///< Recorded, and not sent yet: their workers have to answer first.
   std::vector<UndecidedCrash> undecided_crashes_;
+  core::TimePoint term_clock_origin_{};
+  std::vector<std::pair<ledger::TaskId, ledger::TaskRecord>> stored_doubts_;  ///< Until Begin.
   core::TimePoint calm_since_{};          ///< The maximum while the fleet is not calm.
   PlanTime latest_run_;                   ///< Time of the latest call of Run.
   std::set<ledger::JobId> retired_jobs_;  ///< Final jobs that were removed from the job table.
--- a/src/laburnumledge/dispatch/dispatcher_takeover.cpp
+++ b/src/laburnumledge/dispatch/dispatcher_takeover.cpp
@@ -57,7 +57,7 @@
     }
   }
   if (!record.doubtful_worker_.empty()) {
-    LoadDoubt(FindOrAddWorker(record.doubtful_worker_), id, record);
+    stored_doubts_.emplace_back(id, record);
   }
   if (record.outcome_ == ledger::TaskOutcome::kStarted) {
     if (task->phase_ == TaskPhase::kWaiting) {
@@ -117,12 +117,29 @@
   }
 }
 
-void Dispatcher::Begin(core::TimePoint now, core::TimePoint earlier_leases_end) {
+/** Takes up the doubts of earlier leaders that are not over. */
+void Dispatcher::LoadDoubts(core::TimePoint now) {
+  for (const auto& [task, record] : std::exchange(stored_doubts_, {})) {
+    const core::TimePoint until =
+        EndOfStoredDoubt(record, {.origin_ = term_clock_origin_, .now_ = now});
+    core::LogEvent(Level::kInfo, EventPriority::kLow, "takeover.doubt",
+                   {{"task", ledger::ToString(task)},
+                    {"worker", record.doubtful_worker_},
+                    {"dated", record.doubtful_until_.has_value()},
+                    {"left_ms", std::chrono::duration_cast<core::Milliseconds>(until - now)}});
+    if (now < until) {
+      LoadDoubt(fleet_, FindOrAddWorker(record.doubtful_worker_), task, record, until);
+    }
+  }
+}
+
+void Dispatcher::Begin(core::TimePoint now, const EarlierTerms& earlier) {
   begun_ = true;
-  BeginDoubts(fleet_, now);
+  term_clock_origin_ = earlier.clock_origin_;
+  LoadDoubts(now);
   std::size_t unresolved = 0;
   for (auto& [id, worker] : fleet_.workers_) {
-    worker.latest_lease_end_ = earlier_leases_end;
+    worker.latest_lease_end_ = earlier.leases_end_;
     worker.next_lease_ = now;
     for (auto& [run, assigned] : worker.assigned_runs_) {
       // The first lease call carries this term's fencing token: a run that its answer does not list
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -14,8 +14,7 @@
 }
 
 DoubtfulStart& Extend(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
-                      const config::Address& address, core::TimePoint now) {
-  const core::TimePoint until = now + internal::kLateCommandTime;
+                      const config::Address& address, core::TimePoint until) {
   fleet.doubtful_until_ = std::max(fleet.doubtful_until_, until);
   worker.doubtful_until_ = std::max(worker.doubtful_until_, until);
   DoubtfulStart& start = worker.doubtful_starts_[task];
@@ -29,7 +28,8 @@
 void NoteDoubtfulStart(Fleet& fleet, Worker& worker, const StartAction& start,
                        core::TimePoint now) {
   worker.fence_token_ = std::max(worker.fence_token_, start.command_.fence_token_ + 1);
-  DoubtfulStart& doubt = Extend(fleet, worker, start.command_.task_, start.worker_.address_, now);
+  DoubtfulStart& doubt = Extend(fleet, worker, start.command_.task_, start.worker_.address_,
+                                now + internal::kLateCommandTime);
   if (++doubt.unanswered_ >= internal::kMaxUnansweredStarts) {
     worker.silent_at_ = now;  // Others come first once the task is free.
   }
@@ -38,7 +38,7 @@
 void NoteStartInFlight(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
                        const config::Address& address, core::TimePoint now) {
   ++worker.fence_token_;
-  Extend(fleet, worker, task, address, now);
+  Extend(fleet, worker, task, address, now + internal::kLateCommandTime);
 }
 
 void NoteStartAnswered(Worker& worker, const ledger::TaskId& task) {
@@ -48,34 +48,36 @@
   }
 }
 
-void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, core::TimePoint now,
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const TermClockReading& clock,
                    ledger::TaskRecord& record) {
-  if (now >= fleet.doubtful_until_) {
+  if (clock.now_ >= fleet.doubtful_until_) {
     return;
   }
+  core::TimePoint latest = clock.now_;
   for (const auto& [id, worker] : fleet.workers_) {
     const auto start = worker.doubtful_starts_.find(task);
-    if (start != worker.doubtful_starts_.end() && now < start->second.until_) {
+    if (start != worker.doubtful_starts_.end() && latest < start->second.until_) {
+      latest = start->second.until_;
       record.doubtful_worker_ = id;
       record.doubtful_address_ = config::ToString(start->second.address_);
+      record.doubtful_until_ = core::ToTermTime(latest, clock.origin_) + core::Milliseconds(1);
     }
   }
 }
 
-void LoadDoubt(Worker& worker, const ledger::TaskId& task, const ledger::TaskRecord& record) {
-  worker.doubtful_starts_[task].address_ =
-      config::ParseAddress(record.doubtful_address_).value_or(config::Address{});
+core::TimePoint EndOfStoredDoubt(const ledger::TaskRecord& record,
+                                 const TermClockReading& clock) noexcept {
+  const core::TimePoint latest = clock.now_ + internal::kLateCommandTime;
+  return record.doubtful_until_.has_value()
+             ? std::min(latest, core::ToLocalTime(*record.doubtful_until_, clock.origin_))
+             : latest;
 }
 
-void BeginDoubts(Fleet& fleet, core::TimePoint now) {
-  for (auto& [id, worker] : fleet.workers_) {
-    for (auto& [task, start] : worker.doubtful_starts_) {
-      start.until_ = now + internal::kLateCommandTime;
-      start.unanswered_ = 1;
-      worker.doubtful_until_ = start.until_;
-      fleet.doubtful_until_ = start.until_;
-    }
-  }
+void LoadDoubt(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
+               const ledger::TaskRecord& record, core::TimePoint until) {
+  const config::Address address =
+      config::ParseAddress(record.doubtful_address_).value_or(config::Address{});
+  Extend(fleet, worker, task, address, until).unanswered_ = 1;
 }
 
 void DropDoubtfulStarts(Worker& worker, const config::Address& address) {
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -23,16 +23,25 @@
   const Worker* worker_{};
 };
 
-/** @brief Notes in a task's record on which worker a start of the task is in doubt. */
-void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, core::TimePoint now,
+/** @brief Local time, and where the terms' clock began on the local clock. */
+struct TermClockReading {
+  core::TimePoint origin_{};
+  core::TimePoint now_{};
+};
+
+/** @brief Notes in a task's record on which worker a start of the task is in doubt, and until when.
+ * Of several doubts the last to end is noted. */
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const TermClockReading& clock,
                    ledger::TaskRecord& record);
 
-/** @brief Notes that a start of a task was in doubt when an earlier leader wrote a record. The
- * doubt lasts from when the term begins; see BeginDoubts. */
-void LoadDoubt(Worker& worker, const ledger::TaskId& task, const ledger::TaskRecord& record);
+/** @brief When the doubt that a record names is over. A record without a time is taken for new.
+ * Precondition: the record names a doubt. */
+[[nodiscard]] core::TimePoint EndOfStoredDoubt(const ledger::TaskRecord& record,
+                                               const TermClockReading& clock) noexcept;
 
-/** @brief Sets the time until which the doubts of earlier leaders last. */
-void BeginDoubts(Fleet& fleet, core::TimePoint now);
+/** @brief Takes up the doubt that a record of an earlier leader names. */
+void LoadDoubt(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
+               const ledger::TaskRecord& record, core::TimePoint until);
 
 /** @brief Bindings of all tasks, for one plan. */
 using TaskBindings = std::map<ledger::TaskId, const Worker*>;
--- a/src/laburnumledge/ledger/codec.cpp
+++ b/src/laburnumledge/ledger/codec.cpp
@@ -162,6 +162,7 @@
   message.set_worker_address(record.worker_address_);
   message.set_doubtful_worker(record.doubtful_worker_);
   message.set_doubtful_address(record.doubtful_address_);
+  message.set_doubtful_until_ms(core::ToMs(record.doubtful_until_.value_or(core::TermTime{})));
   std::uint32_t caused = 0;
   for (const Crash& crash : record.crashes_) {
     wire::Crash& row = *message.add_crash();
@@ -197,6 +198,9 @@
       .doubtful_worker_ = message->doubtful_worker(),
       .doubtful_address_ = message->doubtful_address(),
   };
+  if (message->doubtful_until_ms() > 0) {
+    record.doubtful_until_ = core::FromMs<core::TermTime>(message->doubtful_until_ms());
+  }
   for (const wire::Crash& row : message->crash()) {
     // A cause that a later version has added is taken for one that doesn't count.
     const bool known = wire::Crash::Cause_IsValid(row.cause());
@@ -217,6 +221,7 @@
   message.set_incarnation(term.incarnation_);
   message.set_released(term.released_);
   message.set_earlier_leases_left_ms(term.earlier_leases_left_.count());
+  message.set_clock_ms(core::ToMs(term.clock_));
   return message.SerializeAsString();
 }
 
@@ -229,7 +234,8 @@
               .leader_ = message->holder(),
               .incarnation_ = message->incarnation(),
               .released_ = message->released(),
-              .earlier_leases_left_ = core::Milliseconds(message->earlier_leases_left_ms())};
+              .earlier_leases_left_ = core::Milliseconds(message->earlier_leases_left_ms()),
+              .clock_ = core::FromMs<core::TermTime>(message->clock_ms())};
 }
 
 }  // namespace laburnumledge::ledger
--- a/src/laburnumledge/ledger/job.hpp
+++ b/src/laburnumledge/ledger/job.hpp
@@ -146,9 +146,11 @@
   std::uint64_t crashed_run_{};  ///< Newest run that was counted as a crash.
   std::string worker_address_;   ///< Of `worker_`, which may be gone from the platform's list.
   std::vector<Crash> crashes_;   ///< Since the task was last cleared, oldest first.
-  /** Worker on which a start of the task was in doubt as of writing, and where it was sent. */
+  /** Worker on which a start of the task was in doubt as of writing, where it was sent, and when
+   * the doubt is over; records of earlier versions don't tell the latter. */
   std::string doubtful_worker_;
   std::string doubtful_address_;
+  std::optional<core::TermTime> doubtful_until_;
 };
 
 /** @brief Term: period in which one node is the leader. */
@@ -159,6 +161,7 @@
   bool released_{};
   core::Milliseconds
       earlier_leases_left_{};  ///< Time, as of writing, until all leases of earlier terms end.
+  core::TermTime clock_{};     ///< As of writing; zero in records of earlier versions.
 
   [[nodiscard]] bool operator==(const Term&) const = default;
 };
--- a/test/exhaustive/succession/succession.cpp
+++ b/test/exhaustive/succession/succession.cpp
@@ -67,7 +67,7 @@
   for (const auto& [id, worker] : workers_.workers_) {
     leader_->OnWorker(support::EntryOf(worker, now_), now_);
   }
-  leader_->Begin(now_, leases_end);
+  leader_->Begin(now_, {.leases_end_ = leases_end});
 }
 
 support::FakeWorker* Succession::Reach(const std::string& id) {
--- a/test/exhaustive/takeover/simulation_store.cpp
+++ b/test/exhaustive/takeover/simulation_store.cpp
@@ -222,7 +222,8 @@
     dispatcher.OnWorker(support::EntryOf(worker, now_), now_);
   }
   const bool waits_for_leases = defect_ != Defect::kEarlierLeasesIgnored;
-  dispatcher.Begin(now_, waits_for_leases ? node->term_.earlier_leases_end_ : now_);
+  dispatcher.Begin(now_, {.leases_end_ = waits_for_leases ? node->term_.earlier_leases_end_ : now_,
+                          .clock_origin_ = node->term_.clock_origin_});
   if (defect_ == Defect::kUnstoredStatesLost) {
     dispatch::Actions actions = dispatcher.TakeActions();
     actions.statuses_.clear();
--- a/test/laburnumledge/control/term.cpp
+++ b/test/laburnumledge/control/term.cpp
@@ -189,4 +189,33 @@
   CHECK(CurrentLeader(state, kNow).empty());
 }
 
+// Guards against a clock that is ahead: doubts of earlier leaders would be forgotten (TWICE).
+TEST_CASE("the terms' clock goes on from leader to leader, and is never ahead") {
+  const auto clock_at = [](const TermState& state, core::TimePoint now) {
+    return MakeHeartbeat(state, now).clock_.time_since_epoch();
+  };
+  TermState first = MakeTermState();
+  ledger::Term term = BeginClaim(first, {}, kNow);
+  OnTermRead(first, term, 1, kNow + core::Milliseconds(20));
+  CHECK(clock_at(first, kNow + std::chrono::seconds(10)) == std::chrono::seconds(10));
+  term = MakeHeartbeat(first, kNow + std::chrono::seconds(10));
+  // The other VM's steady clock reads another time.
+  const core::TimePoint other = kNow + std::chrono::hours(7);
+  TermState second = MakeTermState();
+  second.node_ = "node-2";
+  OnTermRead(second, term, 2, other + core::Milliseconds(10040));
+  CHECK(BeginClaim(second, {}, other + std::chrono::seconds(12)).clock_.time_since_epoch() ==
+        core::Milliseconds(11960));
+  SUBCASE("the leader's own records don't set it back") {
+    ledger::Term own = BeginClaim(second, {}, other + std::chrono::seconds(12));
+    OnTermRead(second, own, 3, other + std::chrono::seconds(14));
+    CHECK(clock_at(second, other + std::chrono::seconds(15)) == core::Milliseconds(14960));
+  }
+  SUBCASE("a leader of an earlier version writes no reading") {
+    term.clock_ = {};
+    OnTermRead(second, term, 3, other + std::chrono::seconds(13));
+    CHECK(clock_at(second, other + std::chrono::seconds(15)) == std::chrono::seconds(2));
+  }
+}
+
 }  // namespace laburnumledge::control
--- a/test/laburnumledge/dispatch/crash_harness.hpp
+++ b/test/laburnumledge/dispatch/crash_harness.hpp
@@ -44,7 +44,7 @@
       incarnations_[id] = StartedAt(now_ - std::chrono::hours(1));
       dispatcher_.OnWorker(EntryOf(id), now_);
     }
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
   }
 
   /** @brief Incarnation of a worker that starts at a time. */
@@ -238,7 +238,7 @@
     for (const auto& [id, entry] : foreign_) {
       dispatcher_.OnWorker(entry, now_);
     }
-    dispatcher_.Begin(now_, now_ + earlier_leases_left);
+    dispatcher_.Begin(now_, {.leases_end_ = now_ + earlier_leases_left});
   }
 
   /** @brief Takes all workers' power for a second; they come back one after the other. */
--- a/test/laburnumledge/dispatch/dispatcher.cpp
+++ b/test/laburnumledge/dispatch/dispatcher.cpp
@@ -28,7 +28,7 @@
   Harness() {
     dispatcher_.SetRules({});
     dispatcher_.OnWorker(MakeEntry("w1"), now_);
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
   }
 
   void Submit(const std::string& id, std::vector<ledger::Step> steps, std::uint32_t priority = 1) {
@@ -385,7 +385,7 @@
   dispatcher.LoadTask({.job_ = JobId(1)},
                       {.outcome_ = ledger::TaskOutcome::kWaiting, .run_ = 3, .failures_ = 3});
   dispatcher.OnWorker(MakeEntry("w1"), kNow);
-  dispatcher.Begin(kNow, kNow);
+  dispatcher.Begin(kNow, {.leases_end_ = kNow});
   (void)dispatcher.Run({.now_ = kNow, .wall_ = kWall});
   const Actions actions = dispatcher.TakeActions();
   REQUIRE(actions.statuses_.size() == 1);
@@ -416,7 +416,7 @@
   const ledger::JobEntry waiting{.submission_ = MakeSubmission({MakeStep(8, 1)}, 2)};
   next.OnJob(JobId(30), &waiting, kNow);
   next.OnWorker(MakeEntry("w1"), kNow);
-  next.Begin(kNow, kNow + core::Milliseconds(6000));
+  next.Begin(kNow, {.leases_end_ = kNow + core::Milliseconds(6000)});
   (void)next.Run({.now_ = kNow, .wall_ = kWall});
   const Actions asked = next.TakeActions();
   CHECK(asked.stops_.empty());
@@ -660,7 +660,7 @@
   leaving.draining_ = true;
   leaving.drain_time_left_ = core::Milliseconds(9000);
   next.OnWorker(leaving, harness.now_);
-  next.Begin(harness.now_, harness.now_ + core::Milliseconds(6000));
+  next.Begin(harness.now_, {.leases_end_ = harness.now_ + core::Milliseconds(6000)});
   (void)next.Run({.now_ = harness.now_, .wall_ = kWall});
   const Actions actions = next.TakeActions();
   REQUIRE(actions.leases_.size() == 1);
--- a/test/laburnumledge/dispatch/dispatcher_quota.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_quota.cpp
@@ -19,7 +19,7 @@
 
   QuotaDispatcher() {
     dispatcher_.OnWorker(MakeEntry("w1"), now_);
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
   }
 
   void SetOrganisations(std::vector<site::Organisation> organisations) {
--- a/test/laburnumledge/dispatch/dispatcher_starts.cpp
+++ b/test/laburnumledge/dispatch/dispatcher_starts.cpp
@@ -22,7 +22,7 @@
     for (int number = 1; number <= workers; ++number) {
       dispatcher_.OnWorker(MakeEntry(fmt::format("w{}", number)), now_);
     }
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
   }
 
   Actions Run(core::Milliseconds later = core::Milliseconds(20)) {
--- a/test/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/test/laburnumledge/dispatch/doubtful_starts.cpp
@@ -4,6 +4,7 @@
 
 #include "laburnumledge/dispatch/fixture.hpp"
 #include "laburnumledge/dispatch/internal.hpp"
+#include "laburnumledge/ledger/codec.hpp"
 
 namespace laburnumledge::dispatch {
 
@@ -56,4 +57,39 @@
   CHECK(worker.doubtful_starts_.size() == 1);
 }
 
+// Guards against a doubt that an earlier version has recorded, and that is forgotten (TWICE).
+TEST_CASE("a stored doubt ends at its time, and without one counts as new") {
+  const TermClockReading clock{.origin_ = kNow - std::chrono::minutes(5), .now_ = kNow};
+  Fleet fleet;
+  NoteDoubtfulStart(fleet, fleet.workers_["w1"], StartWith(4), kNow);
+  ledger::TaskRecord record;
+  DescribeDoubt(fleet, kTask, clock, record);
+  REQUIRE(record.doubtful_worker_ == "w1");
+  const auto stored = ledger::DecodeTask(ledger::Encode(record));
+  REQUIRE(stored.has_value());
+  const core::TimePoint end = kNow + internal::kLateCommandTime;
+  CHECK(EndOfStoredDoubt(*stored, clock) == end);
+  // The successor's clock is behind, or has begun anew: the doubt lasts longer, but not for ever.
+  const core::TimePoint later = kNow + std::chrono::seconds(6);
+  CHECK(EndOfStoredDoubt(*stored, {.origin_ = clock.origin_, .now_ = later}) >= end);
+  CHECK(EndOfStoredDoubt(*stored, {.origin_ = later, .now_ = later}) ==
+        later + internal::kLateCommandTime);
+  record.doubtful_until_.reset();
+  const auto undated = ledger::DecodeTask(ledger::Encode(record));
+  REQUIRE(undated.has_value());
+  CHECK(EndOfStoredDoubt(*undated, {.origin_ = clock.origin_, .now_ = later}) ==
+        later + internal::kLateCommandTime);
+}
+
+// Guards against a record that names the doubt that ends first, of two on two workers (TWICE).
+TEST_CASE("a record names the doubt that ends last") {
+  const TermClockReading clock{.now_ = kNow + std::chrono::seconds(5)};
+  Fleet fleet;
+  NoteDoubtfulStart(fleet, fleet.workers_["w1"], StartWith(4), clock.now_);
+  NoteDoubtfulStart(fleet, fleet.workers_["w2"], StartWith(4), kNow);
+  ledger::TaskRecord record;
+  DescribeDoubt(fleet, kTask, clock, record);
+  CHECK(record.doubtful_worker_ == "w1");
+}
+
 }  // namespace laburnumledge::dispatch
--- a/test/laburnumledge/dispatch/explanation.cpp
+++ b/test/laburnumledge/dispatch/explanation.cpp
@@ -26,7 +26,7 @@
     for (int number = 1; number <= workers; ++number) {
       dispatcher_.OnWorker(MakeEntry(fmt::format("w{}", number)), kNow);
     }
-    dispatcher_.Begin(kNow, kNow);
+    dispatcher_.Begin(kNow, {.leases_end_ = kNow});
   }
 
   void Submit(int number, std::vector<ledger::Step> steps, std::uint32_t priority) {
--- a/test/laburnumledge/dispatch/hosting.cpp
+++ b/test/laburnumledge/dispatch/hosting.cpp
@@ -47,7 +47,7 @@
   explicit Recording(const ledger::Step& step) {
     dispatcher_.SetRules({});
     dispatcher_.OnWorker(MakeEntry("w1"), now_);
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
     const ledger::JobEntry entry{.submission_ = MakeSubmission({step})};
     dispatcher_.OnJob(JobId(1), &entry, now_);
     placed_ = Run();
--- a/test/laburnumledge/dispatch/interference.cpp
+++ b/test/laburnumledge/dispatch/interference.cpp
@@ -78,7 +78,7 @@
       workers_[entry.id_].speed_ = Noise(0.05);
       dispatcher_.OnWorker(entry, now_);
     }
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
   }
 
   double Noise(double spread) {
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -128,6 +128,63 @@
   CHECK(harness.WorkersOf(JobId(1)) == std::vector{harness.other_});
 }
 
+// Guards against a doubt that each new leader takes for new: once its worker had left, a lasting
+// task had no run for 13 s though its doubt was over long before (review case 14, LOST).
+TEST_CASE("a doubt that was over before a takeover binds its task no more") {
+  DoubtfulRunHarness harness(2);
+  harness.Advance(std::chrono::seconds(16));
+  harness.TakeOver(2, {{JobId(1), {MakeStep(2, 4)}}}, std::chrono::seconds(6));
+  harness.Advance(std::chrono::seconds(1));
+  harness.down_.insert(harness.worker_);
+  harness.running_[harness.worker_].clear();
+  harness.dispatcher_.OnWorkerGone(harness.worker_, harness.now_);
+  harness.Advance(std::chrono::seconds(8));  // Leases last six seconds.
+  CHECK(harness.running_[harness.other_].size() == 2);
+}
+
+// Guards against doubts that are renewed by each of the leaders that follow each other in a rolling
+// restart, and against one that is forgotten (TWICE).
+TEST_CASE("a doubt ends when its first leader would have ended it, however many follow") {
+  DoubtfulRunHarness harness;
+  const core::TimePoint doubtful = harness.now_;
+  harness.down_.insert(harness.worker_);
+  harness.running_[harness.worker_].clear();
+  // The last takeover is more than a lease before the end of the doubt.
+  for (std::uint64_t term = 2; term <= 4; ++term) {
+    harness.Advance(core::Milliseconds(2500));
+    CHECK(harness.WorkersOf(JobId(1)).empty());
+    harness.TakeOver(term, {{JobId(1), {MakeStep(1, 4)}}}, std::chrono::seconds(1));
+  }
+  while (harness.WorkersOf(JobId(1)).empty() && harness.now_ < doubtful + std::chrono::minutes(1)) {
+    harness.Advance(core::Milliseconds(100));
+  }
+  CHECK(harness.WorkersOf(JobId(1)) == std::vector{harness.other_});
+  CHECK(harness.now_ - doubtful > std::chrono::seconds(14));
+  CHECK(harness.now_ - doubtful < std::chrono::seconds(17));
+}
+
+// Guards against results that a new leader holds back for a doubt that is over.
+TEST_CASE("an end of a task whose doubt was over before a takeover is acknowledged at once") {
+  DoubtfulRunHarness harness;
+  harness.Advance(std::chrono::seconds(16));
+  harness.TakeOver(2, {{JobId(1), {MakeStep(1, 4)}}}, std::chrono::seconds(6));
+  const StartAction run = harness.running_[harness.worker_].front();
+  const std::vector<platform::FinishedRun> ends{{.sequence_number_ = 1,
+                                                 .task_ = run.command_.task_,
+                                                 .run_ = run.command_.run_,
+                                                 .result_ = platform::RunResult::kDone}};
+  harness.ListEnds(ends);
+  const core::TimePoint listed = harness.now_;
+  std::uint64_t acknowledged = 0;
+  while (acknowledged == 0 && harness.now_ < listed + std::chrono::seconds(20)) {
+    for (const LeaseAction& lease : harness.WaitForLease()) {
+      acknowledged = lease.call_.acknowledged_;
+    }
+  }
+  CHECK(acknowledged == 1);
+  CHECK(harness.now_ - listed < std::chrono::seconds(2));
+}
+
 // Guards against a completed task that a restarted worker starts again (issue 50, TWICE after the
 // end was noted): until its end is acknowledged, a worker that restarts loses it.
 TEST_CASE("an end is acknowledged once no start of its task is in doubt") {
--- a/test/laburnumledge/dispatch/pacing.cpp
+++ b/test/laburnumledge/dispatch/pacing.cpp
@@ -44,7 +44,7 @@
   explicit PacedWorker(site::InterferenceMode mode) : dispatcher_(PacingBounds(), 1, mode) {
     dispatcher_.SetRules({});
     dispatcher_.OnWorker(MakeEntry("w1"), now_);
-    dispatcher_.Begin(now_, now_);
+    dispatcher_.Begin(now_, {.leases_end_ = now_});
     ledger::Step serving = MakeStep(1, 1);
     serving.long_running_ = true;
     serving.response_target_ = core::Milliseconds(100);
--- a/test/laburnumledge/dispatch/takeover.cpp
+++ b/test/laburnumledge/dispatch/takeover.cpp
@@ -51,7 +51,7 @@
     next_.LoadTask(MemberOf(1), second);
     next_.OnWorker(MakeEntry("w1"), now_);
     next_.OnWorker(MakeEntry("w2"), now_);
-    next_.Begin(now_, now_ + core::Milliseconds(6000));
+    next_.Begin(now_, {.leases_end_ = now_ + core::Milliseconds(6000)});
   }
 
   void ListEnd(const std::string& worker, std::uint32_t member, RunResult end) {
--- a/test/measure/dispatcher.cpp
+++ b/test/measure/dispatcher.cpp
@@ -131,7 +131,7 @@
     repeat(repeat);
     now_ = begin_;
   }
-  dispatcher_.Begin(now_, now_);
+  dispatcher_.Begin(now_, {.leases_end_ = now_});
   for (std::size_t kind = 0; kind < std::size(kKinds); ++kind) {
     SubmitNext(kind);
   }
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -332,7 +332,7 @@
   for (const auto& [id, entry] : worker_list_) {
     leader->dispatcher_->OnWorker(entry, now_);
   }
-  leader->dispatcher_->Begin(now_, earlier_leases_end_);
+  leader->dispatcher_->Begin(now_, {.leases_end_ = earlier_leases_end_});
   leader_ = leader;
   Pump(leader_);
 }
