Simulate tasks that use idle processors beside ordinary ones

No simulated world had such tasks. The fake workers now check processors and memory too, by the request and `fills`, and quotas by the whole request.

--- a/test/support/fake_workers.cpp
+++ b/test/support/fake_workers.cpp
@@ -4,6 +4,7 @@
 
 #include "laburnumledge/core/hash.hpp"
 #include "laburnumledge/dispatch/fixture.hpp"
+#include "support/fake_resources.hpp"
 
 namespace laburnumledge::support {
 
@@ -80,37 +81,6 @@
   return submission.steps_[step].gang_ ? ended > 0 : ended == submission.steps_[step].count_;
 }
 
-/** The platform allows a tenth more than the quota, and one task more. */
-void CheckQuota(FakeWorkers& field, const platform::StartCommand& order, core::TimePoint now) {
-  if (!field.quota_) {
-    return;
-  }
-  const auto submission_of = [&field](const ledger::TaskId& task) -> const ledger::Submission& {
-    return *field.jobs_->entries_.at(task.job_).submission_;
-  };
-  const ledger::Submission& submission = submission_of(order.task_);
-  const site::Resources& needs = submission.steps_[order.task_.step_].task_resources_;
-  site::Resources used = field.quota_without_overshoot_ ? needs : site::Resources{};
-  for (const auto& [id, worker] : field.workers_) {
-    for (const auto& [task, run] : worker.runs_) {
-      if (submission_of(task).organisation_ == submission.organisation_) {
-        used += submission_of(task).steps_[task.step_].task_resources_;
-      }
-    }
-  }
-  const site::Resources quota = field.quota_(submission.organisation_);
-  const auto above = [&](std::int64_t site::Resources::*kind) {
-    constexpr std::int64_t kOvershootDivisor = 10;
-    const std::int64_t overshoot =
-        field.quota_without_overshoot_ ? 0 : quota.*kind / kOvershootDivisor;
-    return needs.*kind > 0 && used.*kind > quota.*kind + overshoot;
-  };
-  if (above(&site::Resources::cpu_millis_) || above(&site::Resources::memory_mb_) ||
-      above(&site::Resources::gpus_)) {
-    Break(field, now, "QUOTA of " + submission.organisation_);
-  }
-}
-
 /** A run belongs on a worker of a service of its queue, with the label that its step asks for, and
  * beside fewer runs of its step than the step's limit. */
 void CheckRoute(FakeWorkers& field, const FakeWorker& worker, const platform::StartCommand& order,
@@ -168,13 +138,7 @@
       Break(field, now, "ORDER " + name);
     }
   }
-  std::int64_t used = submission.steps_[order.task_.step_].task_resources_.gpus_;
-  for (const auto& [task, run] : worker.runs_) {
-    used += run.gpus_;
-  }
-  if (used > worker.gpus_) {
-    Break(field, now, "LIMIT at " + worker.id_);
-  }
+  CheckCapacity(field, worker, order, now);
   CheckQuota(field, order, now);
   CheckRoute(field, worker, order, now);
 }
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -95,8 +95,9 @@
     first.constraint_ = random_(3) == 0 ? "" : random_(2) == 0 ? "a" : "b";
     first.anti_affinity_ = first.gang_ ? random_(2) * 2 : first.anti_affinity_;
   }
-  steps.push_back(first);
-  if (random_(2) == 0) {
+  const bool fills = faults_.filling_job_ > 0 && Chance(faults_.filling_job_);
+  steps.push_back(fills ? MakeFillingStep(number) : first);
+  if (!fills && random_(2) == 0) {
     ledger::Step second = fixture::MakeStep(1 + random_(3), 1);
     second.after_ = {0};
     steps.push_back(second);
--- a/test/support/world.hpp
+++ b/test/support/world.hpp
@@ -30,6 +30,7 @@
   std::uint32_t cancel_{};        ///< Per second and job.
   std::uint32_t quota_change_{};  ///< Per second: other quotas; 0: there are no organisations.
   std::uint32_t deadly_job_{};    ///< Per job: its tasks crash every worker that starts them.
+  std::uint32_t filling_job_{};   ///< Per job: its tasks use idle processors, for long.
   std::uint32_t outage_{};        ///< Per second: 30% to 40% of the workers crash together.
   std::uint32_t foreign_entry_{};  ///< Per second: another writer copies or overwrites an entry.
   bool late_call_after_crash_{};   ///< Late calls reach a later incarnation of their worker too.
@@ -110,6 +111,7 @@
   void Schedule(core::TimePoint time, std::function<void()> function);
   [[nodiscard]] bool Chance(std::uint32_t thousandths);
   [[nodiscard]] core::Milliseconds RandomDuration(int least, int most);
+  [[nodiscard]] ledger::Step MakeFillingStep(int number);
   void SubmitJob(int number);
   void CancelJob(const std::string& id);
   void InjectFaults();
--- a/test/support/world_faults.cpp
+++ b/test/support/world_faults.cpp
@@ -4,10 +4,18 @@
 
 #include "laburnumledge/control/term.hpp"
 #include "laburnumledge/core/hash.hpp"
+#include "laburnumledge/dispatch/fixture.hpp"
 #include "support/world.hpp"
 
 namespace laburnumledge::support {
 
+namespace {
+
+/** Longer than the world waits after the last fault before it looks for idle jobs. */
+constexpr core::Milliseconds kFillingRunLength{40000};
+
+}  // namespace
+
 bool World::IsDeadly(const ledger::JobId& job) const {
   return core::Hash("deadly " + job) % 1000 < deadly_job_;
 }
@@ -26,6 +34,18 @@
   });
 }
 
+/** Makes a job of long tasks, as many as there are workers, that ask for all processors of one
+ * each, of those that are idle. */
+ledger::Step World::MakeFillingStep(int number) {
+  ledger::Step step = fixture::MakeStep(static_cast<std::uint32_t>(size_.workers_), 0);
+  step.uses_idle_cpus_ = true;
+  step.estimate_ = kFillingRunLength;
+  SetRequestedResources(step, {.cpu_millis_ = fixture::kWorkerCapacity.cpu_millis_,
+                               .memory_mb_ = step.task_resources_.memory_mb_});
+  lengths_[fixture::JobId(number)] = kFillingRunLength;
+  return step;
+}
+
 void World::CancelJob(const std::string& id) {
   jobs_.entries_.at(id).cancelled_ = true;
   if (leader_ != nullptr) {
