Name the terms' clock as a leader counts it, and split the placement of gangs

Read as a newcomer would. TermClockReading held no reading but where the clock began and the local time: it is LocalTermClock. A millisecond added to a rounded-down reading stood for rounding up, and the function now says so. AssignAllTasks had two exits; FillOffers and SpreadTasks are the two ways. The comment on the clock names the rates of steady clocks.

--- a/src/laburnumledge/core/time.hpp
+++ b/src/laburnumledge/core/time.hpp
@@ -46,8 +46,8 @@
  * @brief Clock of a deployment, which its leaders continue one after another.
  *
  * Each leader goes on from the newest reading that it knows from the store, on the steady clock of
- * its VM. So the clock survives leaders and steps of wall clocks. It is never ahead of the time
- * that has passed, and stands still while no node is up.
+ * its VM. So the clock survives leaders and steps of wall clocks. But for the rates of steady
+ * clocks it is not ahead of the time that has passed; it stands still while no node is up.
  */
 struct TermClock {
   using rep = std::int64_t;
@@ -64,6 +64,11 @@
   return TermTime(std::chrono::floor<Milliseconds>(time - origin));
 }
 
+/** @brief Reading of TermClock at a local time, rounded up: a deadline is not moved forward. */
+[[nodiscard]] inline TermTime ToTermTimeRoundedUp(TimePoint time, TimePoint origin) noexcept {
+  return TermTime(std::chrono::ceil<Milliseconds>(time - origin));
+}
+
 /** @brief Local time of a reading of TermClock. */
 [[nodiscard]] inline TimePoint ToLocalTime(TermTime time, TimePoint origin) noexcept {
   return origin + time.time_since_epoch();
--- a/src/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.cpp
@@ -48,7 +48,7 @@
   }
 }
 
-void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const TermClockReading& clock,
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const LocalTermClock& clock,
                    ledger::TaskRecord& record) {
   if (clock.now_ >= fleet.doubtful_until_) {
     return;
@@ -60,13 +60,13 @@
       latest = start->second.until_;
       record.doubtful_worker_ = id;
       record.doubtful_address_ = config::ToString(start->second.address_);
-      record.doubtful_until_ = core::ToTermTime(latest, clock.origin_) + core::Milliseconds(1);
+      record.doubtful_until_ = core::ToTermTimeRoundedUp(latest, clock.origin_);
     }
   }
 }
 
 core::TimePoint EndOfStoredDoubt(const ledger::TaskRecord& record,
-                                 const TermClockReading& clock) noexcept {
+                                 const LocalTermClock& clock) noexcept {
   const core::TimePoint latest = clock.now_ + internal::kLateCommandTime;
   return record.doubtful_until_.has_value()
              ? std::min(latest, core::ToLocalTime(*record.doubtful_until_, clock.origin_))
--- a/src/laburnumledge/dispatch/doubtful_starts.hpp
+++ b/src/laburnumledge/dispatch/doubtful_starts.hpp
@@ -23,21 +23,21 @@
   const Worker* worker_{};
 };
 
-/** @brief Local time, and where the terms' clock began on the local clock. */
-struct TermClockReading {
-  core::TimePoint origin_{};
-  core::TimePoint now_{};
+/** @brief The terms' clock as this leader counts it. */
+struct LocalTermClock {
+  core::TimePoint origin_{};  ///< When it read zero, on the local clock.
+  core::TimePoint now_{};     ///< Now, on the local clock.
 };
 
 /** @brief Notes in a task's record on which worker a start of the task is in doubt, and until when.
  * Of several doubts the last to end is noted. */
-void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const TermClockReading& clock,
+void DescribeDoubt(const Fleet& fleet, const ledger::TaskId& task, const LocalTermClock& clock,
                    ledger::TaskRecord& record);
 
 /** @brief When the doubt that a record names is over. A record without a time is taken for new.
  * Precondition: the record names a doubt. */
 [[nodiscard]] core::TimePoint EndOfStoredDoubt(const ledger::TaskRecord& record,
-                                               const TermClockReading& clock) noexcept;
+                                               const LocalTermClock& clock) noexcept;
 
 /** @brief Takes up the doubt that a record of an earlier leader names. */
 void LoadDoubt(Fleet& fleet, Worker& worker, const ledger::TaskId& task,
--- a/src/laburnumledge/dispatch/step_placement.cpp
+++ b/src/laburnumledge/dispatch/step_placement.cpp
@@ -159,7 +159,19 @@
   }
 }
 
-/** Assigns all tasks of a step to the offers, in order of rank, and plans their common start. */
+/** Assigns tasks to the offers in their order, each offer as many as it holds. */
+void FillOffers(const ReadyStep& step, const std::vector<std::uint32_t>& tasks,
+                const std::vector<Offer>& offers, PlannedGroup& planned) {
+  std::size_t next = 0;
+  for (const Offer& offer : offers) {
+    for (std::uint32_t taken = 0; taken < offer.count_ && next < tasks.size(); ++taken) {
+      AssignTask(step, tasks[next], *offer.candidate_, planned);
+      ++next;
+    }
+  }
+}
+
+/** Assigns all tasks of a step to the offers, best first, and plans their common start. */
 void AssignAllTasks(Planner& planner, const ReadyStep& step, std::vector<Offer> offers) {
   const auto wanted = static_cast<std::uint32_t>(step.tasks_.size());
   std::sort(offers.begin(), offers.end(), [&](const Offer& left, const Offer& right) {
@@ -170,15 +182,8 @@
   const std::vector<std::uint32_t> tasks = AssignBoundTasks(step, offers, planned);
   if (step.spec_->uses_idle_cpus_) {
     SpreadTasks(planner, step, tasks, offers, planned);
-    planner.plan_.starts_.push_back(std::move(planned));
-    return;
-  }
-  std::size_t next = 0;
-  for (const Offer& offer : offers) {
-    for (std::uint32_t taken = 0; taken < offer.count_ && next < tasks.size(); ++taken) {
-      AssignTask(step, tasks[next], *offer.candidate_, planned);
-      ++next;
-    }
+  } else {
+    FillOffers(step, tasks, offers, planned);
   }
   planner.plan_.starts_.push_back(std::move(planned));
 }
--- a/test/laburnumledge/dispatch/doubtful_starts.cpp
+++ b/test/laburnumledge/dispatch/doubtful_starts.cpp
@@ -59,7 +59,7 @@
 
 // Guards against a doubt that an earlier version has recorded, and that is forgotten (TWICE).
 TEST_CASE("a stored doubt ends at its time, and without one counts as new") {
-  const TermClockReading clock{.origin_ = kNow - std::chrono::minutes(5), .now_ = kNow};
+  const LocalTermClock clock{.origin_ = kNow - std::chrono::minutes(5), .now_ = kNow};
   Fleet fleet;
   NoteDoubtfulStart(fleet, fleet.workers_["w1"], StartWith(4), kNow);
   ledger::TaskRecord record;
@@ -83,7 +83,7 @@
 
 // Guards against a record that names the doubt that ends first, of two on two workers (TWICE).
 TEST_CASE("a record names the doubt that ends last") {
-  const TermClockReading clock{.now_ = kNow + std::chrono::seconds(5)};
+  const LocalTermClock clock{.now_ = kNow + std::chrono::seconds(5)};
   Fleet fleet;
   NoteDoubtfulStart(fleet, fleet.workers_["w1"], StartWith(4), clock.now_);
   NoteDoubtfulStart(fleet, fleet.workers_["w2"], StartWith(4), kNow);
--- a/test/laburnumledge/dispatch/late_commands.cpp
+++ b/test/laburnumledge/dispatch/late_commands.cpp
@@ -46,6 +46,15 @@
     other_ = worker_ == "w1" ? "w2" : "w1";
   }
 
+  /** @brief End of the run as its worker lists it. */
+  [[nodiscard]] platform::FinishedRun EndOfRun() const {
+    const StartAction& run = running_.at(worker_).front();
+    return {.sequence_number_ = 1,
+            .task_ = run.command_.task_,
+            .run_ = run.command_.run_,
+            .result_ = platform::RunResult::kDone};
+  }
+
   /** @brief The worker's answer to a lease call that lists ends, or nothing without a call. */
   void ListEnds(const std::vector<platform::FinishedRun>& ends) {
     for (const LeaseAction& lease : WaitForLease()) {
@@ -168,11 +177,7 @@
   DoubtfulRunHarness harness;
   harness.Advance(std::chrono::seconds(16));
   harness.TakeOver(2, {{JobId(1), {MakeStep(1, 4)}}}, std::chrono::seconds(6));
-  const StartAction run = harness.running_[harness.worker_].front();
-  const std::vector<platform::FinishedRun> ends{{.sequence_number_ = 1,
-                                                 .task_ = run.command_.task_,
-                                                 .run_ = run.command_.run_,
-                                                 .result_ = platform::RunResult::kDone}};
+  const std::vector<platform::FinishedRun> ends{harness.EndOfRun()};
   harness.ListEnds(ends);
   const core::TimePoint listed = harness.now_;
   std::uint64_t acknowledged = 0;
@@ -189,11 +194,7 @@
 // end was noted): until its end is acknowledged, a worker that restarts loses it.
 TEST_CASE("an end is acknowledged once no start of its task is in doubt") {
   DoubtfulRunHarness harness;
-  const StartAction run = harness.running_[harness.worker_].front();
-  const std::vector<platform::FinishedRun> ends{{.sequence_number_ = 1,
-                                                 .task_ = run.command_.task_,
-                                                 .run_ = run.command_.run_,
-                                                 .result_ = platform::RunResult::kDone}};
+  const std::vector<platform::FinishedRun> ends{harness.EndOfRun()};
   harness.ListEnds(ends);
   CHECK(harness.states_[JobId(1)] == ledger::JobState::kRunning);
   const core::TimePoint listed = harness.now_;
--- a/test/support/world.cpp
+++ b/test/support/world.cpp
@@ -333,6 +333,7 @@
   for (const auto& [id, entry] : worker_list_) {
     leader->dispatcher_->OnWorker(entry, now_);
   }
+  // All leaders count the terms' clock alike: it is as far ahead as it may be.
   leader->dispatcher_->Begin(now_, {.leases_end_ = earlier_leases_end_});
   leader_ = leader;
   Pump(leader_);
